--- a/tests/builders.py
+++ b/tests/builders.py
@@ -37,23 +37,31 @@
     return route | changes
 
 
+def build_runner(runner_id: str, url: str, **changes: Any) -> dict[str, Any]:
+    """Return a runner as it stands in the pools document."""
+    return {"id": runner_id, "url": url, "data_centre": "accra-1"} | changes
+
+
 def build_pool(
-    name: str = "engines", runners: int = 1, **changes: Any
+    name: str = "engines",
+    runners: int | Sequence[Mapping[str, Any]] = 1,
+    **changes: Any,
 ) -> dict[str, Any]:
-    """Return a pool with so many runners as it stands in the pools document."""
+    """Return a pool as it stands in the pools document.
+
+    :param runners: the runners, or how many to make up.
+    """
+    if isinstance(runners, int):
+        runners = [
+            build_runner(f"{name}-{number}", f"http://127.0.0.1:{9000 + number}")
+            for number in range(1, runners + 1)
+        ]
     pool = {
         "name": name,
         "kind": "engine",
         "limit": 16,
         "cold_limit": 2,
-        "runners": [
-            {
-                "id": f"{name}-{number}",
-                "url": f"http://127.0.0.1:{9000 + number}",
-                "data_centre": "accra-1",
-            }
-            for number in range(1, runners + 1)
-        ],
+        "runners": list(runners),
     }
     return pool | changes
 
@@ -146,3 +154,21 @@
         "age_ms": 0,
     }
     return LoadReported(RunnerId(runner), LoadReport(**(values | changes)))
+
+
+def build_settings_document(**changes: Any) -> dict[str, Any]:
+    """Return the settings of a daemon without peers, on ports chosen at bind."""
+    loopback = {"ip": "127.0.0.1", "port": 0}
+    document = {
+        "host": "host-0",
+        "data_centre": "accra-1",
+        "seat": 0,
+        "peers": [],
+        "peer_secret": "peer-secret-of-the-tests",
+        "caller_address": loopback,
+        "admin_address": loopback,
+        "peer_address": loopback,
+        "configuration_url": "http://127.0.0.1:1",
+        "host_list_url": "http://127.0.0.1:1",
+    }
+    return document | changes
--- /dev/null
+++ b/tests/integration/test_whole_path.py
@@ -0,0 +1,69 @@
+"""One daemon process between real callers and stand-ins."""
+
+import random
+import signal
+import unittest
+
+import aiohttp
+import uuid6
+
+from figshunt.standins import EngineProfile, ModelEngine, PlainService
+from tests.builders import (
+    CALLER_KEY,
+    build_documents,
+    build_pool,
+    build_route,
+    build_runner,
+)
+from tests.harness import Fleet
+
+HEADERS = {"Authorization": f"Bearer {CALLER_KEY}"}
+
+
+class WholePathTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a break anywhere between a caller and a runner."""
+
+    async def asyncSetUp(self) -> None:
+        self.engine = ModelEngine(EngineProfile(), random.Random(1))
+        self.service = PlainService(5, random.Random(2))
+        await self.engine.start()
+        await self.service.start()
+        engine = build_runner("engine-1", self.engine.url)
+        service = build_runner("service-1", self.service.url)
+        documents = build_documents(
+            routes=[
+                build_route("chat"),
+                build_route("booking", pool="services", idempotent=False),
+            ],
+            pools=[
+                build_pool("engines", [engine]),
+                build_pool("services", [service], kind="plain"),
+            ],
+        )
+        self.fleet = await Fleet(documents, seats=1).__aenter__()
+        self.addAsyncCleanup(self.service.stop)
+        self.addAsyncCleanup(self.engine.stop)
+        self.addAsyncCleanup(self.fleet.__aexit__)
+
+    async def test_stream_and_booking_and_planned_stop(self) -> None:
+        daemon = self.fleet.daemons_by_seat[0]
+        chat = {
+            "model": "chat",
+            "stream": True,
+            "max_tokens": 5,
+            "messages": [{"role": "user", "content": "hello"}],
+        }
+        async with aiohttp.ClientSession(daemon.caller_url, headers=HEADERS) as session:
+            async with session.post("/v1/chat/completions", json=chat) as response:
+                text = await response.text()
+            key = str(uuid6.uuid7())
+            booking = session.post(
+                "/route/booking/book", headers={"Idempotency-Key": key}
+            )
+            async with booking as response:
+                self.assertEqual(response.status, 200)
+        self.assertEqual(text.count("id: "), 5)
+        self.assertTrue(text.endswith("data: [DONE]\n\n"))
+        self.assertEqual(self.service.runs_by_key[key], 1)
+        daemon.process.signal(signal.SIGTERM)
+        self.assertEqual(await daemon.process.wait(), 0)
