Add authenticated peer links between the daemons of a cell

Cause: daemons of a cell could not exchange messages; claims, lending and the spreading of revisions need that. Change: each daemon dials every peer over websockets and sends CBOR on the link that it opened. Both ends prove knowledge of the peer secret over both ends' random values. Send queues, message sizes and connections are bounded; garbage closes one connection, an unknown kind is skipped. Integers in peer messages are limited to 64 bits, because printing a huge one raises an error. With the mechanism broken the tests fail: proof not compared (3 tests), no pings (half-open link), older occupant accepted, unknown kind refused.

--- a/figshunt/codec/_peer_codec.py
+++ b/figshunt/codec/_peer_codec.py
@@ -12,6 +12,7 @@
 from figshunt.types import ErrorCode, FigshuntError, PeerMessage, Step
 
 PROTOCOL_VERSION = 1
+LARGEST_INTEGER = 2**63 - 1
 
 
 class UnknownKind(Exception):
@@ -35,9 +36,11 @@
         _version, kind, fields = cbor2.loads(data)
     except Exception as error:
         raise _malformed(f"not a CBOR message: {type(error).__name__}") from error
-    message_type = _message_types_by_kind().get(kind) if isinstance(kind, str) else None
+    if not isinstance(kind, str):
+        raise _malformed("the kind is not text")
+    message_type = _message_types_by_kind().get(kind)
     if message_type is None:
-        raise UnknownKind(str(kind)[:64])
+        raise UnknownKind(kind[:64])
     try:
         decoded = _decode_dataclass(message_type, fields)
     except (TypeError, ValueError, KeyError) as error:
@@ -106,4 +109,6 @@
         return hint(value)
     if not isinstance(value, hint) or (hint is int and isinstance(value, bool)):
         raise TypeError(f"expected {hint.__name__}, got {type(value).__name__}")
+    if hint is int and abs(value) > LARGEST_INTEGER:
+        raise ValueError("an integer is out of range")
     return value
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -30,6 +30,17 @@
     LoadWatcher,
     decode_load_report,
 )
+from figshunt.services._peer_dialler import (
+    LinkCount,
+    PeerDialler,
+)
+from figshunt.services._peer_handshake import (
+    Handshake,
+    PeerIdentity,
+)
+from figshunt.services._peer_links import (
+    PeerLinks,
+)
 from figshunt.services._runner_client import (
     RunnerClient,
 )
@@ -46,8 +57,13 @@
     "EventLog",
     "EventStreamReader",
     "Feed",
+    "Handshake",
     "KeyValueDestination",
+    "LinkCount",
     "LoadWatcher",
+    "PeerDialler",
+    "PeerIdentity",
+    "PeerLinks",
     "RunnerClient",
     "ServerSentEvent",
     "TableWatcher",
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -12,6 +12,8 @@
 from figshunt.services._caller_listener import CallerListener
 from figshunt.services._event_log import EventLog
 from figshunt.services._load_watcher import LoadWatcher
+from figshunt.services._peer_handshake import PeerIdentity
+from figshunt.services._peer_links import PeerLinks
 from figshunt.services._runner_client import RunnerClient
 from figshunt.services._table_watcher import TableWatcher
 from figshunt.settings import DaemonSettings
@@ -21,9 +23,11 @@
     Effect,
     EndAnswer,
     FailAnswer,
+    IncarnationNumber,
     LogEvent,
     Message,
     SendAnswer,
+    SendPeer,
     StartAnswer,
     StartAttempt,
     TimerDue,
@@ -52,6 +56,16 @@
             self._log,
         )
         self.admin = AdminListener(settings.admin_address)
+        self.peers = PeerLinks(
+            settings,
+            PeerIdentity(
+                settings.seat, settings.host, IncarnationNumber(clock.now().wall_ms)
+            ),
+            self,
+            clock,
+            self._log,
+            random_source,
+        )
         self._runner_client = RunnerClient(self)
         self._load_watcher = LoadWatcher(self, random_source)
         self._table_watcher = TableWatcher(
@@ -67,6 +81,7 @@
             self._load_watcher,
             self.admin,
             self.callers,
+            self.peers,
             self._table_watcher,
         ]
 
@@ -76,6 +91,7 @@
             "daemon_started",
             caller_port=self.callers.port,
             admin_port=self.admin.port,
+            peer_port=self.peers.port,
         )
 
     async def on_stop(self) -> None:
@@ -96,6 +112,8 @@
                 self._runner_client.start_attempt(effect)
             case CancelAttempt():
                 self._runner_client.cancel_attempt(effect)
+            case SendPeer():
+                self.peers.send(effect)
             case WakeAt(monotonic_ms):
                 self._wake_at(monotonic_ms)
             case LogEvent(event, step, fields):
--- /dev/null
+++ b/figshunt/services/_peer_dialler.py
@@ -0,0 +1,216 @@
+"""The link to one peer in the sending direction."""
+
+import asyncio
+import random
+from collections import Counter
+from enum import Enum
+from typing import TypeVar
+
+from mode import Service
+from websockets.asyncio.client import ClientConnection, connect
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+
+from figshunt.codec import UnknownKind, decode_peer_message, encode_peer_message
+from figshunt.services._event_limit import EventLimit
+from figshunt.services._event_log import EventLog
+from figshunt.services._feed import Feed
+from figshunt.services._peer_handshake import Handshake, handshake_error
+from figshunt.services._send_queue import SendQueue
+from figshunt.settings import PeerSettings
+from figshunt.types import (
+    Challenge,
+    Clock,
+    ErrorCode,
+    FigshuntError,
+    PeerConnected,
+    PeerLost,
+    PeerMessage,
+    Step,
+    Welcome,
+)
+
+MOST_MESSAGE_BYTES = 4 * 1024 * 1024
+MOST_WAITING_MESSAGES = 1_024
+MOST_WAITING_BYTES = 2 * MOST_MESSAGE_BYTES
+HANDSHAKE_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 0.5
+# A half-open connection is closed and dialled again well before the kernel's
+# own retransmission timeout, which can be minutes after a partition healed.
+PING_INTERVAL_S = 1.0
+PING_TIMEOUT_S = 3.0
+FIRST_BACKOFF_MS = 50
+LONGEST_BACKOFF_MS = 1_000
+FAILURE_LOG_INTERVAL_MS = 10_000
+
+
+ExpectedMessage = TypeVar("ExpectedMessage", bound=PeerMessage)
+
+
+class LinkCount(Enum):
+    """What is counted about peer links."""
+
+    SENT_MESSAGES = "sent_messages"
+    SENT_BYTES = "sent_bytes"
+    RECEIVED_MESSAGES = "received_messages"
+    RECEIVED_BYTES = "received_bytes"
+    DROPPED_MESSAGES = "dropped_messages"
+    UNKNOWN_KINDS = "unknown_kinds"
+    PROTOCOL_ERRORS = "protocol_errors"
+
+
+class PeerDialler(Service):
+    """Keeps one connection open to a seat and sends queued messages on it.
+
+    A message for a seat without an open link is dropped and counted.
+    """
+
+    def __init__(
+        self,
+        peer: PeerSettings,
+        handshake: Handshake,
+        feed: Feed,
+        clock: Clock,
+        log: EventLog,
+        random_source: random.Random,
+        counts: "Counter[LinkCount]",
+    ) -> None:
+        super().__init__()
+        self._peer = peer
+        self._handshake = handshake
+        self._feed = feed
+        self._log = log
+        self._random = random_source
+        self._counts = counts
+        self._failure_limit = EventLimit(clock, FAILURE_LOG_INTERVAL_MS)
+        self._queue = SendQueue(MOST_WAITING_MESSAGES, MOST_WAITING_BYTES)
+        self._task: asyncio.Task[None] | None = None
+        self.is_connected = False
+
+    async def on_start(self) -> None:
+        """Start to dial."""
+        self._task = asyncio.get_running_loop().create_task(self._keep_connected())
+
+    async def on_stop(self) -> None:
+        """Close the connection."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many messages wait to be sent."""
+        return len(self._queue)
+
+    def send(self, message: PeerMessage) -> None:
+        """Queue a message for the peer."""
+        if not self.is_connected:
+            self._counts[LinkCount.DROPPED_MESSAGES] += 1
+            return
+        dropped_before = self._queue.dropped
+        self._queue.put(encode_peer_message(message))
+        self._counts[LinkCount.DROPPED_MESSAGES] += self._queue.dropped - dropped_before
+
+    async def _keep_connected(self) -> None:
+        backoff_ms = FIRST_BACKOFF_MS
+        while True:
+            try:
+                await self._hold_connection()
+                backoff_ms = FIRST_BACKOFF_MS
+            except FigshuntError as error:
+                self._counts[LinkCount.PROTOCOL_ERRORS] += 1
+                self._report(error.code, error.detail)
+            except (OSError, TimeoutError, InvalidHandshake, ConnectionClosed) as error:
+                self._report(ErrorCode.PEER_UNREACHABLE, _describe(error), "info")
+            await asyncio.sleep(backoff_ms * (0.5 + self._random.random()) / 1000)
+            backoff_ms = min(2 * backoff_ms, LONGEST_BACKOFF_MS)
+
+    async def _hold_connection(self) -> None:
+        address = self._peer.address
+        async with connect(
+            f"ws://{address.host}:{address.port}/",
+            proxy=None,
+            compression=None,
+            open_timeout=HANDSHAKE_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            max_size=MOST_MESSAGE_BYTES,
+            user_agent_header=None,
+        ) as connection:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                await self._open(connection)
+            await self._use(connection)
+
+    async def _open(self, connection: ClientConnection) -> None:
+        challenge = await self._receive(connection, Challenge)
+        nonce = self._handshake.make_nonce()
+        hello = self._handshake.make_hello(challenge.nonce, nonce, self._peer.seat)
+        await connection.send(encode_peer_message(hello))
+        welcome = await self._receive(connection, Welcome)
+        self._handshake.check_welcome(welcome, challenge.nonce, nonce, self._peer.seat)
+
+    async def _use(self, connection: ClientConnection) -> None:
+        sender = asyncio.get_running_loop().create_task(self._send_queued(connection))
+        self.is_connected = True
+        self._log.write(
+            "peer_connected", step=Step.PEER_LINK.value, peer=f"seat {self._peer.seat}"
+        )
+        self._feed.feed(PeerConnected(self._peer.seat))
+        try:
+            await connection.wait_closed()
+        finally:
+            self.is_connected = False
+            sender.cancel()
+            self._counts[LinkCount.DROPPED_MESSAGES] += len(self._queue)
+            self._queue.clear()
+            self._feed.feed(PeerLost(self._peer.seat))
+        self._log.write(
+            "peer_lost",
+            step=Step.PEER_LINK.value,
+            peer=f"seat {self._peer.seat}",
+            close_code=connection.close_code,
+        )
+
+    async def _send_queued(self, connection: ClientConnection) -> None:
+        try:
+            while True:
+                data = await self._queue.get()
+                await connection.send(data)
+                self._counts[LinkCount.SENT_MESSAGES] += 1
+                self._counts[LinkCount.SENT_BYTES] += len(data)
+        except ConnectionClosed:
+            return
+
+    async def _receive(
+        self, connection: ClientConnection, kind: type[ExpectedMessage]
+    ) -> ExpectedMessage:
+        data = await connection.recv()
+        if isinstance(data, str):
+            raise handshake_error("got text", self._peer.seat)
+        try:
+            message = decode_peer_message(data)
+        except UnknownKind as error:
+            raise handshake_error(f"unknown kind {error}", self._peer.seat) from error
+        if not isinstance(message, kind):
+            raise handshake_error(
+                f"got {type(message).__name__}, expected {kind.__name__}",
+                self._peer.seat,
+            )
+        return message
+
+    def _report(self, code: ErrorCode, detail: str, level: str = "warning") -> None:
+        suppressed = self._failure_limit.admit()
+        if suppressed is not None:
+            self._log.write(
+                "peer_link_failed",
+                level,
+                code=code.value,
+                step=Step.PEER_LINK.value,
+                peer=f"seat {self._peer.seat}",
+                detail=detail,
+                suppressed=suppressed,
+            )
+
+
+def _describe(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -42,6 +42,11 @@
     ErrorCode,
     FigshuntError,
 )
+from figshunt.types._handshake_messages import (
+    Challenge,
+    Hello,
+    Welcome,
+)
 from figshunt.types._identifiers import (
     HIGHEST_TIER,
     LOWEST_TIER,
@@ -50,6 +55,7 @@
     Fingerprint,
     GenerationNumber,
     HostName,
+    IncarnationNumber,
     PoolName,
     RequestId,
     RequestKey,
@@ -118,6 +124,7 @@
     "CancelReason",
     "CapacityChanged",
     "CapacityWanted",
+    "Challenge",
     "Clock",
     "ClockJumped",
     "ColdEvidence",
@@ -134,9 +141,11 @@
     "HIGHEST_TIER",
     "HTTP_STATUS_BY_CODE",
     "Heartbeat",
+    "Hello",
     "HostName",
     "HostState",
     "HostsListed",
+    "IncarnationNumber",
     "LOWEST_TIER",
     "ListedHost",
     "LoadReport",
@@ -190,4 +199,5 @@
     "TimerDue",
     "WakeAt",
     "WatchRunners",
+    "Welcome",
 ]
--- a/figshunt/types/_errors.py
+++ b/figshunt/types/_errors.py
@@ -29,6 +29,7 @@
     TABLES_INVALID = "tables_invalid"
     SETTINGS_INVALID = "settings_invalid"
     PEER_PROTOCOL = "peer_protocol"
+    PEER_UNREACHABLE = "peer_unreachable"
     INTERNAL = "internal"
 
 
--- a/figshunt/types/_identifiers.py
+++ b/figshunt/types/_identifiers.py
@@ -15,6 +15,7 @@
 Fingerprint = NewType("Fingerprint", str)
 StartIdentity = NewType("StartIdentity", str)
 RevisionNumber = NewType("RevisionNumber", int)
+IncarnationNumber = NewType("IncarnationNumber", int)
 GenerationNumber = NewType("GenerationNumber", int)
 Tier = NewType("Tier", int)
 
