Notice pauses, and count a seat as heard only after a round trip

Cause: a daemon that was paused would find its peers' heartbeats in the socket buffers and count peers as heard that died meanwhile, and nothing told the other filters that time had jumped. Change: PauseFilter, first in the chain, asks for a turn every 250 ms and yields ClockJumped after a gap of more than 1,000 ms of either clock. MembershipFilter sends heartbeats every 500 ms, each with a stamp that the addressee sends back; a seat is heard since the time of its last echoed stamp. Draining is told at once, and a host that the platform lists as leaving counts as draining. Each of these edits makes a test fail: arrival time in place of the echo's time, no reset after a jump, stamps from zero, a new occupant that inherits its predecessor's times, only the monotonic clock, no ClockJumped. Hearing is mutual: a seat that receives nothing from this daemon is not heard by it either.

--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -3,6 +3,9 @@
 from figshunt.control._membership_filter import (
     MembershipFilter,
 )
+from figshunt.control._pause_filter import (
+    PauseFilter,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
@@ -19,6 +22,7 @@
 
 __all__ = [
     "MembershipFilter",
+    "PauseFilter",
     "RevisionFilter",
     "RunnerFilter",
     "RunnerRecord",
--- a/figshunt/control/_views.py
+++ b/figshunt/control/_views.py
@@ -54,3 +54,9 @@
 
     def is_draining(self, seat: SeatNumber) -> bool:
         """Return whether the seat's daemon is shutting down."""
+
+    def heard_age_ms(self, seat: SeatNumber, now: Moment) -> int | None:
+        """Return how long ago the seat was surely alive, if it ever was."""
+
+    def reads_tables(self, seat: SeatNumber) -> bool:
+        """Return whether the seat's reads of the configuration service succeed."""
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -5,6 +5,7 @@
 
 from figshunt.control import (
     MembershipFilter,
+    PauseFilter,
     RevisionFilter,
     RunnerFilter,
 )
@@ -35,7 +36,7 @@
         random_source: random.Random,
     ) -> None:
         self.revisions = RevisionFilter()
-        self.membership = MembershipFilter(own_seat, seats)
+        self.membership = MembershipFilter(own_seat, seats, random_source)
         self.runners = RunnerFilter(self.revisions)
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
@@ -43,6 +44,7 @@
         self.schedule = ScheduleFilter(FirstInFirstOut(), self.slots, self.revisions)
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
         filters: list[Filter] = [
+            PauseFilter(),
             self.revisions,
             self.membership,
             self.runners,
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -93,6 +93,7 @@
             admin_port=self.admin.port,
             peer_port=self.peers.port,
         )
+        self.feed(TimerDue())
 
     async def on_stop(self) -> None:
         """Cancel the timer."""
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -1,5 +1,8 @@
 """Core types: identifiers, states, clock, errors, messages and effects."""
 
+from figshunt.types._audit import (
+    AuditEntry,
+)
 from figshunt.types._clock import (
     Clock,
     ManualClock,
@@ -73,6 +76,7 @@
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
+    TablesAnnounce,
     TablesRequest,
     TablesTransfer,
 )
@@ -110,6 +114,13 @@
     Step,
     TableSourceKind,
 )
+from figshunt.types._table_messages import (
+    RecordAudit,
+    SetReady,
+    TableReadsChanged,
+    TableServiceRead,
+    WatchTables,
+)
 
 __all__ = [
     "AnswerHead",
@@ -120,6 +131,7 @@
     "AttemptFinished",
     "AttemptId",
     "AttemptPlanned",
+    "AuditEntry",
     "CancelAttempt",
     "CancelReason",
     "CapacityChanged",
@@ -161,6 +173,7 @@
     "PoolKind",
     "PoolName",
     "PreemptionWanted",
+    "RecordAudit",
     "Request",
     "RequestAdmitted",
     "RequestArrived",
@@ -182,13 +195,17 @@
     "SendAnswer",
     "SendPeer",
     "SendState",
+    "SetReady",
     "StartAnswer",
     "StartAttempt",
     "StartIdentity",
     "Step",
     "StopRequested",
     "SystemClock",
+    "TableReadsChanged",
+    "TableServiceRead",
     "TableSourceKind",
+    "TablesAnnounce",
     "TablesInForce",
     "TablesOffered",
     "TablesRefused",
@@ -199,5 +216,6 @@
     "TimerDue",
     "WakeAt",
     "WatchRunners",
+    "WatchTables",
     "Welcome",
 ]
--- a/figshunt/types/_peer_messages.py
+++ b/figshunt/types/_peer_messages.py
@@ -12,11 +12,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Heartbeat(PeerMessage):
-    """Sent to every seat at a fixed interval; its absence means lost contact."""
+    """Sent to every seat at a fixed interval; its absence means lost contact.
+
+    ``stamp`` means something only to the sender; the addressee sends it back
+    as ``echo``. ``reads_tables`` is false while the sender's reads of the
+    configuration service fail.
+    """
 
     revision: RevisionNumber
     draining: bool
     reads_tables: bool
+    stamp: int = 0
+    echo: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TablesAnnounce(PeerMessage):
+    """Tells the revision in force; zero if there is none yet."""
+
+    revision: RevisionNumber
 
 
 @dataclass(frozen=True, slots=True)
