Quarantine content that crashes runners

Cause: a request that crashes its runner was retried on up to four runners, and again whenever its caller sent it. Change: SuspicionFilter holds, by content fingerprint, the runners lost while the content ran and tells peers; QuarantineFilter runs suspects one at a time and refuses content with two confirmed crashes. A connection that was cut (same start identity afterwards) is no crash. First try kept the retry budget of 3 in 10 s: a crash of one runner with a batch of 7 left innocents unanswered, so the least budget is now 32, a whole batch. The slot filter does not yet keep a trial run alone.

--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -11,6 +11,12 @@
     RunnerRecord,
     ramped_limit,
 )
+from figshunt.control._suspicion_filter import (
+    Suspicion,
+    SuspicionEntry,
+    SuspicionFilter,
+    SuspicionView,
+)
 from figshunt.control._views import (
     RunnersView,
     SeatsView,
@@ -24,6 +30,10 @@
     "RunnerRecord",
     "RunnersView",
     "SeatsView",
+    "Suspicion",
+    "SuspicionEntry",
+    "SuspicionFilter",
+    "SuspicionView",
     "TablesView",
     "ramped_limit",
 ]
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -7,12 +7,14 @@
     MembershipFilter,
     RevisionFilter,
     RunnerFilter,
+    SuspicionFilter,
 )
 from figshunt.pipeline import Filter, Pipeline
 from figshunt.policy import FirstInFirstOut, LeastLoaded, RetryBudget
 from figshunt.request import (
     AdmissionFilter,
     AttemptFilter,
+    QuarantineFilter,
     RouteFilter,
     ScheduleFilter,
     TeamFilter,
@@ -37,6 +39,7 @@
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats)
         self.runners = RunnerFilter(self.revisions)
+        self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
         )
@@ -46,8 +49,10 @@
             self.revisions,
             self.membership,
             self.runners,
+            self.suspicions,
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
+            QuarantineFilter(self.suspicions),
             AdmissionFilter(),
             self.schedule,
             self.slots,
--- a/figshunt/policy/_retry_budget.py
+++ b/figshunt/policy/_retry_budget.py
@@ -6,7 +6,10 @@
 
 WINDOW_MS = 10_000
 RETRY_SHARE = 0.1
-LEAST_RETRIES = 3
+
+# A runner that crashes loses its whole batch at once; with fewer retries than
+# that, innocent requests of the batch would fail although capacity is left.
+LEAST_RETRIES = 32
 
 
 class RetryBudget:
--- a/figshunt/request/__init__.py
+++ b/figshunt/request/__init__.py
@@ -7,6 +7,9 @@
     Attempt,
     AttemptFilter,
 )
+from figshunt.request._quarantine_filter import (
+    QuarantineFilter,
+)
 from figshunt.request._refusal import (
     refuse,
     refuse_unrouted,
@@ -25,6 +28,7 @@
     "AdmissionFilter",
     "Attempt",
     "AttemptFilter",
+    "QuarantineFilter",
     "RouteFilter",
     "ScheduleFilter",
     "TeamFilter",
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -104,6 +104,10 @@
     Step,
     TableSourceKind,
 )
+from figshunt.types._suspicion_messages import (
+    Crash,
+    SuspicionNotice,
+)
 
 __all__ = [
     "AnswerHead",
@@ -122,6 +126,7 @@
     "ClockJumped",
     "ColdEvidence",
     "CountEvent",
+    "Crash",
     "DataCentreName",
     "DataCentreState",
     "Effect",
@@ -178,6 +183,7 @@
     "StartIdentity",
     "Step",
     "StopRequested",
+    "SuspicionNotice",
     "SystemClock",
     "TableSourceKind",
     "TablesInForce",
