Add outcome counts, report, metrics and read-only administration

Cause: nothing told operators whether the outcomes held. Change: OutcomeFilter counts ended requests by class and minute for 15 minutes and exchanges sums with peers every 5 s; figshunt.report builds one report from the core's views, as text of at most 40 columns and as a page without scripts; the administration listener adds /status, /report, /audit and /metrics. Message size and cost of the notices are not measured yet.

--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -3,6 +3,11 @@
 from figshunt.control._membership_filter import (
     MembershipFilter,
 )
+from figshunt.control._outcome_filter import (
+    OutcomeFilter,
+    PeerOutcome,
+    target_latency_ms,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
@@ -25,6 +30,8 @@
 
 __all__ = [
     "MembershipFilter",
+    "OutcomeFilter",
+    "PeerOutcome",
     "RevisionFilter",
     "RunnerFilter",
     "RunnerRecord",
@@ -36,4 +43,5 @@
     "SuspicionView",
     "TablesView",
     "ramped_limit",
+    "target_latency_ms",
 ]
--- /dev/null
+++ b/figshunt/control/_outcome_filter.py
@@ -0,0 +1,197 @@
+"""Counts what became of requests, and learns the same from peers."""
+
+from collections import Counter, deque
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from figshunt.control._views import SeatsView, TablesView
+from figshunt.pipeline import Output
+from figshunt.types import (
+    CountEvent,
+    HostName,
+    Message,
+    Moment,
+    ObserveDuration,
+    OutcomeNotice,
+    PeerReceived,
+    RefusalCount,
+    RequestEnded,
+    RevisionNumber,
+    RouteName,
+    RouteOutcome,
+    RunOutcome,
+    SeatNumber,
+    SendPeer,
+    Step,
+    TablesInForce,
+    TimerDue,
+    WakeAt,
+)
+
+BUCKET_MS = 60_000
+BUCKETS = 15
+SPAN_MS = BUCKET_MS * BUCKETS
+NOTICE_INTERVAL_MS = 5_000
+NO_REVISION = RevisionNumber(0)
+
+
+@dataclass(slots=True)
+class _RouteCounts:
+    ended: int = 0
+    whole: int = 0
+    attained: int = 0
+    cancelled: int = 0
+    good_tokens: int = 0
+    wasted_tokens: int = 0
+    refusals: Counter[str] = field(default_factory=Counter)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerOutcome:
+    """The last figures of one peer and when they came (monotonic)."""
+
+    notice: OutcomeNotice
+    heard_ms: int
+
+
+class OutcomeFilter:
+    """Owns the outcome counts of the last ``SPAN_MS``, by minute and route.
+
+    Bounded by the number of routes times ``BUCKETS``, and one notice for each
+    peer; a restart loses them.
+    """
+
+    step = Step.OUTCOME
+    accepts: tuple[type[Message], ...] = (
+        RequestEnded,
+        PeerReceived,
+        TablesInForce,
+        TimerDue,
+    )
+
+    def __init__(self, host: HostName, seats: SeatsView, tables: TablesView) -> None:
+        self._host = host
+        self._seats = seats
+        self._tables = tables
+        self._buckets: deque[tuple[int, dict[RouteName, _RouteCounts]]] = deque()
+        self._notices_by_seat: dict[SeatNumber, PeerOutcome] = {}
+        self._next_notice_ms: int | None = None
+
+    def own_notice(self, now: Moment) -> OutcomeNotice:
+        """Return this daemon's figures of the last span."""
+        self._drop_old(now)
+        tables = self._tables.current()
+        names: dict[RouteName, None] = dict.fromkeys(
+            tables.routes_by_name if tables else ()
+        )
+        for _, by_route in self._buckets:
+            names.update(dict.fromkeys(by_route))
+        return OutcomeNotice(
+            host=self._host,
+            revision=tables.revision if tables else NO_REVISION,
+            span_ms=SPAN_MS,
+            routes=tuple(self._sum(name) for name in names),
+        )
+
+    def peer_outcomes(self) -> Mapping[SeatNumber, PeerOutcome]:
+        """Return the last figures of each peer that sent any."""
+        return dict(self._notices_by_seat)
+
+    def process(self, message: Message, now: Moment) -> Iterable[Output]:
+        """Handle one message."""
+        match message:
+            case RequestEnded():
+                yield from self._count(message, now)
+            case PeerReceived(seat, OutcomeNotice() as notice):
+                self._notices_by_seat[seat] = PeerOutcome(notice, now.monotonic_ms)
+                return
+            case TimerDue() | TablesInForce():
+                yield from self._notify_peers(now)
+        yield message
+
+    def _count(self, ended: RequestEnded, now: Moment) -> Iterable[Output]:
+        route = ended.routed.route
+        counts = self._counts(route.name, now)
+        counts.wasted_tokens += ended.wasted_tokens
+        result = "whole"
+        if ended.code is None and ended.outcome is not RunOutcome.RAN:
+            counts.cancelled += 1
+            result = "cancelled"
+        else:
+            counts.ended += 1
+        if ended.code is not None:
+            counts.refusals[ended.code.value] += 1
+            result = ended.code.value
+        elif ended.outcome is RunOutcome.RAN:
+            counts.whole += 1
+            counts.good_tokens += ended.tokens
+            latency_ms = target_latency_ms(ended)
+            counts.attained += latency_ms <= route.latency_target_ms
+            yield ObserveDuration("latency", {"route": route.name}, latency_ms)
+        yield CountEvent("requests", {"route": route.name, "result": result})
+        if ended.wasted_tokens:
+            yield CountEvent(
+                "wasted_tokens", {"route": route.name}, ended.wasted_tokens
+            )
+
+    def _notify_peers(self, now: Moment) -> Iterable[Output]:
+        due_ms = self._next_notice_ms
+        if due_ms is not None and now.monotonic_ms < due_ms:
+            return
+        self._next_notice_ms = now.monotonic_ms + NOTICE_INTERVAL_MS
+        yield WakeAt(self._next_notice_ms)
+        peers = [seat for seat in self._seats.seats if seat != self._seats.own_seat]
+        if peers:
+            notice = self.own_notice(now)
+            for seat in peers:
+                yield SendPeer(seat, notice)
+
+    def _counts(self, route: RouteName, now: Moment) -> _RouteCounts:
+        bucket = now.monotonic_ms // BUCKET_MS
+        if not self._buckets or self._buckets[-1][0] != bucket:
+            self._buckets.append((bucket, {}))
+            self._drop_old(now)
+        return self._buckets[-1][1].setdefault(route, _RouteCounts())
+
+    def _drop_old(self, now: Moment) -> None:
+        oldest = now.monotonic_ms // BUCKET_MS - BUCKETS
+        while self._buckets and self._buckets[0][0] <= oldest:
+            self._buckets.popleft()
+
+    def _sum(self, route: RouteName) -> RouteOutcome:
+        total = _RouteCounts()
+        for _, by_route in self._buckets:
+            counts = by_route.get(route)
+            if counts is None:
+                continue
+            total.ended += counts.ended
+            total.whole += counts.whole
+            total.attained += counts.attained
+            total.cancelled += counts.cancelled
+            total.good_tokens += counts.good_tokens
+            total.wasted_tokens += counts.wasted_tokens
+            total.refusals += counts.refusals
+        return RouteOutcome(
+            route=route,
+            ended=total.ended,
+            whole=total.whole,
+            attained=total.attained,
+            cancelled=total.cancelled,
+            good_tokens=total.good_tokens,
+            wasted_tokens=total.wasted_tokens,
+            refusals=tuple(
+                RefusalCount(code, count)
+                for code, count in sorted(total.refusals.items())
+            ),
+        )
+
+
+def target_latency_ms(ended: RequestEnded) -> int:
+    """Return the latency that counts against the target of the class.
+
+    It is the time to the first token for streams, and to the whole answer
+    for everything else.
+    """
+    if ended.routed.request.stream and ended.first_token_ms is not None:
+        return ended.first_token_ms
+    return ended.whole_ms or 0
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -5,6 +5,7 @@
 
 from figshunt.control import (
     MembershipFilter,
+    OutcomeFilter,
     RevisionFilter,
     RunnerFilter,
     SuspicionFilter,
@@ -20,7 +21,7 @@
     TeamFilter,
 )
 from figshunt.slots import SlotFilter
-from figshunt.types import Effect, Message, Moment, SeatNumber
+from figshunt.types import Effect, HostName, Message, Moment, SeatNumber
 
 
 class Core:
@@ -32,12 +33,14 @@
 
     def __init__(
         self,
+        host: HostName,
         own_seat: SeatNumber,
         seats: Sequence[SeatNumber],
         random_source: random.Random,
     ) -> None:
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats)
+        self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
         self.runners = RunnerFilter(self.revisions)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
@@ -48,6 +51,7 @@
         filters: list[Filter] = [
             self.revisions,
             self.membership,
+            self.outcomes,
             self.runners,
             self.suspicions,
             TeamFilter(self.revisions),
--- /dev/null
+++ b/figshunt/report/_html.py
@@ -0,0 +1,84 @@
+"""The report as one small HTML page without scripts."""
+
+import html
+
+from figshunt.report._model import ClassLine, FleetReport
+from figshunt.report._text import format_share
+from figshunt.types import RunnerPhase
+
+STYLE = """
+body{font:16px/1.4 system-ui,sans-serif;margin:0 auto;max-width:32rem;padding:.7rem;
+color:#1b1b1b;background:#fff}
+h1{font-size:1.15rem;margin:.2rem 0}h2{font-size:1rem;margin:1rem 0 .3rem}
+table{border-collapse:collapse;width:100%}td,th{padding:.3rem .2rem;text-align:right;
+border-bottom:1px solid #ddd;font-variant-numeric:tabular-nums}
+td:first-child,th:first-child{text-align:left;overflow-wrap:anywhere}
+.low{color:#a40000;font-weight:600}p,ul{margin:.3rem 0}ul{padding-left:1.1rem}
+small{color:#555}
+"""
+LOW_ATTAINMENT = 0.95
+
+
+def format_html(report: FleetReport) -> str:
+    """Return the report as a page that fits a phone's width."""
+    rows = "".join(_class_row(line) for line in report.classes)
+    age = report.revision_age_ms
+    confirmed = "unknown" if age is None else f"{age // 1000} s ago"
+    parts = [
+        "<!doctype html><html lang=en><meta charset=utf-8>",
+        '<meta name=viewport content="width=device-width,initial-scale=1">',
+        f"<title>figshunt report</title><style>{STYLE}</style>",
+        "<h1>figshunt</h1>",
+        f"<p>Seen from {html.escape(report.host)}, last "
+        f"{report.span_ms // 60_000} min<br>Revision {report.revision}, "
+        f"confirmed {confirmed}</p>",
+        "<table><tr><th>class<th>target<th>in time<th>done<th>lost</tr>",
+        rows,
+        "</table>",
+        _list("Not known or not well", report.warnings),
+        _list("Data centres out", report.data_centres_out),
+        _list("Runners", _runner_items(report)),
+        _list("Hosts", _host_items(report)),
+        "</html>",
+    ]
+    return "".join(parts)
+
+
+def _class_row(line: ClassLine) -> str:
+    outcome = line.outcome
+    is_low = outcome.ended and outcome.attained / outcome.ended < LOW_ATTAINMENT
+    mark = " class=low" if is_low else ""
+    refusals = ", ".join(
+        f"{refusal.code} {refusal.count}" for refusal in outcome.refusals
+    )
+    detail = f"<br><small>{html.escape(refusals)}</small>" if refusals else ""
+    return (
+        f"<tr><td>{line.tier} {html.escape(line.route)}{detail}"
+        f"<td>{line.latency_target_ms} ms"
+        f"<td{mark}>{format_share(outcome.attained, outcome.ended)}"
+        f"<td>{outcome.whole}<td>{outcome.ended - outcome.whole}</tr>"
+    )
+
+
+def _runner_items(report: FleetReport) -> tuple[str, ...]:
+    return tuple(
+        f"{runner_id}: {phase.value}"
+        for runner_id, phase in sorted(report.phases_by_runner.items())
+        if phase is not RunnerPhase.WARM
+    ) or ("all warm",)
+
+
+def _host_items(report: FleetReport) -> tuple[str, ...]:
+    return tuple(
+        f"seat {host.seat}: {host.host or 'never heard'}"
+        + ("" if host.host is None else f", revision {host.revision}")
+        + ("" if host.is_heard else ", silent")
+        for host in report.hosts
+    )
+
+
+def _list(title: str, items: tuple[str, ...]) -> str:
+    if not items:
+        return ""
+    points = "".join(f"<li>{html.escape(item)}" for item in items)
+    return f"<h2>{title}</h2><ul>{points}</ul>"
--- /dev/null
+++ b/figshunt/report/_model.py
@@ -0,0 +1,87 @@
+"""The report as values: what one daemon knows of the fleet's outcomes."""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from figshunt.types import (
+    DataCentreName,
+    HostName,
+    OutcomeNotice,
+    RefusalCount,
+    RevisionNumber,
+    RouteName,
+    RouteOutcome,
+    RunnerId,
+    RunnerPhase,
+    Tier,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class ClassLine:
+    """One class of request: its target and the figures of all heard hosts."""
+
+    route: RouteName
+    tier: Tier
+    latency_target_ms: int
+    outcome: RouteOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class HostLine:
+    """One seat of the cell.
+
+    ``host`` and ``revision`` are ``None`` where the seat was never heard;
+    ``age_ms`` is the age of its figures.
+    """
+
+    seat: int
+    host: HostName | None
+    revision: RevisionNumber | None
+    age_ms: int | None
+    is_heard: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FleetReport:
+    """Everything that the report shows."""
+
+    host: HostName
+    wall_ms: int
+    span_ms: int
+    revision: RevisionNumber | None
+    revision_age_ms: int | None
+    classes: tuple[ClassLine, ...]
+    hosts: tuple[HostLine, ...]
+    phases_by_runner: Mapping[RunnerId, RunnerPhase]
+    data_centres_out: tuple[DataCentreName, ...]
+    warnings: tuple[str, ...]
+
+
+def sum_outcomes(notices: Iterable[OutcomeNotice]) -> dict[RouteName, RouteOutcome]:
+    """Add up the figures of several hosts by route."""
+    parts_by_route: dict[RouteName, list[RouteOutcome]] = {}
+    for notice in notices:
+        for outcome in notice.routes:
+            parts_by_route.setdefault(outcome.route, []).append(outcome)
+    return {route: _sum_route(route, parts) for route, parts in parts_by_route.items()}
+
+
+def _sum_route(route: RouteName, parts: Sequence[RouteOutcome]) -> RouteOutcome:
+    counts_by_code: dict[str, int] = {}
+    for part in parts:
+        for refusal in part.refusals:
+            known = counts_by_code.get(refusal.code, 0)
+            counts_by_code[refusal.code] = known + refusal.count
+    return RouteOutcome(
+        route=route,
+        ended=sum(part.ended for part in parts),
+        whole=sum(part.whole for part in parts),
+        attained=sum(part.attained for part in parts),
+        cancelled=sum(part.cancelled for part in parts),
+        good_tokens=sum(part.good_tokens for part in parts),
+        wasted_tokens=sum(part.wasted_tokens for part in parts),
+        refusals=tuple(
+            RefusalCount(code, count) for code, count in sorted(counts_by_code.items())
+        ),
+    )
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -2,6 +2,7 @@
 
 from figshunt.services._admin_listener import (
     AdminListener,
+    AdminSource,
 )
 from figshunt.services._answer_stream import (
     AnswerPart,
@@ -10,6 +11,9 @@
 from figshunt.services._caller_listener import (
     CallerListener,
 )
+from figshunt.services._core_view import (
+    CoreView,
+)
 from figshunt.services._daemon import (
     Daemon,
 )
@@ -30,6 +34,9 @@
     LoadWatcher,
     decode_load_report,
 )
+from figshunt.services._metrics import (
+    Metrics,
+)
 from figshunt.services._runner_client import (
     RunnerClient,
 )
@@ -39,15 +46,18 @@
 
 __all__ = [
     "AdminListener",
+    "AdminSource",
     "AnswerPart",
     "AnswerStream",
     "CallerListener",
+    "CoreView",
     "Daemon",
     "EventLog",
     "EventStreamReader",
     "Feed",
     "KeyValueDestination",
     "LoadWatcher",
+    "Metrics",
     "RunnerClient",
     "ServerSentEvent",
     "TableWatcher",
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -10,19 +10,23 @@
 from figshunt.pipeline import WakeQueue
 from figshunt.services._admin_listener import AdminListener
 from figshunt.services._caller_listener import CallerListener
+from figshunt.services._core_view import CoreView
 from figshunt.services._event_log import EventLog
 from figshunt.services._load_watcher import LoadWatcher
+from figshunt.services._metrics import Metrics
 from figshunt.services._runner_client import RunnerClient
 from figshunt.services._table_watcher import TableWatcher
 from figshunt.settings import DaemonSettings
 from figshunt.types import (
     CancelAttempt,
     Clock,
+    CountEvent,
     Effect,
     EndAnswer,
     FailAnswer,
     LogEvent,
     Message,
+    ObserveDuration,
     SendAnswer,
     StartAnswer,
     StartAttempt,
@@ -42,7 +46,8 @@
         self._settings = settings
         self._clock = clock
         self._log = EventLog({"host": settings.host})
-        self.core = Core(settings.seat, settings.seats, random_source)
+        self.core = Core(settings.host, settings.seat, settings.seats, random_source)
+        self._metrics = Metrics()
         self.callers = CallerListener(
             settings.caller_address,
             settings.limits,
@@ -51,7 +56,9 @@
             clock,
             self._log,
         )
-        self.admin = AdminListener(settings.admin_address)
+        self.admin = AdminListener(
+            settings.admin_address, CoreView(self.core, clock), self._metrics
+        )
         self._runner_client = RunnerClient(self)
         self._load_watcher = LoadWatcher(self, random_source)
         self._table_watcher = TableWatcher(
@@ -98,6 +105,10 @@
                 self._runner_client.cancel_attempt(effect)
             case WakeAt(monotonic_ms):
                 self._wake_at(monotonic_ms)
+            case CountEvent():
+                self._metrics.count(effect)
+            case ObserveDuration():
+                self._metrics.observe(effect)
             case LogEvent(event, step, fields):
                 values: dict[str, Any] = dict(fields)
                 self._log.write(event, step=step.value, **values)
--- /dev/null
+++ b/figshunt/services/_metrics.py
@@ -0,0 +1,83 @@
+"""Prometheus metrics of one daemon."""
+
+from collections.abc import Callable
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    generate_latest,
+)
+
+from figshunt.types import CountEvent, ObserveDuration
+
+LABELS_BY_COUNTER = {
+    "requests": ("route", "result"),
+    "wasted_tokens": ("route",),
+    "retries": ("failure",),
+    "late_parts_dropped": ("part",),
+}
+HELP_BY_COUNTER = {
+    "requests": "Requests that ended, by route and result.",
+    "wasted_tokens": "Tokens generated but not delivered.",
+    "retries": "Attempts started again after a failure.",
+    "late_parts_dropped": "Parts of abandoned attempts that were dropped.",
+}
+LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.45, 0.9, 2, 5, 10, 30, 60)
+
+
+class Metrics:
+    """A registry of its own, so that several daemons can share a process.
+
+    Labels are routes, error codes and causes, never teams or keys, so the
+    number of series is bounded by the tables. Events without a definition in
+    ``LABELS_BY_COUNTER`` are counted by name alone.
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        ProcessCollector(registry=self._registry)
+        self._counters = {
+            name: Counter(
+                f"figshunt_{name}",
+                HELP_BY_COUNTER[name],
+                labels,
+                registry=self._registry,
+            )
+            for name, labels in LABELS_BY_COUNTER.items()
+        }
+        self._other_events = Counter(
+            "figshunt_events",
+            "Events that have no counter of their own.",
+            ("event",),
+            registry=self._registry,
+        )
+        self._latency = Histogram(
+            "figshunt_latency_seconds",
+            "Time to the first token of streams, to the whole answer of others.",
+            ("route",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+
+    def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when metrics are collected."""
+        Gauge(f"figshunt_{name}", help_text, registry=self._registry).set_function(read)
+
+    def count(self, effect: CountEvent) -> None:
+        """Add to a counter."""
+        counter = self._counters.get(effect.counter)
+        if counter is None:
+            self._other_events.labels(effect.counter).inc(effect.amount)
+        else:
+            counter.labels(**effect.labels).inc(effect.amount)
+
+    def observe(self, effect: ObserveDuration) -> None:
+        """Add one duration to the latency histogram."""
+        self._latency.labels(**effect.labels).observe(effect.duration_ms / 1000)
+
+    def exposition(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self._registry)
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -30,6 +30,7 @@
     EndAnswer,
     FailAnswer,
     LogEvent,
+    ObserveDuration,
     SendAnswer,
     SendPeer,
     StartAnswer,
@@ -64,6 +65,11 @@
 from figshunt.types._message import (
     Message,
 )
+from figshunt.types._outcome_messages import (
+    OutcomeNotice,
+    RefusalCount,
+    RouteOutcome,
+)
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
@@ -150,6 +156,8 @@
     "ManualClock",
     "Message",
     "Moment",
+    "ObserveDuration",
+    "OutcomeNotice",
     "PeerConnected",
     "PeerLost",
     "PeerMessage",
@@ -157,6 +165,7 @@
     "PoolKind",
     "PoolName",
     "PreemptionWanted",
+    "RefusalCount",
     "Request",
     "RequestAdmitted",
     "RequestArrived",
@@ -168,6 +177,7 @@
     "RequestRouted",
     "RevisionNumber",
     "RouteName",
+    "RouteOutcome",
     "RoutedRequest",
     "RunOutcome",
     "RunnerChanged",
--- a/figshunt/types/_effects.py
+++ b/figshunt/types/_effects.py
@@ -118,3 +118,12 @@
     counter: str
     labels: Mapping[str, str] = field(default_factory=dict)
     amount: float = 1
+
+
+@dataclass(frozen=True, slots=True)
+class ObserveDuration(Effect):
+    """Add one duration to a histogram with a bounded set of labels."""
+
+    histogram: str
+    labels: Mapping[str, str]
+    duration_ms: int
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -7,6 +7,7 @@
     """Filter or service in which an event or error arose."""
 
     PAUSE = "pause"
+    OUTCOME = "outcome"
     REVISION = "revision"
     MEMBERSHIP = "membership"
     RUNNER = "runner"
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,11 +14,13 @@
     RequestArrived,
     RequestId,
     RequestKey,
+    RoutedRequest,
     RouteName,
     RunnerId,
     StartIdentity,
     TablesOffered,
     TableSourceKind,
+    TeamName,
 )
 
 CALLER_KEY = "caller-key-of-team-a"
@@ -140,6 +142,15 @@
     return RequestArrived(build_request(now, number, **changes))
 
 
+def build_routed(now: Moment, number: int = 1, **route_changes: Any) -> RoutedRequest:
+    """Return a request that arrived at ``now`` and has its route."""
+    tables = build_tables(routes=[build_route(**route_changes)])
+    (route,) = tables.routes_by_name.values()
+    request = build_request(now, number, route=route.name)
+    deadline_ms = now.monotonic_ms + route.deadline_ms
+    return RoutedRequest(request, TeamName("team-a"), route, deadline_ms)
+
+
 def build_load(
     runner: str = "engines-1", completed: int = 1000, **changes: Any
 ) -> LoadReported:
--- /dev/null
+++ b/tests/report/test_report.py
@@ -0,0 +1,98 @@
+"""The report shows what held, and says what it doesn't know."""
+
+import unittest
+
+from figshunt.control import (
+    MembershipFilter,
+    OutcomeFilter,
+    RevisionFilter,
+    RunnerFilter,
+)
+from figshunt.report import COLUMNS, FleetReport, build_report, format_html, format_text
+from figshunt.types import (
+    ErrorCode,
+    HostName,
+    ManualClock,
+    Message,
+    OutcomeNotice,
+    PeerReceived,
+    RequestEnded,
+    RevisionNumber,
+    RouteName,
+    RouteOutcome,
+    RunOutcome,
+    SeatNumber,
+)
+from tests.builders import build_route, build_routed, build_tables_offered
+
+SEATS = (SeatNumber(0), SeatNumber(1), SeatNumber(2))
+LONG_NAME = "a-very-long-class-name-that-does-not-fit-a-phone"
+
+
+class ReportTest(unittest.TestCase):
+    """One daemon with two peers, of which one was never heard."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.revisions = RevisionFilter()
+        self.membership = MembershipFilter(SEATS[0], SEATS)
+        self.outcomes = OutcomeFilter(HostName("h0"), self.membership, self.revisions)
+        self.feed(build_tables_offered())
+
+    def feed(self, message: Message) -> None:
+        for one in (self.revisions, self.outcomes):
+            if type(message) in one.accepts:
+                list(one.process(message, self.clock.now()))
+
+    def end(self, code: ErrorCode | None, first_token_ms: int = 100) -> None:
+        outcome = RunOutcome.RAN if code is None else RunOutcome.NOT_RUN
+        routed = build_routed(self.clock.now())
+        self.feed(RequestEnded(routed, outcome, code, first_token_ms, 900, tokens=7))
+
+    def report(self) -> FleetReport:
+        return build_report(
+            self.outcomes,
+            self.revisions,
+            RunnerFilter(self.revisions),
+            self.membership,
+            self.clock.now(),
+        )
+
+    def test_counts_by_class_over_all_hosts(self) -> None:
+        self.end(None)
+        self.end(None, first_token_ms=2_000)
+        self.end(ErrorCode.QUEUE_FULL)
+        notice = OutcomeNotice(
+            HostName("h1"),
+            RevisionNumber(1),
+            900_000,
+            (RouteOutcome(RouteName("chat"), ended=10, whole=9, attained=8),),
+        )
+        self.feed(PeerReceived(SEATS[1], notice))
+        (line,) = self.report().classes
+        self.assertEqual(
+            (line.outcome.ended, line.outcome.whole, line.outcome.attained),
+            (13, 11, 9),
+        )
+        self.assertEqual(line.outcome.good_tokens, 14)
+        self.assertEqual(line.outcome.refusals[0].code, "queue_full")
+
+    def test_old_figures_leave_the_report(self) -> None:
+        self.end(None)
+        self.clock.advance(901_000 + 60_000)
+        (line,) = self.report().classes
+        self.assertEqual(line.outcome.ended, 0)
+
+    def test_says_what_it_does_not_know(self) -> None:
+        self.assertIn("seat 2: never heard", self.report().warnings)
+
+    def test_text_fits_a_phone(self) -> None:
+        routes = {"routes": [build_route(LONG_NAME)]}
+        self.feed(build_tables_offered(2, **routes))
+        lines = format_text(self.report()).splitlines()
+        self.assertLessEqual(max(map(len, lines)), COLUMNS)
+
+    def test_page_escapes_names_and_has_no_script(self) -> None:
+        routes = {"routes": [build_route("<script>")]}
+        self.feed(build_tables_offered(2, **routes))
+        self.assertNotIn("<script", format_html(self.report()))
