Show goodput and wasted tokens in the report; add report and audit commands

Cause: the report left out goodput, and a person had to know the URLs. Change: goodput and wasted share for each class; figshunt report URL and figshunt audit URL. Tokens of answers that did not become whole count as wasted.

--- a/figshunt/commands/_main.py
+++ b/figshunt/commands/_main.py
@@ -7,9 +7,12 @@
 
 from figshunt.commands._demo import demo
 from figshunt.commands._serve import serve
+from figshunt.commands._show import audit, report
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command line and exit with the command's status."""
-    status = defopt.run([serve, demo], argv=arguments, cli_options="has_default")
+    status = defopt.run(
+        [serve, demo, report, audit], argv=arguments, cli_options="has_default"
+    )
     sys.exit(status or 0)
--- a/figshunt/report/_html.py
+++ b/figshunt/report/_html.py
@@ -3,7 +3,7 @@
 import html
 
 from figshunt.report._model import ClassLine, FleetReport
-from figshunt.report._text import format_share
+from figshunt.report._text import format_goodput, format_share
 from figshunt.types import RunnerPhase
 
 STYLE = """
@@ -21,7 +21,7 @@
 
 def format_html(report: FleetReport) -> str:
     """Return the report as a page that fits a phone's width."""
-    rows = "".join(_class_row(line) for line in report.classes)
+    rows = "".join(_class_row(line, report.span_ms) for line in report.classes)
     age = report.revision_age_ms
     confirmed = "unknown" if age is None else f"{age // 1000} s ago"
     parts = [
@@ -44,14 +44,17 @@
     return "".join(parts)
 
 
-def _class_row(line: ClassLine) -> str:
+def _class_row(line: ClassLine, span_ms: int) -> str:
     outcome = line.outcome
     is_low = outcome.ended and outcome.attained / outcome.ended < LOW_ATTAINMENT
     mark = " class=low" if is_low else ""
-    refusals = ", ".join(
-        f"{refusal.code} {refusal.count}" for refusal in outcome.refusals
-    )
-    detail = f"<br><small>{html.escape(refusals)}</small>" if refusals else ""
+    facts = [f"{refusal.code} {refusal.count}" for refusal in outcome.refusals]
+    if outcome.good_tokens:
+        facts.append(format_goodput(outcome, span_ms))
+    if outcome.wasted_tokens:
+        generated = outcome.good_tokens + outcome.wasted_tokens
+        facts.append(f"wasted {format_share(outcome.wasted_tokens, generated)}")
+    detail = f"<br><small>{html.escape(', '.join(facts))}</small>" if facts else ""
     return (
         f"<tr><td>{line.tier} {html.escape(line.route)}{detail}"
         f"<td>{line.latency_target_ms} ms"
--- a/figshunt/report/_text.py
+++ b/figshunt/report/_text.py
@@ -5,7 +5,7 @@
 from datetime import UTC, datetime
 
 from figshunt.report._model import ClassLine, FleetReport, HostLine
-from figshunt.types import RunnerPhase
+from figshunt.types import RouteOutcome, RunnerPhase
 
 COLUMNS = 40
 
@@ -21,6 +21,11 @@
     return f"{100 * part / whole:.1f}%" if whole else "-"
 
 
+def format_goodput(outcome: RouteOutcome, span_ms: int) -> str:
+    """Return the rate of tokens in whole answers over the span."""
+    return f"{1000 * outcome.good_tokens / span_ms:.1f} good tokens/s"
+
+
 def _lines(report: FleetReport) -> Iterator[str]:
     time = datetime.fromtimestamp(report.wall_ms / 1000, UTC)
     yield f"figshunt {time:%Y-%m-%d %H:%M:%S}Z"
@@ -31,7 +36,7 @@
     yield f"{'class':<18}{'in time':>8}{'done':>7}{'lost':>7}"
     for line in report.classes:
         yield _class_line(line)
-        yield from _refusal_lines(line)
+        yield from _detail_lines(line, report.span_ms)
     yield ""
     yield from _runner_lines(report)
     if report.data_centres_out:
@@ -58,12 +63,15 @@
     return f"{name:<18}{attained:>8}{outcome.whole:>7}{lost:>7}"
 
 
-def _refusal_lines(line: ClassLine) -> Iterator[str]:
-    for refusal in line.outcome.refusals:
+def _detail_lines(line: ClassLine, span_ms: int) -> Iterator[str]:
+    outcome = line.outcome
+    for refusal in outcome.refusals:
         yield f"    {refusal.code}: {refusal.count}"
-    generated = line.outcome.good_tokens + line.outcome.wasted_tokens
-    if line.outcome.wasted_tokens:
-        share = format_share(line.outcome.wasted_tokens, generated)
+    if outcome.good_tokens:
+        yield f"    {format_goodput(outcome, span_ms)}"
+    if outcome.wasted_tokens:
+        generated = outcome.good_tokens + outcome.wasted_tokens
+        share = format_share(outcome.wasted_tokens, generated)
         yield f"    wasted tokens: {share}"
 
 
--- a/figshunt/request/_attempt_filter.py
+++ b/figshunt/request/_attempt_filter.py
@@ -291,6 +291,7 @@
         routed = attempt.routed
         self._head_sent.discard(routed.request_id)
         arrived_ms = routed.request.arrived.monotonic_ms
+        is_whole = outcome is RunOutcome.RAN and code is None
         yield Feedback(
             RequestEnded(
                 routed,
@@ -303,6 +304,7 @@
                 ),
                 whole_ms=now.monotonic_ms - arrived_ms,
                 tokens=attempt.delivered,
+                wasted_tokens=0 if is_whole else attempt.delivered,
             )
         )
 
