Answer whole or fail: check the end offset, drop duplicate parts

Cause: a property test over any order of a runner's messages found answers that ended normally with tokens missing (an end marker ahead of its parts) and parts sent before the head of the answer. Change: an attempt ends normally only when the runner's token count equals what was delivered; a part behind the offset is dropped and counted, one ahead of it breaks the attempt, which is resumed or failed.

--- a/figshunt/request/_attempt_filter.py
+++ b/figshunt/request/_attempt_filter.py
@@ -93,13 +93,13 @@
         match message:
             case AttemptPlanned():
                 yield from self._start(message, now)
-            case AnswerHead(attempt_id):
+            case AnswerHead():
                 yield from self._forward_head(message)
-            case AttemptChunk(attempt_id):
+            case AttemptChunk():
                 yield from self._forward_chunk(message, now)
-            case AttemptFinished(attempt_id):
-                yield from self._finish(attempt_id, now)
-            case AttemptFailed(attempt_id):
+            case AttemptFinished():
+                yield from self._finish(message, now)
+            case AttemptFailed():
                 yield from self._fail(message, now)
             case RequestCancelled(request_id):
                 yield from self._cancel(request_id, now)
@@ -148,17 +148,12 @@
         if attempt is None:
             yield self._count_late("chunk")
             return
-        if chunk.offset != attempt.delivered and chunk.tokens:
-            yield CancelAttempt(attempt.attempt_id, CancelReason.PREEMPTED)
-            yield from self._fail(
-                AttemptFailed(
-                    attempt.attempt_id,
-                    AttemptFailure.PROTOCOL,
-                    SendState.MAY_HAVE_ARRIVED,
-                    f"part at offset {chunk.offset}, expected {attempt.delivered}",
-                ),
-                now,
-            )
+        if chunk.tokens and chunk.offset < attempt.delivered:
+            yield self._count_late("duplicate")
+            return
+        if not attempt.head_sent or (chunk.tokens and chunk.offset > attempt.delivered):
+            detail = f"part at offset {chunk.offset}, expected {attempt.delivered}"
+            yield from self._break_protocol(attempt, detail, now)
             return
         self._attempts_by_id[chunk.attempt_id] = replace(
             attempt,
@@ -172,15 +167,34 @@
         )
         yield SendAnswer(attempt.routed.request_id, chunk.data)
 
-    def _finish(self, attempt_id: AttemptId, now: Moment) -> Iterable[Output]:
-        attempt = self._remove(attempt_id)
+    def _finish(self, finished: AttemptFinished, now: Moment) -> Iterable[Output]:
+        attempt = self._attempts_by_id.get(finished.attempt_id)
         if attempt is None:
             yield self._count_late("end")
             return
+        if not attempt.head_sent or finished.tokens != attempt.delivered:
+            detail = f"end at {finished.tokens} tokens, received {attempt.delivered}"
+            yield from self._break_protocol(attempt, detail, now)
+            return
+        self._remove(finished.attempt_id)
         yield EndAnswer(attempt.routed.request_id)
         yield from self._end_attempt(attempt, None)
         yield from self._end_request(attempt, RunOutcome.RAN, None, now)
 
+    def _break_protocol(
+        self, attempt: Attempt, detail: str, now: Moment
+    ) -> Iterable[Output]:
+        yield CancelAttempt(attempt.attempt_id, CancelReason.PROTOCOL)
+        yield from self._fail(
+            AttemptFailed(
+                attempt.attempt_id,
+                AttemptFailure.PROTOCOL,
+                SendState.MAY_HAVE_ARRIVED,
+                detail,
+            ),
+            now,
+        )
+
     def _fail(self, failed: AttemptFailed, now: Moment) -> Iterable[Output]:
         attempt = self._remove(failed.attempt_id)
         if attempt is None:
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -107,6 +107,7 @@
     DEADLINE = "deadline"
     PREEMPTED = "preempted"
     LEASE_ENDED = "lease_ended"
+    PROTOCOL = "protocol"
 
 
 class TableSourceKind(Enum):
--- /dev/null
+++ b/tests/request/test_attempt_filter.py
@@ -0,0 +1,132 @@
+"""Each caller gets its own whole answer, or an explicit error."""
+
+import random
+import unittest
+from collections import defaultdict
+
+import uuid6
+from hypothesis import given
+from hypothesis import strategies as st
+
+from figshunt.core import Core
+from figshunt.types import (
+    AnswerHead,
+    AttemptChunk,
+    AttemptFailed,
+    AttemptFailure,
+    AttemptFinished,
+    EndAnswer,
+    FailAnswer,
+    HostName,
+    ManualClock,
+    Message,
+    RunOutcome,
+    SeatNumber,
+    SendAnswer,
+    SendState,
+    StartAttempt,
+)
+from tests.builders import (
+    build_arrival,
+    build_load,
+    build_pool,
+    build_route,
+    build_tables_offered,
+)
+
+TOKENS = 4
+REQUESTS = 3
+
+
+class AttemptProperty(unittest.TestCase):
+    """Runners that send late, twice or out of order, and fail anywhere."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        seat = SeatNumber(0)
+        self.core = Core(HostName("host-0"), seat, (seat,), random.Random(1))
+        self.in_flight: list[Message] = []
+        self.runs: defaultdict[str, int] = defaultdict(int)
+        self.received: defaultdict[str, list[bytes]] = defaultdict(list)
+        self.ends: defaultdict[str, list[EndAnswer | FailAnswer]] = defaultdict(list)
+
+    def feed(self, message: Message) -> None:
+        for effect in self.core.handle(message, self.clock.now()):
+            match effect:
+                case StartAttempt():
+                    self.runs[effect.request.request_id] += 1
+                    self.in_flight.extend(self.answer(effect))
+                case SendAnswer(request_id, data):
+                    self.received[request_id].append(data)
+                case EndAnswer(request_id) | FailAnswer(request_id):
+                    self.ends[request_id].append(effect)
+
+    def answer(self, start: StartAttempt) -> list[Message]:
+        """Return all that a runner sends for an attempt, failure included."""
+        attempt_id = start.attempt_id
+        owner = start.request.request_id
+        chunks = [
+            AttemptChunk(attempt_id, f"{owner}/{offset}".encode(), 1, offset)
+            for offset in range(start.resume_offset, TOKENS)
+        ]
+        lost = AttemptFailed(
+            attempt_id,
+            AttemptFailure.CONNECTION_LOST,
+            SendState.MAY_HAVE_ARRIVED,
+        )
+        head = AnswerHead(attempt_id, 200, "text/event-stream")
+        return [head, *chunks, AttemptFinished(attempt_id, TOKENS), lost]
+
+    def start(self, idempotent: bool) -> None:
+        self.feed(
+            build_tables_offered(
+                routes=[build_route(idempotent=idempotent)],
+                pools=[build_pool(runners=2)],
+            )
+        )
+        for runner in ("engines-1", "engines-2"):
+            self.feed(build_load(runner))
+
+    def check(self) -> None:
+        for number in range(REQUESTS):
+            owner = f"request-{number}"
+            whole = [f"{owner}/{offset}".encode() for offset in range(TOKENS)]
+            received = self.received[owner]
+            self.assertEqual(received, whole[: len(received)])
+            self.assertLessEqual(len(self.ends[owner]), 1)
+            for end in self.ends[owner]:
+                if isinstance(end, EndAnswer):
+                    self.assertEqual(received, whole)
+                else:
+                    self.assertNotEqual(end.outcome, RunOutcome.NOT_RUN)
+
+    @given(st.lists(st.integers(0, 30), max_size=80), st.booleans())
+    def test_any_order_of_delivery(self, picks: list[int], twice: bool) -> None:
+        """Guards against mixed, spliced or silently shortened answers.
+
+        The head of an attempt is always first, as TCP gives it; everything
+        behind it may be lost, repeated or come in another order.
+        """
+        self.setUp()
+        self.start(idempotent=True)
+        for number in range(REQUESTS):
+            self.feed(build_arrival(self.clock.now(), number))
+        for pick in picks:
+            if not self.in_flight:
+                break
+            message = self.in_flight.pop(pick % len(self.in_flight))
+            self.feed(message)
+            if twice:
+                self.feed(message)
+        self.check()
+
+    def test_non_idempotent_request_starts_once(self) -> None:
+        """Guards against a retry of work that may not be repeated."""
+        self.start(idempotent=False)
+        key = str(uuid6.uuid7())
+        self.feed(build_arrival(self.clock.now(), 0, key=key))
+        self.feed(self.in_flight[-1])
+        self.assertEqual(self.runs["request-0"], 1)
+        (end,) = self.ends["request-0"]
+        assert isinstance(end, FailAnswer)
+        self.assertEqual(end.outcome, RunOutcome.MAY_HAVE_RUN)
