--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -3,6 +3,11 @@
 from figshunt.control._membership_filter import (
     MembershipFilter,
 )
+from figshunt.control._outcome_filter import (
+    OutcomeFilter,
+    PeerOutcome,
+    target_latency_ms,
+)
 from figshunt.control._pause_filter import (
     PauseFilter,
 )
@@ -14,6 +19,12 @@
     RunnerRecord,
     ramped_limit,
 )
+from figshunt.control._suspicion_filter import (
+    Suspicion,
+    SuspicionEntry,
+    SuspicionFilter,
+    SuspicionView,
+)
 from figshunt.control._views import (
     RunnersView,
     SeatsView,
@@ -23,11 +34,18 @@
 __all__ = [
     "MembershipFilter",
     "PauseFilter",
+    "OutcomeFilter",
+    "PeerOutcome",
     "RevisionFilter",
     "RunnerFilter",
     "RunnerRecord",
     "RunnersView",
     "SeatsView",
+    "Suspicion",
+    "SuspicionEntry",
+    "SuspicionFilter",
+    "SuspicionView",
     "TablesView",
     "ramped_limit",
+    "target_latency_ms",
 ]
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -5,21 +5,24 @@
 
 from figshunt.control import (
     MembershipFilter,
+    OutcomeFilter,
     PauseFilter,
     RevisionFilter,
     RunnerFilter,
+    SuspicionFilter,
 )
 from figshunt.pipeline import Filter, Pipeline
 from figshunt.policy import FirstInFirstOut, LeastLoaded, RetryBudget
 from figshunt.request import (
     AdmissionFilter,
     AttemptFilter,
+    QuarantineFilter,
     RouteFilter,
     ScheduleFilter,
     TeamFilter,
 )
 from figshunt.slots import SlotFilter
-from figshunt.types import Effect, Message, Moment, SeatNumber
+from figshunt.types import Effect, HostName, Message, Moment, SeatNumber
 
 
 class Core:
@@ -31,13 +34,16 @@
 
     def __init__(
         self,
+        host: HostName,
         own_seat: SeatNumber,
         seats: Sequence[SeatNumber],
         random_source: random.Random,
     ) -> None:
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats, random_source)
+        self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
         self.runners = RunnerFilter(self.revisions)
+        self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
         )
@@ -47,9 +53,12 @@
             PauseFilter(),
             self.revisions,
             self.membership,
+            self.outcomes,
             self.runners,
+            self.suspicions,
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
+            QuarantineFilter(self.suspicions),
             AdmissionFilter(),
             self.schedule,
             self.slots,
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -33,6 +33,7 @@
     EndAnswer,
     FailAnswer,
     LogEvent,
+    ObserveDuration,
     SendAnswer,
     SendPeer,
     StartAnswer,
@@ -73,6 +74,11 @@
 from figshunt.types._message import (
     Message,
 )
+from figshunt.types._outcome_messages import (
+    OutcomeNotice,
+    RefusalCount,
+    RouteOutcome,
+)
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
@@ -114,6 +120,10 @@
     Step,
     TableSourceKind,
 )
+from figshunt.types._suspicion_messages import (
+    Crash,
+    SuspicionNotice,
+)
 from figshunt.types._table_messages import (
     RecordAudit,
     SetReady,
@@ -141,6 +151,7 @@
     "ClockJumped",
     "ColdEvidence",
     "CountEvent",
+    "Crash",
     "DataCentreName",
     "DataCentreState",
     "Effect",
@@ -166,6 +177,8 @@
     "ManualClock",
     "Message",
     "Moment",
+    "ObserveDuration",
+    "OutcomeNotice",
     "PeerConnected",
     "PeerLost",
     "PeerMessage",
@@ -174,6 +187,7 @@
     "PoolName",
     "PreemptionWanted",
     "RecordAudit",
+    "RefusalCount",
     "Request",
     "RequestAdmitted",
     "RequestArrived",
@@ -185,6 +199,7 @@
     "RequestRouted",
     "RevisionNumber",
     "RouteName",
+    "RouteOutcome",
     "RoutedRequest",
     "RunOutcome",
     "RunnerChanged",
@@ -201,6 +216,7 @@
     "StartIdentity",
     "Step",
     "StopRequested",
+    "SuspicionNotice",
     "SystemClock",
     "TableReadsChanged",
     "TableServiceRead",
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -7,6 +7,7 @@
     """Filter or service in which an event or error arose."""
 
     PAUSE = "pause"
+    OUTCOME = "outcome"
     REVISION = "revision"
     MEMBERSHIP = "membership"
     RUNNER = "runner"
@@ -106,6 +107,7 @@
     DEADLINE = "deadline"
     PREEMPTED = "preempted"
     LEASE_ENDED = "lease_ended"
+    PROTOCOL = "protocol"
 
 
 class TableSourceKind(Enum):
