--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -8,6 +8,9 @@
     PeerOutcome,
     target_latency_ms,
 )
+from figshunt.control._pause_filter import (
+    PauseFilter,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
@@ -30,6 +33,7 @@
 
 __all__ = [
     "MembershipFilter",
+    "PauseFilter",
     "OutcomeFilter",
     "PeerOutcome",
     "RevisionFilter",
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -6,6 +6,7 @@
 from figshunt.control import (
     MembershipFilter,
     OutcomeFilter,
+    PauseFilter,
     RevisionFilter,
     RunnerFilter,
     SuspicionFilter,
@@ -39,7 +40,7 @@
         random_source: random.Random,
     ) -> None:
         self.revisions = RevisionFilter()
-        self.membership = MembershipFilter(own_seat, seats)
+        self.membership = MembershipFilter(own_seat, seats, random_source)
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
         self.runners = RunnerFilter(self.revisions)
         self.suspicions = SuspicionFilter(self.membership)
@@ -49,6 +50,7 @@
         self.schedule = ScheduleFilter(FirstInFirstOut(), self.slots, self.revisions)
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
         filters: list[Filter] = [
+            PauseFilter(),
             self.revisions,
             self.membership,
             self.outcomes,
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -37,6 +37,17 @@
 from figshunt.services._metrics import (
     Metrics,
 )
+from figshunt.services._peer_dialler import (
+    LinkCount,
+    PeerDialler,
+)
+from figshunt.services._peer_handshake import (
+    Handshake,
+    PeerIdentity,
+)
+from figshunt.services._peer_links import (
+    PeerLinks,
+)
 from figshunt.services._runner_client import (
     RunnerClient,
 )
@@ -55,8 +66,13 @@
     "EventLog",
     "EventStreamReader",
     "Feed",
+    "Handshake",
     "KeyValueDestination",
+    "LinkCount",
     "LoadWatcher",
+    "PeerDialler",
+    "PeerIdentity",
+    "PeerLinks",
     "Metrics",
     "RunnerClient",
     "ServerSentEvent",
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -1,5 +1,8 @@
 """Core types: identifiers, states, clock, errors, messages and effects."""
 
+from figshunt.types._audit import (
+    AuditEntry,
+)
 from figshunt.types._clock import (
     Clock,
     ManualClock,
@@ -43,6 +46,11 @@
     ErrorCode,
     FigshuntError,
 )
+from figshunt.types._handshake_messages import (
+    Challenge,
+    Hello,
+    Welcome,
+)
 from figshunt.types._identifiers import (
     HIGHEST_TIER,
     LOWEST_TIER,
@@ -51,6 +59,7 @@
     Fingerprint,
     GenerationNumber,
     HostName,
+    IncarnationNumber,
     PoolName,
     RequestId,
     RequestKey,
@@ -73,6 +82,7 @@
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
+    TablesAnnounce,
     TablesRequest,
     TablesTransfer,
 )
@@ -114,6 +124,13 @@
     Crash,
     SuspicionNotice,
 )
+from figshunt.types._table_messages import (
+    RecordAudit,
+    SetReady,
+    TableReadsChanged,
+    TableServiceRead,
+    WatchTables,
+)
 
 __all__ = [
     "AnswerHead",
@@ -124,10 +141,12 @@
     "AttemptFinished",
     "AttemptId",
     "AttemptPlanned",
+    "AuditEntry",
     "CancelAttempt",
     "CancelReason",
     "CapacityChanged",
     "CapacityWanted",
+    "Challenge",
     "Clock",
     "ClockJumped",
     "ColdEvidence",
@@ -145,9 +164,11 @@
     "HIGHEST_TIER",
     "HTTP_STATUS_BY_CODE",
     "Heartbeat",
+    "Hello",
     "HostName",
     "HostState",
     "HostsListed",
+    "IncarnationNumber",
     "LOWEST_TIER",
     "ListedHost",
     "LoadReport",
@@ -165,6 +186,7 @@
     "PoolKind",
     "PoolName",
     "PreemptionWanted",
+    "RecordAudit",
     "RefusalCount",
     "Request",
     "RequestAdmitted",
@@ -188,6 +210,7 @@
     "SendAnswer",
     "SendPeer",
     "SendState",
+    "SetReady",
     "StartAnswer",
     "StartAttempt",
     "StartIdentity",
@@ -195,7 +218,10 @@
     "StopRequested",
     "SuspicionNotice",
     "SystemClock",
+    "TableReadsChanged",
+    "TableServiceRead",
     "TableSourceKind",
+    "TablesAnnounce",
     "TablesInForce",
     "TablesOffered",
     "TablesRefused",
@@ -206,4 +232,6 @@
     "TimerDue",
     "WakeAt",
     "WatchRunners",
+    "WatchTables",
+    "Welcome",
 ]
--- a/tests/report/test_report.py
+++ b/tests/report/test_report.py
@@ -1,5 +1,6 @@
 """The report shows what held, and says what it doesn't know."""
 
+import random
 import unittest
 
 from figshunt.control import (
@@ -35,7 +36,7 @@
     def setUp(self) -> None:
         self.clock = ManualClock()
         self.revisions = RevisionFilter()
-        self.membership = MembershipFilter(SEATS[0], SEATS)
+        self.membership = MembershipFilter(SEATS[0], SEATS, random.Random(1))
         self.outcomes = OutcomeFilter(HostName("h0"), self.membership, self.revisions)
         self.feed(build_tables_offered())
 
