Make the stand-ins fail and count as the platform does

Cause: the stand-ins had no prefix cache, priorities, cold collapse, late reports or crash controls, so nothing that depends on them could be tested. Change: model engine with a batch loop (a step slows down with the batch, prompt work is done in chunks, the lowest priority number enters first), least-recently-used prefix cache with late and gappy events, lagging load reports with an honest or a false age, collapse above the cold limit, poison bodies, and controls and counters under /standin/.

--- a/figshunt/commands/_demo.py
+++ b/figshunt/commands/_demo.py
@@ -16,6 +16,7 @@
     ConfigurationService,
     EngineProfile,
     ModelEngine,
+    PlainProfile,
     PlainService,
 )
 from figshunt.types import SystemClock
@@ -39,7 +40,7 @@
 async def _run(random_source: random.Random) -> int:
     configuration = ConfigurationService()
     engine = ModelEngine(EngineProfile(), random_source)
-    service = PlainService(20, random_source)
+    service = PlainService(PlainProfile(), random_source)
     standins = (configuration, engine, service)
     for standin in standins:
         await standin.start()
@@ -55,7 +56,7 @@
         await daemon.stop()
         for standin in standins:
             await standin.stop()
-    runs = list(service.runs_by_key.values())
+    runs = list(service.runs_by_key.runs_by_id.values())
     print(f"whole answers: {whole} of {CHATS + BOOKINGS}")
     print(f"bookings run: {len(runs)}, most runs of one key: {max(runs, default=0)}")
     return 0 if whole == CHATS + BOOKINGS else 1
--- a/figshunt/standins/__init__.py
+++ b/figshunt/standins/__init__.py
@@ -1,23 +1,69 @@
 """Small stand-ins of the platform and of runners, for tests and the demo."""
 
 from figshunt.standins._configuration_service import (
+    ConfigurationMode,
     ConfigurationService,
 )
+from figshunt.standins._content_digest import (
+    digest_content,
+)
+from figshunt.standins._continuous_batch import (
+    BatchProfile,
+    ContinuousBatch,
+)
+from figshunt.standins._host_list import (
+    HostListService,
+)
+from figshunt.standins._load_history import (
+    LoadHistory,
+    ReportProfile,
+)
 from figshunt.standins._model_engine import (
     EngineProfile,
     ModelEngine,
 )
 from figshunt.standins._plain_service import (
+    PlainProfile,
     PlainService,
 )
+from figshunt.standins._prefix_cache import (
+    CacheEvent,
+    CacheEventKind,
+    PrefixCache,
+)
+from figshunt.standins._runner_standin import (
+    RunnerStandin,
+)
+from figshunt.standins._runner_state import (
+    LoadSnapshot,
+    RunCounter,
+    RunnerState,
+    RunnerTotals,
+)
 from figshunt.standins._web_standin import (
     WebStandin,
 )
 
 __all__ = [
+    "BatchProfile",
+    "CacheEvent",
+    "CacheEventKind",
+    "ConfigurationMode",
     "ConfigurationService",
+    "ContinuousBatch",
     "EngineProfile",
+    "HostListService",
+    "LoadHistory",
+    "LoadSnapshot",
     "ModelEngine",
+    "PlainProfile",
     "PlainService",
+    "PrefixCache",
+    "ReportProfile",
+    "RunCounter",
+    "RunnerStandin",
+    "RunnerState",
+    "RunnerTotals",
     "WebStandin",
+    "digest_content",
 ]
--- a/figshunt/standins/_model_engine.py
+++ b/figshunt/standins/_model_engine.py
@@ -1,140 +1,168 @@
-"""Stand-in of a model engine with continuous batching."""
+"""Stand-in of a model engine with continuous batching and a prefix cache."""
 
 import asyncio
 import json
 import random
-import uuid
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from aiohttp import web
 
-from figshunt.standins._web_standin import WebStandin
+from figshunt.codec import DecodedBody, decode_completion_body
+from figshunt.standins._content_digest import digest_content
+from figshunt.standins._continuous_batch import BatchProfile, ContinuousBatch
+from figshunt.standins._load_history import ReportProfile
+from figshunt.standins._prefix_cache import PrefixCache
+from figshunt.standins._runner_standin import NDJSON, RunnerStandin
+from figshunt.standins._runner_state import RunnerState
+from figshunt.types import FigshuntError, SystemClock
 
-REPORT_INTERVAL_S = 0.25
+BLOCK_TOKENS = 256
+DEFAULT_TOKENS = 16
+LOWEST_PRIORITY = 9
+CACHE_EVENT_INTERVAL_S = 0.1
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True)
 class EngineProfile:
     """How fast an engine is and how much it carries.
 
-    A token takes ``token_ms`` plus ``token_ms_per_request`` for each request
-    in the batch; ``prefill_ms_per_token`` is spent on prompt tokens that
-    aren't cached. A cold engine carries ``cold_limit`` requests until it has
-    completed ``warm_after`` of them; one more makes it crash.
+    ``prefill_ms_per_token`` is spent on prompt tokens that aren't cached. A
+    body that contains ``poison`` crashes the engine at its first token.
     """
 
-    token_ms: float = 4.0
-    token_ms_per_request: float = 0.5
+    batch: BatchProfile = BatchProfile()
+    reports: ReportProfile = ReportProfile()
     prefill_ms_per_token: float = 0.02
-    batch_limit: int = 16
     cold_limit: int = 2
-    warm_after: int = 4
-    cached_prefixes: int = 64
+    warm_after: int = 2
+    cached_blocks: int = 256
+    cache_event_lag_ms: int = 500
+    cache_event_gap_share: float = 0.02
+    poison: bytes = b"poison-marker"
 
 
-class ModelEngine(WebStandin):
-    """Answers chat completions, streamed or whole, and reports its load."""
+class ModelEngine(RunnerStandin):
+    """Answers chat completions, streamed or whole.
+
+    ``Last-Event-ID`` resumes a stream behind that token, ``X-Priority``
+    orders the queue (1 first), and a closed connection cancels the request.
+    The answer's ``id`` holds a digest of the request body, so that a caller
+    can tell that an answer is its own.
+    """
 
     def __init__(
         self, profile: EngineProfile, random_source: random.Random, port: int = 0
     ) -> None:
-        super().__init__(port)
+        state = RunnerState(random_source, profile.cold_limit, profile.warm_after)
+        super().__init__(state, profile.reports, port)
         self._profile = profile
-        self._random = random_source
-        self.start_identity = uuid.UUID(int=random_source.getrandbits(128)).hex
-        self.completed = 0
-        self.running = 0
-        self.queued = 0
-        self.most_running_cold = 0
-        self.leaving = False
-        self._slot_freed = asyncio.Event()
-        self._token_time_us = 0
-
-    def build_app(self) -> web.Application:
-        """Return the application to serve."""
-        app = web.Application(client_max_size=2**24)
+        self._batch = ContinuousBatch(profile.batch, state)
+        self.cache = PrefixCache(
+            profile.cached_blocks,
+            SystemClock(),
+            random_source,
+            profile.cache_event_lag_ms,
+            profile.cache_event_gap_share,
+        )
+
+    async def on_start(self) -> None:
+        """Bind the listener and start the batch loop."""
+        await super().on_start()
+        self.run_in_background(self._batch.run())
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the completion paths and the cache events."""
         app.router.add_post("/v1/chat/completions", self._complete)
         app.router.add_post("/v1/completions", self._complete)
-        app.router.add_get("/load", self._report_load)
-        return app
+        app.router.add_get("/cache-events", self._publish_cache_events)
 
-    @property
-    def is_cold(self) -> bool:
-        """Return whether the engine still carries only its cold limit."""
-        return self.completed < self._profile.warm_after
+    def forget_work(self) -> None:
+        """Lose the queue and the cache."""
+        self._batch.clear()
+        self.cache.clear()
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
-        body = await request.json()
-        tokens = int(body.get("max_tokens", 16))
+        return await self.run_counted(request, self._run)
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        try:
+            decoded = decode_completion_body(body)
+        except FigshuntError as error:
+            return web.json_response({"error": error.detail}, status=400)
+        end = int(json.loads(body).get("max_tokens", DEFAULT_TOKENS))
         offset = int(request.headers.get("Last-Event-ID", "-1")) + 1
-        await self._enter()
+        tokens = self._generate(request, decoded, body, offset, end)
+        answer_id = f"answer-{digest_content(body)}"
+        if decoded.stream:
+            return await self._stream(request, tokens, answer_id)
+        return await self._answer_whole(tokens, answer_id)
+
+    async def _generate(
+        self,
+        request: web.Request,
+        decoded: DecodedBody,
+        body: bytes,
+        offset: int,
+        end: int,
+    ) -> AsyncIterator[int]:
+        cached = self.cache.count_cached(decoded.prefixes) * BLOCK_TOKENS
+        computed = max(0, decoded.prompt_tokens - cached) + offset
+        self.runner_state.totals.prompt_tokens_cached += cached
+        self.runner_state.totals.prompt_tokens_computed += computed
+        self.cache.store(decoded.prefixes)
+        priority = int(request.headers.get("X-Priority", str(LOWEST_PRIORITY)))
+        prefill_ms = computed * self._profile.prefill_ms_per_token
+        entry = self._batch.add(priority, prefill_ms, offset, end)
+        is_whole = False
         try:
-            if self.is_cold:
-                self.most_running_cold = max(self.most_running_cold, self.running)
-            prompt_tokens = len(await request.read()) // 4
-            await asyncio.sleep(
-                prompt_tokens * self._profile.prefill_ms_per_token / 1e3
-            )
-            if body.get("stream"):
-                response = await self._stream(request, offset, tokens)
-            else:
-                response = await self._answer_whole(tokens)
-            self.completed += 1
-            return response
+            async for index in entry.tokens():
+                if self._profile.poison in body:
+                    self.crash_runner()
+                yield index
+            is_whole = True
         finally:
-            self._leave()
-
-    async def _enter(self) -> None:
-        self.queued += 1
-        while self.running >= self._profile.batch_limit:
-            self._slot_freed.clear()
-            await self._slot_freed.wait()
-        self.queued -= 1
-        self.running += 1
-
-    def _leave(self) -> None:
-        self.running -= 1
-        self._slot_freed.set()
+            self._batch.remove(entry)
+            if not is_whole:
+                self.runner_state.totals.tokens_abandoned += entry.generated
 
     async def _stream(
-        self, request: web.Request, offset: int, tokens: int
+        self, request: web.Request, tokens: AsyncIterator[int], answer_id: str
     ) -> web.StreamResponse:
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
-        for index in range(offset, tokens):
-            await self._generate_token()
-            delta = {"choices": [{"index": 0, "delta": {"content": f"t{index} "}}]}
+        async for index in tokens:
+            delta = {
+                "id": answer_id,
+                "choices": [{"index": 0, "delta": {"content": f"t{index} "}}],
+            }
             event = f"id: {index}\ndata: {json.dumps(delta)}\n\n"
             await response.write(event.encode())
         await response.write(b"data: [DONE]\n\n")
         await response.write_eof()
         return response
 
-    async def _answer_whole(self, tokens: int) -> web.Response:
-        for _ in range(tokens):
-            await self._generate_token()
-        content = "".join(f"t{index} " for index in range(tokens))
+    async def _answer_whole(
+        self, tokens: AsyncIterator[int], answer_id: str
+    ) -> web.Response:
+        content = "".join([f"t{index} " async for index in tokens])
         message = {"role": "assistant", "content": content}
-        return web.json_response({"choices": [{"index": 0, "message": message}]})
+        choices = [{"index": 0, "message": message}]
+        return web.json_response({"id": answer_id, "choices": choices})
 
-    async def _generate_token(self) -> None:
-        profile = self._profile
-        token_ms = profile.token_ms + profile.token_ms_per_request * self.running
-        self._token_time_us = int(token_ms * 1000)
-        await asyncio.sleep(token_ms / 1000)
-
-    async def _report_load(self, request: web.Request) -> web.StreamResponse:
-        response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
+    async def _publish_cache_events(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": NDJSON})
         await response.prepare(request)
+        last = int(request.query.get("after", "-1"))
         while True:
-            report = {
-                "start": self.start_identity,
-                "completed": self.completed,
-                "running": self.running,
-                "queued": self.queued,
-                "token_time_us": self._token_time_us,
-                "leaving": self.leaving,
-                "age_ms": 0,
-            }
-            await response.write(json.dumps(report).encode() + b"\n")
-            await asyncio.sleep(REPORT_INTERVAL_S)
+            for event in self.cache.events_after(last):
+                last = event.sequence
+                line = {
+                    "sequence": event.sequence,
+                    "kind": event.kind.value,
+                    "prefix": event.prefix,
+                    "start": self.runner_state.start_identity,
+                }
+                await response.write(json.dumps(line).encode() + b"\n")
+            await asyncio.sleep(CACHE_EVENT_INTERVAL_S)
--- a/figshunt/standins/_plain_service.py
+++ b/figshunt/standins/_plain_service.py
@@ -1,67 +1,59 @@
 """Stand-in of a plain service some of whose calls may not be repeated."""
 
 import asyncio
-import json
 import random
-import uuid
-from collections import Counter
+from dataclasses import dataclass
 
 from aiohttp import web
 
-from figshunt.standins._web_standin import WebStandin
+from figshunt.standins._content_digest import digest_content
+from figshunt.standins._load_history import ReportProfile
+from figshunt.standins._runner_standin import RunnerStandin
+from figshunt.standins._runner_state import RunnerState
 
-REPORT_INTERVAL_S = 0.25
 
+@dataclass(frozen=True)
+class PlainProfile:
+    """How long a call takes and how many run at once.
 
-class PlainService(WebStandin):
-    """Answers every call after ``service_ms`` and counts runs by key."""
+    The time is ``service_ms`` times a log-normal factor with a median of 1
+    and the given ``spread`` (its standard deviation on the log scale).
+    """
 
-    def __init__(
-        self, service_ms: float, random_source: random.Random, port: int = 0
-    ) -> None:
-        super().__init__(port)
-        self._service_ms = service_ms
-        self.start_identity = uuid.UUID(int=random_source.getrandbits(128)).hex
-        self.runs_by_key: Counter[str] = Counter()
-        self.completed = 0
-        self.running = 0
-        self.leaving = False
-
-    def build_app(self) -> web.Application:
-        """Return the application to serve."""
-        app = web.Application(client_max_size=2**24)
-        app.router.add_get("/load", self._report_load)
-        app.router.add_get("/runs", self._report_runs)
-        app.router.add_route("*", "/{tail:.*}", self._run)
-        return app
+    service_ms: float = 20.0
+    spread: float = 0.4
+    cold_limit: int = 2
+    warm_after: int = 2
+    reports: ReportProfile = ReportProfile()
 
-    async def _run(self, request: web.Request) -> web.Response:
-        key = request.headers.get("Idempotency-Key", "")
-        if key:
-            self.runs_by_key[key] += 1
-        self.running += 1
-        try:
-            await asyncio.sleep(self._service_ms / 1000)
-            self.completed += 1
-            return web.json_response({"path": request.path, "key": key})
-        finally:
-            self.running -= 1
 
-    async def _report_runs(self, _request: web.Request) -> web.Response:
-        return web.json_response(dict(self.runs_by_key))
+class PlainService(RunnerStandin):
+    """Answers every call and counts the runs of each idempotency key."""
 
-    async def _report_load(self, request: web.Request) -> web.StreamResponse:
-        response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
-        await response.prepare(request)
-        while True:
-            report = {
-                "start": self.start_identity,
-                "completed": self.completed,
-                "running": self.running,
-                "queued": 0,
-                "token_time_us": 0,
-                "leaving": self.leaving,
-                "age_ms": 0,
+    def __init__(
+        self, profile: PlainProfile, random_source: random.Random, port: int = 0
+    ) -> None:
+        state = RunnerState(random_source, profile.cold_limit, profile.warm_after)
+        super().__init__(state, profile.reports, port)
+        self._profile = profile
+        self._random = random_source
+
+    def add_routes(self, app: web.Application) -> None:
+        """Serve every path that isn't one of the controls."""
+        app.router.add_route("*", "/{tail:.*}", self._serve)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        return await self.run_counted(request, self._run)
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        factor = self._random.lognormvariate(0.0, self._profile.spread)
+        service_ms = self._profile.service_ms * factor * self.runner_state.slow_factor
+        await asyncio.sleep(service_ms / 1000)
+        return web.json_response(
+            {
+                "path": request.path,
+                "key": request.headers.get("Idempotency-Key", ""),
+                "digest": digest_content(body),
             }
-            await response.write(json.dumps(report).encode() + b"\n")
-            await asyncio.sleep(REPORT_INTERVAL_S)
+        )
--- /dev/null
+++ b/figshunt/standins/_prefix_cache.py
@@ -0,0 +1,92 @@
+"""Prompt prefix cache in limited memory, and the events it publishes."""
+
+import random
+from collections import OrderedDict, deque
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from figshunt.types import Clock
+
+MOST_EVENTS_KEPT = 4096
+
+
+class CacheEventKind(Enum):
+    """What happened to a cached prefix."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+    CLEARED = "cleared"
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """One change; a missing ``sequence`` number means that events were lost."""
+
+    sequence: int
+    kind: CacheEventKind
+    prefix: str
+    happened_ms: int
+
+
+class PrefixCache:
+    """Least recently used blocks of prompts, named by the hash up to their end.
+
+    Events become visible ``lag_ms`` after the change, and a part of them,
+    ``gap_share``, never does.
+    """
+
+    def __init__(
+        self,
+        most_blocks: int,
+        clock: Clock,
+        random_source: random.Random,
+        lag_ms: int = 500,
+        gap_share: float = 0.02,
+    ) -> None:
+        self._most_blocks = most_blocks
+        self._clock = clock
+        self._random = random_source
+        self._lag_ms = lag_ms
+        self._gap_share = gap_share
+        self._blocks: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=MOST_EVENTS_KEPT)
+        self._next_sequence = 0
+
+    def count_cached(self, prefixes: Sequence[str]) -> int:
+        """Return how many leading blocks are cached, and mark them as used."""
+        for index, prefix in enumerate(prefixes):
+            if prefix not in self._blocks:
+                return index
+            self._blocks.move_to_end(prefix)
+        return len(prefixes)
+
+    def store(self, prefixes: Sequence[str]) -> None:
+        """Keep the blocks, evicting the least recently used ones."""
+        for prefix in prefixes:
+            if prefix not in self._blocks:
+                self._publish(CacheEventKind.STORED, prefix)
+            self._blocks[prefix] = None
+            self._blocks.move_to_end(prefix)
+        while len(self._blocks) > self._most_blocks:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._publish(CacheEventKind.EVICTED, evicted)
+
+    def clear(self) -> None:
+        """Lose everything, as a restart does."""
+        self._blocks.clear()
+        self._publish(CacheEventKind.CLEARED, "")
+
+    def events_after(self, sequence: int) -> Iterator[CacheEvent]:
+        """Yield the visible events after ``sequence``, oldest first."""
+        visible_ms = self._clock.now().monotonic_ms - self._lag_ms
+        for event in tuple(self._events):
+            if event.sequence > sequence and event.happened_ms <= visible_ms:
+                yield event
+
+    def _publish(self, kind: CacheEventKind, prefix: str) -> None:
+        sequence = self._next_sequence
+        self._next_sequence += 1
+        if self._random.random() >= self._gap_share:
+            now_ms = self._clock.now().monotonic_ms
+            self._events.append(CacheEvent(sequence, kind, prefix, now_ms))
--- a/figshunt/standins/_web_standin.py
+++ b/figshunt/standins/_web_standin.py
@@ -1,5 +1,7 @@
 """Base of all stand-ins: one HTTP listener on the loopback address."""
 
+import asyncio
+
 from aiohttp import web
 from mode import Service
 
@@ -13,6 +15,8 @@
         super().__init__()
         self.port = port
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._background: set[asyncio.Task[None]] = set()
 
     @property
     def url(self) -> str:
@@ -32,11 +36,40 @@
             shutdown_timeout=0.1,
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, LOOPBACK, self.port, reuse_address=True)
-        await site.start()
+        await self._listen()
         self.port = self._runner.addresses[0][1]
 
     async def on_stop(self) -> None:
-        """Close the listener."""
+        """End background work and close the listener."""
+        for task in tuple(self._background):
+            task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
+
+    def drop_connections(self) -> None:
+        """Reset every open connection, as the end of a process does."""
+        assert self._runner is not None and self._runner.server is not None
+        for connection in tuple(self._runner.server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    async def refuse_connections(self, duration_ms: int) -> None:
+        """Drop all connections and refuse new ones for ``duration_ms``."""
+        if self._site is None:
+            return
+        site, self._site = self._site, None
+        await site.stop()
+        self.drop_connections()
+        await asyncio.sleep(duration_ms / 1000)
+        await self._listen()
+
+    def run_in_background(self, work: "asyncio._CoroutineLike[None]") -> None:
+        """Run a coroutine until it ends or the stand-in stops."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    async def _listen(self) -> None:
+        assert self._runner is not None
+        self._site = web.TCPSite(self._runner, LOOPBACK, self.port, reuse_address=True)
+        await self._site.start()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,7 @@
 """Builders of test data: valid values that a test changes where it matters."""
 
 import hashlib
+import json
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -146,3 +147,16 @@
         "age_ms": 0,
     }
     return LoadReported(RunnerId(runner), LoadReport(**(values | changes)))
+
+
+def build_completion_body(
+    route: str = "chat", tokens: int = 4, prompt: str = "Hello", **changes: Any
+) -> bytes:
+    """Return the body of a streamed chat completion."""
+    fields: dict[str, Any] = {
+        "model": route,
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    return json.dumps(fields | changes).encode()
