Add generated traces, matching examples and the replay with its report

Cause: nothing measured attainment, goodput, wasted work or runs by key under traffic like the users'. Default engine step 10 ms + 1 ms a request, so that five engines generate about 3,000 tokens/s.

--- a/figshunt/replay/__init__.py
+++ b/figshunt/replay/__init__.py
@@ -1,3 +1,97 @@
 """Recorded traces, their replay and the report."""
 
-__all__ = []
+from figshunt.replay._answer_check import (
+    AnswerCheck,
+    AnswerFault,
+    PlainCheck,
+    StreamCheck,
+)
+from figshunt.replay._call_outcome import (
+    CallOutcome,
+    CallResult,
+)
+from figshunt.replay._replay import (
+    replay_requests,
+)
+from figshunt.replay._report import (
+    LONGEST_MS,
+    ClassFigures,
+    ReplayReport,
+)
+from figshunt.replay._request_body import (
+    OutgoingRequest,
+    build_outgoing,
+)
+from figshunt.replay._runner_counters import (
+    RunnerFigures,
+    read_runners,
+    subtract_figures,
+)
+from figshunt.replay._sender import (
+    KEY_FORMAT,
+    ReplayPlan,
+    TraceSender,
+    open_session,
+)
+from figshunt.replay._trace import (
+    TraceHeader,
+    TraceRequest,
+    decode_header,
+    decode_request,
+    encode_header,
+    encode_request,
+    read_header,
+    read_requests,
+    write_trace,
+)
+from figshunt.replay._workload import (
+    Length,
+    Phase,
+    TrafficClass,
+    Workload,
+    generate_header,
+    generate_requests,
+)
+from figshunt.replay._workloads import (
+    adomako_monday,
+    timberline_storm,
+)
+
+__all__ = [
+    "KEY_FORMAT",
+    "LONGEST_MS",
+    "AnswerCheck",
+    "AnswerFault",
+    "CallOutcome",
+    "CallResult",
+    "ClassFigures",
+    "Length",
+    "OutgoingRequest",
+    "Phase",
+    "PlainCheck",
+    "ReplayPlan",
+    "ReplayReport",
+    "RunnerFigures",
+    "StreamCheck",
+    "TraceHeader",
+    "TraceRequest",
+    "TraceSender",
+    "TrafficClass",
+    "Workload",
+    "adomako_monday",
+    "build_outgoing",
+    "decode_header",
+    "decode_request",
+    "encode_header",
+    "encode_request",
+    "generate_header",
+    "generate_requests",
+    "open_session",
+    "read_header",
+    "read_requests",
+    "read_runners",
+    "replay_requests",
+    "subtract_figures",
+    "timberline_storm",
+    "write_trace",
+]
--- /dev/null
+++ b/figshunt/replay/_replay.py
@@ -0,0 +1,31 @@
+"""One replay from the first request to the report."""
+
+from collections.abc import Iterable, Mapping, Sequence
+
+from figshunt.replay._report import ReplayReport
+from figshunt.replay._runner_counters import read_runners, subtract_figures
+from figshunt.replay._sender import ReplayPlan, TraceSender, open_session
+from figshunt.replay._trace import TraceRequest
+from figshunt.types import RouteName
+
+
+async def replay_requests(
+    plan: ReplayPlan,
+    requests: Iterable[TraceRequest],
+    targets_ms_by_route: Mapping[RouteName, int],
+    runner_urls: Sequence[str] = (),
+) -> ReplayReport:
+    """Send all requests and return the report.
+
+    :param runner_urls: runner stand-ins whose counters are read before and
+        after; without them runs by key and wasted work stay unknown.
+    :raises aiohttp.ClientError: if a runner's counters can't be read.
+    """
+    report = ReplayReport(targets_ms_by_route)
+    async with open_session() as session:
+        before = await read_runners(session, runner_urls)
+        await TraceSender(plan, session, report).send(requests)
+        if runner_urls:
+            after = await read_runners(session, runner_urls)
+            report.runners = subtract_figures(after, before)
+    return report
--- a/figshunt/standins/_continuous_batch.py
+++ b/figshunt/standins/_continuous_batch.py
@@ -15,8 +15,8 @@
     that gets a token, plus at most ``prefill_chunk_ms`` of prompt work.
     """
 
-    token_ms: float = 8.0
-    token_ms_per_request: float = 0.5
+    token_ms: float = 10.0
+    token_ms_per_request: float = 1.0
     prefill_chunk_ms: float = 8.0
     batch_limit: int = 16
 
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from figshunt.replay import TraceRequest
 from figshunt.tables import Tables, check_tables
 from figshunt.types import (
     Fingerprint,
@@ -20,6 +21,7 @@
     StartIdentity,
     TablesOffered,
     TableSourceKind,
+    TeamName,
 )
 
 CALLER_KEY = "caller-key-of-team-a"
@@ -160,3 +162,16 @@
         "messages": [{"role": "user", "content": prompt}],
     }
     return json.dumps(fields | changes).encode()
+
+
+def build_trace_request(route: str = "chat", **changes: Any) -> TraceRequest:
+    """Return a line of a trace, of a short stream unless changed."""
+    values: dict[str, Any] = {
+        "at_ms": 0,
+        "route": RouteName(route),
+        "team": TeamName("team-a"),
+        "name": f"{route}-1",
+        "prompt_tokens": 10,
+        "output_tokens": 3,
+    }
+    return TraceRequest(**(values | changes))
