Add check and replay commands; the demo replays a burst and reports

Cause: operators had no way to check files before publishing them, and the demo didn't show the figures that the daemon is judged by. Change: `figshunt check` prints every fault of settings and tables; `figshunt replay` runs a trace against running daemons; `figshunt demo` runs a daemon and stand-ins in one loop and replays eight seconds of the Monday trace at twice its pace.

--- a/figshunt/commands/_demo.py
+++ b/figshunt/commands/_demo.py
@@ -4,106 +4,118 @@
 import hashlib
 import json
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
-import uuid6
 
+from figshunt.commands._replay import print_report
+from figshunt.replay import (
+    KEY_FORMAT,
+    ReplayPlan,
+    ReplayReport,
+    TraceRequest,
+    adomako_monday,
+    generate_requests,
+    replay_requests,
+)
 from figshunt.services import Daemon, open_log
 from figshunt.settings import check_settings
 from figshunt.standins import (
+    BatchProfile,
     ConfigurationService,
     EngineProfile,
     ModelEngine,
     PlainProfile,
     PlainService,
+    RunnerStandin,
 )
-from figshunt.types import SystemClock
-
-CALLER_KEY = "demo-caller-key"
-CHATS = 20
-BOOKINGS = 10
+from figshunt.types import RouteName, SystemClock
+
+EXIT_NOT_GOOD = 1
+ENGINES = 3
+SERVICES = 2
+FIRST_MS = 15_000
+LAST_MS = 23_000
+SPEED = 2.0
+DEMO_BATCH = BatchProfile(token_ms=5.0, token_ms_per_request=0.5)
+READY_TIMEOUT_S = 10
+TIERS_BY_ROUTE = {"booking-chat": 1, "booking": 1, "follow-up": 3, "reminder": 4}
+TARGETS_MS_BY_ROUTE = {
+    "booking-chat": 450,
+    "booking": 300,
+    "follow-up": 2000,
+    "reminder": 8000,
+}
 
 
 def demo(*, seed: int = 1) -> int:
-    """Run a daemon against stand-ins, send it a burst, and print the outcome.
+    """Run a daemon against stand-ins, replay a burst, and print the report.
 
-    Exit status: 0 if every caller got its whole answer, 1 otherwise.
+    The burst is eight seconds of the Monday reminder run at twice the pace.
+    Exit status: 0 if every caller got its whole answer or a true refusal and
+    no booking ran twice, 1 otherwise.
 
-    :param seed: seed of the stand-ins.
+    :param seed: seed of the stand-ins and of the traffic.
     """
     open_log("warning")
-    return asyncio.run(_run(random.Random(seed)))
+    report = asyncio.run(_run(seed))
+    print_report(report, as_json=False)
+    return 0 if report.is_good else EXIT_NOT_GOOD
 
 
-async def _run(random_source: random.Random) -> int:
+async def _run(seed: int) -> ReplayReport:
+    random_source = random.Random(seed)
     configuration = ConfigurationService()
-    engine = ModelEngine(EngineProfile(), random_source)
-    service = PlainService(PlainProfile(), random_source)
-    standins = (configuration, engine, service)
+    profile = EngineProfile(batch=DEMO_BATCH)
+    engines = [ModelEngine(profile, random_source) for _ in range(ENGINES)]
+    services = [PlainService(PlainProfile(), random_source) for _ in range(SERVICES)]
+    standins = (configuration, *engines, *services)
     for standin in standins:
         await standin.start()
-    for name, document in _tables(engine.url, service.url).items():
+    for name, document in _build_tables(engines, services).items():
         configuration.publish(name, json.dumps(document))
-    checked = check_settings(_settings_document(configuration.url))
+    checked = check_settings(_build_settings(configuration.url))
     assert checked.settings is not None, checked.faults
     daemon = Daemon(checked.settings, SystemClock(), random_source)
     await daemon.start()
     try:
-        whole = await _send_burst(f"http://127.0.0.1:{daemon.callers.port}")
+        await _wait_until_ready(f"http://127.0.0.1:{daemon.admin.port}")
+        return await replay_requests(
+            ReplayPlan([f"http://127.0.0.1:{daemon.callers.port}"], speed=SPEED),
+            _cut_burst(seed),
+            {RouteName(name): ms for name, ms in TARGETS_MS_BY_ROUTE.items()},
+            [one.url for one in (*engines, *services)],
+        )
     finally:
         await daemon.stop()
         for standin in standins:
             await standin.stop()
-    runs = list(service.runs_by_key.runs_by_id.values())
-    print(f"whole answers: {whole} of {CHATS + BOOKINGS}")
-    print(f"bookings run: {len(runs)}, most runs of one key: {max(runs, default=0)}")
-    return 0 if whole == CHATS + BOOKINGS else 1
 
 
-async def _send_burst(url: str) -> int:
-    headers = {"Authorization": f"Bearer {CALLER_KEY}"}
-    async with aiohttp.ClientSession(headers=headers) as session:
-        await _wait_for_tables(session, url)
-        chats = [_chat(session, url, tokens=8 + index) for index in range(CHATS)]
-        bookings = [_book(session, url) for _ in range(BOOKINGS)]
-        results = await asyncio.gather(*chats, *bookings)
-    return sum(results)
+def _cut_burst(seed: int) -> list[TraceRequest]:
+    return [
+        replace(request, at_ms=request.at_ms - FIRST_MS)
+        for request in generate_requests(adomako_monday(), seed)
+        if FIRST_MS <= request.at_ms < LAST_MS
+    ]
 
 
-async def _wait_for_tables(session: aiohttp.ClientSession, url: str) -> None:
-    async with asyncio.timeout(10):
+async def _wait_until_ready(admin_url: str) -> None:
+    async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
         while True:
-            async with session.get(f"{url}/route/roster/ping") as response:
+            async with session.get(f"{admin_url}/readyz") as response:
                 if response.status == 200:
                     return
-            await asyncio.sleep(0.1)
-
-
-async def _chat(session: aiohttp.ClientSession, url: str, tokens: int) -> bool:
-    body = {
-        "model": "chat",
-        "stream": True,
-        "max_tokens": tokens,
-        "messages": [{"role": "user", "content": "When is the workshop open?"}],
-    }
-    async with session.post(f"{url}/v1/chat/completions", json=body) as response:
-        text = await response.text()
-        return text.count("id: ") == tokens and text.endswith("data: [DONE]\n\n")
-
+            await asyncio.sleep(0.05)
 
-async def _book(session: aiohttp.ClientSession, url: str) -> bool:
-    headers = {"Idempotency-Key": str(uuid6.uuid7())}
-    async with session.post(f"{url}/route/booking/book", headers=headers) as response:
-        return response.status == 200
 
-
-def _settings_document(configuration_url: str) -> Mapping[str, Any]:
+def _build_settings(configuration_url: str) -> Mapping[str, Any]:
     loopback = {"ip": "127.0.0.1", "port": 0}
     return {
         "host": "demo",
-        "data_centre": "demo-1",
+        "data_centre": "accra-1",
         "seat": 0,
         "peers": [],
         "peer_secret": "demo-peer-secret",
@@ -115,49 +127,54 @@
     }
 
 
-def _tables(engine_url: str, service_url: str) -> Mapping[str, Any]:
+def _build_tables(
+    engines: Sequence[RunnerStandin], services: Sequence[RunnerStandin]
+) -> Mapping[str, Any]:
     routes = {
         "revision": 1,
-        "routes": [
-            _route("chat", "engines", tier=2, idempotent=True),
-            _route("roster", "services", tier=1, idempotent=True),
-            _route("booking", "services", tier=1, idempotent=False),
-        ],
-        "teams": [
-            {
-                "name": "demo",
-                "key_sha256": hashlib.sha256(CALLER_KEY.encode()).hexdigest(),
-            }
-        ],
+        "routes": [_build_route(name) for name in TIERS_BY_ROUTE],
+        "teams": [_build_team(name) for name in adomako_monday().weights_by_team],
     }
     pools = {
         "revision": 1,
-        "data_centres": [{"name": "demo-1", "state": "in"}],
+        "data_centres": [{"name": "accra-1", "state": "in"}],
         "pools": [
-            _pool("engines", "engine", engine_url),
-            _pool("services", "plain", service_url),
+            _build_pool("drafting", "engine", engines),
+            _build_pool("workshop", "plain", services),
         ],
     }
     return {"routes": routes, "pools": pools}
 
 
-def _route(name: str, pool: str, tier: int, idempotent: bool) -> Mapping[str, Any]:
+def _build_route(name: str) -> Mapping[str, Any]:
+    is_booking = name == "booking"
     return {
         "name": name,
-        "pool": pool,
-        "tier": tier,
-        "latency_target_ms": 450,
-        "idempotent": idempotent,
-        "deadline_ms": 20_000,
+        "pool": "workshop" if is_booking else "drafting",
+        "tier": TIERS_BY_ROUTE[name],
+        "latency_target_ms": TARGETS_MS_BY_ROUTE[name],
+        "idempotent": not is_booking,
+        "deadline_ms": 60_000,
     }
 
 
-def _pool(name: str, kind: str, url: str) -> Mapping[str, Any]:
-    runner = {"id": f"{name}-1", "url": url, "data_centre": "demo-1"}
+def _build_team(name: str) -> Mapping[str, Any]:
+    caller_key = KEY_FORMAT.format(team=name)
+    key_sha256 = hashlib.sha256(caller_key.encode()).hexdigest()
+    return {"name": name, "key_sha256": key_sha256}
+
+
+def _build_pool(
+    name: str, kind: str, standins: Sequence[RunnerStandin]
+) -> Mapping[str, Any]:
+    runners = [
+        {"id": f"{name}-{number}", "url": standin.url, "data_centre": "accra-1"}
+        for number, standin in enumerate(standins, start=1)
+    ]
     return {
         "name": name,
         "kind": kind,
         "limit": 16,
         "cold_limit": 2,
-        "runners": [runner],
+        "runners": runners,
     }
--- a/figshunt/commands/_main.py
+++ b/figshunt/commands/_main.py
@@ -5,11 +5,18 @@
 
 import defopt
 
+from figshunt.commands._check import check
 from figshunt.commands._demo import demo
+from figshunt.commands._replay import replay
 from figshunt.commands._serve import serve
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
     """Run the command line and exit with the command's status."""
-    status = defopt.run([serve, demo], argv=arguments, cli_options="has_default")
+    status = defopt.run(
+        [serve, check, replay, demo],
+        argv=arguments,
+        cli_options="has_default",
+        no_negated_flags=True,
+    )
     sys.exit(status or 0)
