Take broken streams out of the engine's batch at once

Cause: when a write to a reset connection failed, the token generator was left to the loop's finalizer, so its request stayed in the batch and its waste was counted late. The priority test depended on how long a stream took. Change: the engine closes the generator itself; a broken connection ends the handler as a cancellation, so aiohttp logs no traceback; the priority test waits on conditions.

--- a/figshunt/standins/_model_engine.py
+++ b/figshunt/standins/_model_engine.py
@@ -3,7 +3,8 @@
 import asyncio
 import json
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
 from dataclasses import dataclass
 
 from aiohttp import web
@@ -93,11 +94,15 @@
             return web.json_response({"error": error.detail}, status=400)
         end = int(json.loads(body).get("max_tokens", DEFAULT_TOKENS))
         offset = int(request.headers.get("Last-Event-ID", "-1")) + 1
-        tokens = self._generate(request, decoded, body, offset, end)
         answer_id = f"answer-{digest_content(body)}"
-        if decoded.stream:
-            return await self._stream(request, tokens, answer_id)
-        return await self._answer_whole(tokens, answer_id)
+        # Without aclosing, a request whose connection broke would stay in the
+        # batch until the loop finalizes the generator.
+        async with aclosing(
+            self._generate(request, decoded, body, offset, end)
+        ) as tokens:
+            if decoded.stream:
+                return await self._stream(request, tokens, answer_id)
+            return await self._answer_whole(tokens, answer_id)
 
     async def _generate(
         self,
@@ -106,7 +111,7 @@
         body: bytes,
         offset: int,
         end: int,
-    ) -> AsyncIterator[int]:
+    ) -> AsyncGenerator[int, None]:
         cached = self.cache.count_cached(decoded.prefixes) * BLOCK_TOKENS
         computed = max(0, decoded.prompt_tokens - cached) + offset
         self.runner_state.totals.prompt_tokens_cached += cached
--- a/figshunt/standins/_runner_standin.py
+++ b/figshunt/standins/_runner_standin.py
@@ -90,9 +90,13 @@
             if life == self.runner_state.start_identity:
                 self.runner_state.complete()
             return response
-        except (asyncio.CancelledError, ConnectionError):
+        except asyncio.CancelledError:
             self.runner_state.totals.cancelled += 1
             raise
+        except ConnectionError as error:
+            self.runner_state.totals.cancelled += 1
+            # aiohttp logs any other exception as a fault of the handler.
+            raise asyncio.CancelledError from error
         finally:
             self.runner_state.leave()
 
--- a/tests/standins/test_model_engine.py
+++ b/tests/standins/test_model_engine.py
@@ -66,20 +66,23 @@
         await self.start(BatchProfile(token_ms=1, batch_limit=1), **WARM)
         ends: list[str] = []
 
-        async def run(name: str, priority: str) -> None:
-            await self.complete(tokens=10, X_Priority=priority)
+        async def run(name: str, priority: str, tokens: int) -> None:
+            await self.complete(tokens=tokens, X_Priority=priority)
             ends.append(name)
 
-        calls = [asyncio.create_task(run("first", "4"))]
-        await asyncio.sleep(0)
-        while self.engine.runner_state.in_progress < 1:
-            await asyncio.sleep(0.001)
-        calls += [asyncio.create_task(run("low", "3"))]
-        while self.engine.runner_state.in_progress < 2:
-            await asyncio.sleep(0.001)
-        calls += [asyncio.create_task(run("high", "1"))]
-        await asyncio.gather(*calls)
-        self.assertEqual(ends, ["first", "high", "low"])
+        calls = []
+        for name, priority, tokens in (
+            ("first", "4", 100_000),
+            ("low", "3", 2),
+            ("high", "1", 2),
+        ):
+            calls.append(asyncio.create_task(run(name, priority, tokens)))
+            async with asyncio.timeout(10):
+                while self.engine.runner_state.in_progress < len(calls):
+                    await asyncio.sleep(0.001)
+        calls[0].cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        self.assertEqual(ends, ["high", "low"])
 
     async def test_stream_resumes_behind_the_last_event_id(self) -> None:
         await self.start(**WARM)
