--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,9 +1,11 @@
 """Builders of test data: valid values that a test changes where it matters."""
 
 import hashlib
+import json
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from figshunt.replay import TraceRequest
 from figshunt.tables import Tables, check_tables
 from figshunt.types import (
     Fingerprint,
@@ -183,3 +185,29 @@
         "host_list_url": "http://127.0.0.1:1",
     }
     return document | changes
+
+
+def build_completion_body(
+    route: str = "chat", tokens: int = 4, prompt: str = "Hello", **changes: Any
+) -> bytes:
+    """Return the body of a streamed chat completion."""
+    fields: dict[str, Any] = {
+        "model": route,
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    return json.dumps(fields | changes).encode()
+
+
+def build_trace_request(route: str = "chat", **changes: Any) -> TraceRequest:
+    """Return a line of a trace, of a short stream unless changed."""
+    values: dict[str, Any] = {
+        "at_ms": 0,
+        "route": RouteName(route),
+        "team": TeamName("team-a"),
+        "name": f"{route}-1",
+        "prompt_tokens": 10,
+        "output_tokens": 3,
+    }
+    return TraceRequest(**(values | changes))
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -7,7 +7,7 @@
 import aiohttp
 import uuid6
 
-from figshunt.standins import EngineProfile, ModelEngine, PlainService
+from figshunt.standins import EngineProfile, ModelEngine, PlainProfile, PlainService
 from tests.builders import (
     CALLER_KEY,
     build_documents,
@@ -25,7 +25,7 @@
 
     async def asyncSetUp(self) -> None:
         self.engine = ModelEngine(EngineProfile(), random.Random(1))
-        self.service = PlainService(5, random.Random(2))
+        self.service = PlainService(PlainProfile(), random.Random(2))
         await self.engine.start()
         await self.service.start()
         engine = build_runner("engine-1", self.engine.url)
@@ -64,6 +64,6 @@
                 self.assertEqual(response.status, 200)
         self.assertEqual(text.count("id: "), 5)
         self.assertTrue(text.endswith("data: [DONE]\n\n"))
-        self.assertEqual(self.service.runs_by_key[key], 1)
+        self.assertEqual(self.service.runs_by_key.runs_by_id[key], 1)
         daemon.process.signal(signal.SIGTERM)
         self.assertEqual(await daemon.process.wait(), 0)
