--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -1,5 +1,8 @@
 """Real processes and a fault-injecting proxy for integration tests."""
 
+from tests.harness._balancer import (
+    Balancer,
+)
 from tests.harness._fault_proxy import (
     FaultProxy,
     ProxyMode,
@@ -15,6 +18,7 @@
 )
 
 __all__ = [
+    "Balancer",
     "DaemonHandle",
     "FaultProxy",
     "Fleet",
--- a/tests/harness/_fault_proxy.py
+++ b/tests/harness/_fault_proxy.py
@@ -66,6 +66,15 @@
         self._mode = ProxyMode.FREEZE
         self._thawed.clear()
 
+    async def open_target(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Connect to the target.
+
+        :raises OSError: if there is no target, or it refuses.
+        """
+        if self.target_port is None:
+            raise ConnectionRefusedError("no target yet")
+        return await asyncio.open_connection(LOOPBACK, self.target_port)
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -86,11 +95,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         await self._thawed.wait()
-        if self._mode is ProxyMode.CUT or self.target_port is None:
+        if self._mode is ProxyMode.CUT:
             return
-        far_reader, far_writer = await asyncio.open_connection(
-            LOOPBACK, self.target_port
-        )
+        far_reader, far_writer = await self.open_target()
         self._writers.add(far_writer)
         try:
             async with asyncio.TaskGroup() as group:
