Add claims: a keyed request runs at most once in a cell

Cause: a non-idempotent request that a caller repeats at another host would run twice, and a refusal could call a key "not run" that ran elsewhere.

Change: package figshunt/claims with EstablishmentFilter (incarnations, joining, unanimous founding, generations), VoterFilter (grants in bounded memory) and ClaimantFilter (holds a request until a majority granted its key). Claim messages in figshunt/types. A joiner that is outbid for its seat waits 500 to 1,000 ms: without the wait two joiners outbid each other without end, as the first random schedules showed.

With each of these changes made by hand tests failed as they should: rounds without an end, "not run" for every lost round, founding by a majority, keys compared as sent, grants forgotten at once, a retry claimed again, a superseded voter that goes on, an incarnation that ignores recorded ones, a voter that ignores its holder.

Conclusion: the filters work over a network of fakes; the chain of the daemon does not use them yet.

--- a/figshunt/claims/__init__.py
+++ b/figshunt/claims/__init__.py
@@ -1,1 +1,63 @@
-"""Write-once claims on idempotency keys."""
+"""Claims: a keyed request that must not be repeated runs at most once."""
+
+from figshunt.claims._claim_records import (
+    ClaimRecord,
+    ClaimRecords,
+    ClaimState,
+)
+from figshunt.claims._claim_round import (
+    ClaimRound,
+    RoundResult,
+)
+from figshunt.claims._claimant_filter import (
+    ClaimantFilter,
+)
+from figshunt.claims._establishment_filter import (
+    EstablishmentFilter,
+    EstablishmentState,
+)
+from figshunt.claims._grant_ledger import (
+    GrantLedger,
+    LedgerKey,
+)
+from figshunt.claims._join_round import (
+    JoinRound,
+)
+from figshunt.claims._key_time import (
+    CLOCK_SKEW_MS,
+    GRANTED_AHEAD_MS,
+    KEY_WINDOW_MS,
+    parse_key,
+    read_issue_ms,
+)
+from figshunt.claims._known_incarnations import (
+    KnownIncarnations,
+)
+from figshunt.claims._views import (
+    EstablishmentView,
+)
+from figshunt.claims._voter_filter import (
+    VoterFilter,
+)
+
+__all__ = [
+    "CLOCK_SKEW_MS",
+    "ClaimRecord",
+    "ClaimRecords",
+    "ClaimRound",
+    "ClaimState",
+    "ClaimantFilter",
+    "EstablishmentFilter",
+    "EstablishmentState",
+    "EstablishmentView",
+    "GRANTED_AHEAD_MS",
+    "GrantLedger",
+    "JoinRound",
+    "KEY_WINDOW_MS",
+    "KnownIncarnations",
+    "LedgerKey",
+    "RoundResult",
+    "VoterFilter",
+    "parse_key",
+    "read_issue_ms",
+]
--- /dev/null
+++ b/figshunt/claims/_claimant_filter.py
@@ -0,0 +1,287 @@
+"""Holds a non-idempotent request until a majority granted its key."""
+
+from collections.abc import Iterable
+
+from figshunt.claims._claim_records import ClaimRecord, ClaimRecords, ClaimState
+from figshunt.claims._claim_round import ClaimRound, RoundResult
+from figshunt.claims._grant_ledger import LedgerKey
+from figshunt.claims._key_time import (
+    CLOCK_SKEW_MS,
+    GRANTED_AHEAD_MS,
+    KEY_WINDOW_MS,
+    parse_key,
+    read_issue_ms,
+)
+from figshunt.claims._views import EstablishmentView
+from figshunt.pipeline import Feedback, Output
+from figshunt.request import refuse
+from figshunt.types import (
+    ClaimReply,
+    ClaimRequest,
+    ClockJumped,
+    CountEvent,
+    ErrorCode,
+    Message,
+    Moment,
+    PeerReceived,
+    RequestAdmitted,
+    RequestCancelled,
+    RequestEnded,
+    RequestId,
+    RoutedRequest,
+    RunOutcome,
+    SeatNumber,
+    SendPeer,
+    Step,
+    TimerDue,
+    WakeAt,
+)
+
+RETRY_AFTER_MS = 1_000
+
+
+class ClaimantFilter:
+    """Owns the claims of this daemon's requests and their outcomes.
+
+    A refusal says "not run" only if this daemon won the key and has not run
+    it, or if no seat can ever grant the key. In all other cases another host
+    may have run an earlier request with the same key.
+    """
+
+    step = Step.CLAIMANT
+    accepts: tuple[type[Message], ...] = (
+        RequestAdmitted,
+        RequestCancelled,
+        RequestEnded,
+        PeerReceived,
+        TimerDue,
+        ClockJumped,
+    )
+
+    def __init__(self, establishment: EstablishmentView, records: ClaimRecords) -> None:
+        self._establishment = establishment
+        self._records = records
+        self._rounds_by_number: dict[int, ClaimRound] = {}
+        self._round_numbers_by_request: dict[RequestId, int] = {}
+        self._rounds_started = 0
+
+    def process(self, message: Message, now: Moment) -> Iterable[Output]:
+        """Handle one message."""
+        match message:
+            case RequestAdmitted(routed):
+                if routed.route.idempotent:
+                    yield message
+                else:
+                    yield from self._admit(message, now)
+            case RequestEnded(routed, outcome):
+                key = _ledger_key(routed)
+                if not routed.route.idempotent and key is not None:
+                    self._records.end(key, routed.request_id, outcome)
+                yield message
+            case RequestCancelled(request_id):
+                if request_id in self._round_numbers_by_request:
+                    yield from self._cancel(request_id)
+                else:
+                    yield message
+            case PeerReceived(seat, ClaimReply() as reply):
+                yield from self._take_reply(seat, reply, now)
+            case TimerDue():
+                yield message
+                yield from self._check_rounds(now)
+            case ClockJumped():
+                for number in tuple(self._rounds_by_number):
+                    yield from self._lose(number, now, "the process was paused")
+                yield message
+            case _:
+                yield message
+
+    def _admit(self, admitted: RequestAdmitted, now: Moment) -> Iterable[Output]:
+        routed = admitted.routed
+        key = _ledger_key(routed)
+        if key is None:
+            yield from refuse(
+                routed,
+                ErrorCode.KEY_INVALID,
+                self.step,
+                "the Idempotency-Key is not a UUIDv7",
+                outcome=RunOutcome.NOT_RUN,
+            )
+            return
+        self._records.forget_expired(now)
+        record = self._records.get(key)
+        if record is not None and self._is_underway(record, routed):
+            yield admitted
+            return
+        if record is not None and record.state is not ClaimState.NOT_RUN:
+            yield from self._refuse_repeated(routed, record)
+            return
+        yield from self._start_round(routed, key, record, now)
+
+    def _is_underway(self, record: ClaimRecord, routed: RoutedRequest) -> bool:
+        """Return whether the request comes back for a retry or a resume."""
+        return (
+            record.state is ClaimState.OWNED and record.request_id == routed.request_id
+        )
+
+    def _refuse_repeated(
+        self, routed: RoutedRequest, record: ClaimRecord
+    ) -> Iterable[Output]:
+        yield from refuse(
+            routed,
+            ErrorCode.KEY_CLAIMED,
+            self.step,
+            "a request with this Idempotency-Key is running or has run",
+            outcome=record.outcome,
+        )
+
+    def _start_round(
+        self,
+        routed: RoutedRequest,
+        key: LedgerKey,
+        record: ClaimRecord | None,
+        now: Moment,
+    ) -> Iterable[Output]:
+        refusal = self._find_fault(routed, key, record, now)
+        if refusal is not None:
+            yield from refusal
+            return
+        generation = self._establishment.generation
+        claimant = self._establishment.incarnation
+        assert generation is not None and claimant is not None
+        self._rounds_started += 1
+        request = ClaimRequest(generation, claimant, self._rounds_started, *key)
+        claim_round = ClaimRound(routed, request, self._establishment.seats, now)
+        self._records.open(key, routed.request_id, routed.request.fingerprint)
+        self._rounds_by_number[request.round_number] = claim_round
+        self._round_numbers_by_request[routed.request_id] = request.round_number
+        yield from self._send(claim_round)
+
+    def _find_fault(
+        self,
+        routed: RoutedRequest,
+        key: LedgerKey,
+        record: ClaimRecord | None,
+        now: Moment,
+    ) -> Iterable[Output] | None:
+        """Return the refusal of a key that can't be claimed now."""
+        issue_ms = read_issue_ms(key[1])
+        never_run = record is not None and record.was_won
+        unproven = RunOutcome.NOT_RUN if never_run else RunOutcome.MAY_HAVE_RUN
+        if routed.tries > 0 or routed.resume_offset > 0:
+            return refuse(
+                routed,
+                ErrorCode.KEY_CLAIMED,
+                self.step,
+                "the claim of this request was forgotten",
+                outcome=RunOutcome.MAY_HAVE_RUN,
+            )
+        if issue_ms < now.wall_ms - KEY_WINDOW_MS:
+            return refuse(
+                routed,
+                ErrorCode.KEY_EXPIRED,
+                self.step,
+                f"the Idempotency-Key is older than {KEY_WINDOW_MS} ms",
+                outcome=unproven,
+            )
+        if issue_ms > now.wall_ms + CLOCK_SKEW_MS:
+            # Another host, with its clock ahead, may have allowed this key.
+            if issue_ms > now.wall_ms + GRANTED_AHEAD_MS:
+                unproven = RunOutcome.NOT_RUN
+            return refuse(
+                routed,
+                ErrorCode.KEY_INVALID,
+                self.step,
+                "the Idempotency-Key is dated in the future",
+                outcome=unproven,
+            )
+        if self._establishment.incarnation is None or (
+            record is None and self._records.is_full()
+        ):
+            return refuse(
+                routed,
+                ErrorCode.CLAIM_UNAVAILABLE,
+                self.step,
+                "this daemon can't claim keys now",
+                outcome=unproven,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        return None
+
+    def _send(self, claim_round: ClaimRound) -> Iterable[Output]:
+        for seat in claim_round.silent_seats():
+            if seat == self._establishment.own_seat:
+                yield Feedback(PeerReceived(seat, claim_round.request))
+            else:
+                yield SendPeer(seat, claim_round.request)
+        yield WakeAt(min(claim_round.resend_ms, claim_round.ends_ms))
+
+    def _take_reply(
+        self, seat: SeatNumber, reply: ClaimReply, now: Moment
+    ) -> Iterable[Output]:
+        claim_round = self._rounds_by_number.get(reply.round_number)
+        if claim_round is None or claim_round.request.claimant != reply.claimant:
+            return
+        if claim_round.request.generation != self._establishment.generation:
+            yield from self._lose(reply.round_number, now, "the generation was raised")
+            return
+        if claim_round.is_over(now):
+            yield from self._lose(reply.round_number, now, "votes came too late")
+            return
+        claim_round.add(seat, reply)
+        match claim_round.result(self._establishment.known):
+            case RoundResult.WON:
+                yield from self._win(reply.round_number, now)
+            case RoundResult.LOST:
+                yield from self._lose(reply.round_number, now, "no majority granted")
+
+    def _win(self, number: int, now: Moment) -> Iterable[Output]:
+        claim_round = self._close(number)
+        key = _ledger_key(claim_round.routed)
+        assert key is not None
+        self._records.win(key, now)
+        yield CountEvent("claims", {"result": RoundResult.WON.value})
+        yield RequestAdmitted(claim_round.routed)
+
+    def _lose(self, number: int, now: Moment, detail: str) -> Iterable[Output]:
+        claim_round = self._close(number)
+        routed = claim_round.routed
+        key = _ledger_key(routed)
+        assert key is not None
+        outcome = self._records.lose(key)
+        holder = claim_round.holder()
+        code = ErrorCode.KEY_CLAIMED if holder else ErrorCode.CLAIM_UNAVAILABLE
+        yield CountEvent("claims", {"result": RoundResult.LOST.value})
+        yield from refuse(
+            routed,
+            code,
+            self.step,
+            detail,
+            outcome=outcome,
+            peer=f"seat {holder.seat}" if holder else None,
+            retry_after_ms=None if holder else RETRY_AFTER_MS,
+        )
+
+    def _cancel(self, request_id: RequestId) -> Iterable[Output]:
+        claim_round = self._close(self._round_numbers_by_request[request_id])
+        key = _ledger_key(claim_round.routed)
+        assert key is not None
+        outcome = self._records.lose(key)
+        yield Feedback(RequestEnded(claim_round.routed, outcome, None))
+
+    def _close(self, number: int) -> ClaimRound:
+        claim_round = self._rounds_by_number.pop(number)
+        del self._round_numbers_by_request[claim_round.routed.request_id]
+        return claim_round
+
+    def _check_rounds(self, now: Moment) -> Iterable[Output]:
+        for number, claim_round in tuple(self._rounds_by_number.items()):
+            if claim_round.is_over(now):
+                yield from self._lose(number, now, "too few seats answered in time")
+            elif now.monotonic_ms >= claim_round.resend_ms:
+                claim_round.put_off_resend(now)
+                yield from self._send(claim_round)
+
+
+def _ledger_key(routed: RoutedRequest) -> LedgerKey | None:
+    key = parse_key(routed.request.key) if routed.request.key is not None else None
+    return None if key is None else (routed.team, key)
--- /dev/null
+++ b/figshunt/claims/_key_time.py
@@ -0,0 +1,34 @@
+"""When a key was issued, and for how long it may be claimed."""
+
+import uuid
+
+from figshunt.types import RequestKey
+
+KEY_WINDOW_MS = 600_000
+# Largest difference between the wall clocks of any two hosts of a cell.
+CLOCK_SKEW_MS = 1_000
+# A key may be dated up to one skew after the clock of the voter that granted
+# it, and that clock may be one skew ahead of ours: a key dated up to two skews
+# after our clock may have been granted already.
+GRANTED_AHEAD_MS = 2 * CLOCK_SKEW_MS
+# By then every clock of the cell shows that the key is out of the window.
+RETENTION_MS = KEY_WINDOW_MS + 2 * CLOCK_SKEW_MS
+
+UUID_VERSION = 7
+BITS_AFTER_TIME = 80
+
+
+def parse_key(key: str) -> RequestKey | None:
+    """Return the canonical form of a UUIDv7, or ``None`` for anything else."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    if parsed.version != UUID_VERSION:
+        return None
+    return RequestKey(str(parsed))
+
+
+def read_issue_ms(key: RequestKey) -> int:
+    """Return the wall time at which a key in canonical form was issued."""
+    return uuid.UUID(key).int >> BITS_AFTER_TIME
--- /dev/null
+++ b/figshunt/claims/_known_incarnations.py
@@ -0,0 +1,44 @@
+"""The latest occupant of each seat that a daemon or a round knows of."""
+
+from collections.abc import Iterable
+
+from figshunt.types import Incarnation, SeatIncarnation, SeatNumber
+
+
+class KnownIncarnations:
+    """A map from seat to incarnation whose values only rise."""
+
+    def __init__(self, known: Iterable[SeatIncarnation] = ()) -> None:
+        self._by_seat: dict[SeatNumber, Incarnation] = {}
+        self._entries: tuple[SeatIncarnation, ...] | None = None
+        self.merge(known)
+
+    def get(self, seat: SeatNumber) -> Incarnation | None:
+        """Return the latest known occupant of the seat."""
+        return self._by_seat.get(seat)
+
+    def record(self, seat: SeatNumber, incarnation: Incarnation) -> None:
+        """Keep the incarnation if it is later than the known one."""
+        known = self._by_seat.get(seat)
+        if known is None or incarnation > known:
+            self._by_seat[seat] = incarnation
+            self._entries = None
+
+    def merge(self, known: Iterable[SeatIncarnation]) -> None:
+        """Record all entries."""
+        for entry in known:
+            self.record(entry.seat, entry.incarnation)
+
+    def is_superseded(self, seat: SeatNumber, incarnation: Incarnation) -> bool:
+        """Return whether a later occupant of the seat is known."""
+        known = self._by_seat.get(seat)
+        return known is not None and incarnation < known
+
+    def entries(self) -> tuple[SeatIncarnation, ...]:
+        """Return all entries, in the order of the seats."""
+        if self._entries is None:
+            self._entries = tuple(
+                SeatIncarnation(seat, self._by_seat[seat])
+                for seat in sorted(self._by_seat)
+            )
+        return self._entries
--- /dev/null
+++ b/tests/claims/test_claimant_filter.py
@@ -0,0 +1,191 @@
+"""What a caller is told about a key, and what becomes of it at the claimant."""
+
+import random
+import unittest
+
+from benchmarks.claim_cell import START_WALL_MS, ClaimCell, Occupant, build_key
+from figshunt.claims import parse_key
+from figshunt.types import (
+    ErrorCode,
+    FailAnswer,
+    RequestAdmitted,
+    RequestCancelled,
+    RequestKey,
+    RunOutcome,
+)
+
+NOT_RUN = RunOutcome.NOT_RUN
+MAY_HAVE_RUN = RunOutcome.MAY_HAVE_RUN
+RAN = RunOutcome.RAN
+JOINED_MS = 3_000
+WINDOW_MS = 600_000
+
+
+class ClaimantTest(unittest.TestCase):
+    """A founded cell of five in which all clocks agree."""
+
+    def setUp(self) -> None:
+        self.cell = ClaimCell(5, random.Random(1))
+        self.cell.start_all()
+        self.cell.settle(JOINED_MS)
+        self.first, self.second, *self.others = self.cell.occupants
+
+    def claim(self, occupant: Occupant, key: RequestKey) -> FailAnswer | None:
+        """Claim a key and return the refusal, if there was one."""
+        self.cell.failures.clear()
+        self.cell.submit(occupant, key)
+        self.cell.deliver_all()
+        return self.cell.failures[0] if self.cell.failures else None
+
+    def assert_refused(
+        self, refusal: FailAnswer | None, code: ErrorCode, outcome: RunOutcome
+    ) -> None:
+        assert refusal is not None
+        self.assertEqual((refusal.code, refusal.outcome), (code, outcome))
+
+    def test_outcome_of_keys_that_cannot_be_claimed(self) -> None:
+        now_ms = START_WALL_MS + JOINED_MS
+        for name, key, code, outcome in (
+            ("no uuid", "booking 17", ErrorCode.KEY_INVALID, NOT_RUN),
+            (
+                "version 4",
+                "7b0d3a0e-3f33-4c43-9d3c-5a1c8e1b2f00",
+                ErrorCode.KEY_INVALID,
+                NOT_RUN,
+            ),
+            ("future", build_key(now_ms + 2_001, 1), ErrorCode.KEY_INVALID, NOT_RUN),
+            (
+                "allowed by a clock ahead",
+                build_key(now_ms + 1_999, 1),
+                ErrorCode.KEY_INVALID,
+                MAY_HAVE_RUN,
+            ),
+            (
+                "older than the window",
+                build_key(now_ms - WINDOW_MS - 1, 1),
+                ErrorCode.KEY_EXPIRED,
+                MAY_HAVE_RUN,
+            ),
+            (
+                "older than the cell",
+                build_key(now_ms - JOINED_MS, 1),
+                ErrorCode.CLAIM_UNAVAILABLE,
+                MAY_HAVE_RUN,
+            ),
+        ):
+            with self.subTest(name=name):
+                refusal = self.claim(self.first, RequestKey(key))
+                self.assert_refused(refusal, code, outcome)
+
+    def test_key_is_compared_in_canonical_form(self) -> None:
+        """Guards against a second run of a key in other letters."""
+        key = self.cell.issue_key()
+        self.assertIsNone(self.claim(self.first, key))
+        refusal = self.claim(self.second, RequestKey(key.upper()))
+        self.assert_refused(refusal, ErrorCode.KEY_CLAIMED, MAY_HAVE_RUN)
+        self.assertEqual(parse_key(f"{{{key.upper()}}}"), key)
+
+    def test_repeated_key_by_state_of_its_request(self) -> None:
+        for name, act, here, elsewhere in (
+            ("queued", None, MAY_HAVE_RUN, MAY_HAVE_RUN),
+            ("ran", RAN, RAN, MAY_HAVE_RUN),
+            ("may have run", MAY_HAVE_RUN, MAY_HAVE_RUN, MAY_HAVE_RUN),
+        ):
+            with self.subTest(name=name):
+                key = self.cell.issue_key()
+                self.assertIsNone(self.claim(self.first, key))
+                if act is not None:
+                    self.cell.run(self.first, act)
+                refusal = self.claim(self.second, key)
+                self.assert_refused(refusal, ErrorCode.KEY_CLAIMED, elsewhere)
+                refusal = self.claim(self.first, key)
+                self.assert_refused(refusal, ErrorCode.KEY_CLAIMED, here)
+                self.first.queued.clear()
+
+    def test_key_not_run_is_tried_again_at_its_claimant(self) -> None:
+        """Guards against a key that is lost because its deadline passed."""
+        key = self.cell.issue_key()
+        self.claim(self.first, key)
+        self.cell.expire(self.first)
+        refusal = self.claim(self.second, key)
+        self.assert_refused(refusal, ErrorCode.KEY_CLAIMED, MAY_HAVE_RUN)
+        self.assertIsNone(self.claim(self.first, key))
+        self.cell.run_all()
+        self.assertEqual(self.cell.count_dispatches(key), 1)
+        self.cell.connect_only(self.first)
+        refusal = self.claim(self.first, key)
+        self.assert_refused(refusal, ErrorCode.KEY_CLAIMED, RAN)
+
+    def test_own_key_stays_not_run_when_the_cell_is_lost(self) -> None:
+        key = self.cell.issue_key()
+        self.claim(self.first, key)
+        self.cell.expire(self.first)
+        self.cell.connect_only(self.first)
+        self.cell.submit(self.first, key)
+        self.cell.settle(2_000)
+        refusal = self.cell.failures[-1]
+        self.assert_refused(refusal, ErrorCode.CLAIM_UNAVAILABLE, NOT_RUN)
+
+    def test_minority_does_not_know_whether_a_key_ran(self) -> None:
+        """Guards against "not run" for a key that ran on the other side."""
+        key = self.cell.issue_key()
+        self.cell.connect_only(self.first, *self.others)
+        self.claim(self.first, key)
+        self.cell.run_all()
+        self.assertEqual(self.cell.count_dispatches(key), 1)
+        self.cell.connect_only(self.second)
+        self.cell.submit(self.second, key)
+        self.cell.settle(2_000)
+        refusal = self.cell.failures[-1]
+        self.assert_refused(refusal, ErrorCode.CLAIM_UNAVAILABLE, MAY_HAVE_RUN)
+
+    def test_request_that_comes_back_is_not_claimed_again(self) -> None:
+        """Guards against a retry that its own claim refuses."""
+        key = self.cell.issue_key()
+        self.claim(self.first, key)
+        routed = self.first.queued.pop()
+        sent = self.cell.messages_sent
+        self.cell.feed(self.first, RequestAdmitted(routed))
+        self.assertEqual(self.first.queued, [routed])
+        self.assertEqual(self.cell.messages_sent, sent)
+
+    def test_paused_claimant_does_not_act_on_old_grants(self) -> None:
+        for notice in (True, False):
+            with self.subTest(notice=notice):
+                key = self.cell.issue_key()
+                self.cell.submit(self.first, key)
+                for request in [self.cell.flights.pop(0) for _ in range(4)]:
+                    self.cell.deliver(request)
+                self.cell.pause(self.first)
+                self.cell.advance(5_000)
+                self.cell.resume(self.first, notice=notice)
+                self.cell.deliver_all()
+                refusal = self.cell.failures[-1]
+                self.assert_refused(refusal, ErrorCode.CLAIM_UNAVAILABLE, MAY_HAVE_RUN)
+                self.assertEqual(self.first.queued, [])
+
+    def test_cancelled_claim_is_dropped(self) -> None:
+        key = self.cell.issue_key()
+        request_id = self.cell.submit(self.first, key)
+        self.cell.feed(self.first, RequestCancelled(request_id))
+        self.cell.deliver_all()
+        self.assertEqual(self.first.queued, [])
+        self.assertIsNone(self.claim(self.first, key))
+
+    def test_lost_votes_are_asked_for_again(self) -> None:
+        key = self.cell.issue_key()
+        self.cell.submit(self.first, key)
+        self.cell.flights.clear()
+        self.cell.settle(500)
+        self.assertEqual(len(self.first.queued), 1)
+
+    def test_key_is_forgotten_only_after_its_window(self) -> None:
+        key = self.cell.issue_key(skew_ms=1_000)
+        self.claim(self.first, key)
+        self.cell.run_all()
+        self.cell.settle(WINDOW_MS + 500)
+        refusal = self.claim(self.second, key)
+        self.assert_refused(refusal, ErrorCode.KEY_CLAIMED, MAY_HAVE_RUN)
+        self.cell.settle(3_000)
+        refusal = self.claim(self.second, key)
+        self.assert_refused(refusal, ErrorCode.KEY_EXPIRED, MAY_HAVE_RUN)
--- /dev/null
+++ b/tests/claims/test_establishment.py
@@ -0,0 +1,118 @@
+"""Which occupants may vote: founding, joining, replacement and loss."""
+
+import random
+import unittest
+
+from benchmarks.claim_cell import ClaimCell, Occupant
+from figshunt.claims import EstablishmentState
+
+ESTABLISHED = EstablishmentState.ESTABLISHED
+JOINING = EstablishmentState.JOINING
+SUPERSEDED = EstablishmentState.SUPERSEDED
+
+
+class EstablishmentTest(unittest.TestCase):
+    """Cells of one and five seats."""
+
+    def setUp(self) -> None:
+        self.cell = ClaimCell(5, random.Random(1))
+
+    def states(self, *occupants: Occupant) -> list[EstablishmentState]:
+        return [one.establishment.state for one in occupants or self.cell.occupants]
+
+    def found(self) -> list[Occupant]:
+        self.cell.start_all()
+        self.cell.settle(1_000)
+        return list(self.cell.occupants)
+
+    def test_single_seat_founds_itself(self) -> None:
+        cell = ClaimCell(1, random.Random(1))
+        self.assertEqual(cell.start(0).establishment.state, ESTABLISHED)
+
+    def test_empty_cell_needs_every_seat(self) -> None:
+        """Guards against a second cell of the seats that are missing."""
+        for seat in range(4):
+            self.cell.start(seat)
+            self.cell.settle(1_000)
+        self.assertEqual(self.states(), [JOINING] * 4)
+        self.cell.start(4)
+        self.cell.settle(1_000)
+        self.assertEqual(self.states(), [ESTABLISHED] * 5)
+
+    def test_lost_votes_are_sent_again(self) -> None:
+        self.cell.start_all()
+        for _ in range(200):
+            flights = self.cell.flights
+            if flights and self.cell.random.random() < 0.5:
+                flights.pop(0)
+            elif flights:
+                self.cell.deliver(flights.pop(0))
+        self.cell.settle(2_000)
+        self.assertEqual(self.states(), [ESTABLISHED] * 5)
+
+    def test_joiner_needs_three_other_established_seats(self) -> None:
+        _, *others = self.found()
+        joiner = self.cell.start(0)
+        self.cell.connect_only(joiner, *others[:2])
+        self.cell.settle(2_000)
+        self.assertEqual(self.states(joiner), [JOINING])
+        self.cell.connect_only(joiner, *others[:3])
+        self.cell.settle(2_000)
+        self.assertEqual(self.states(joiner), [ESTABLISHED])
+
+    def test_replaced_occupant_stops_voting_once_it_learns(self) -> None:
+        """Guards against two occupants that replace each other without end."""
+        old, *others = self.found()
+        new = self.cell.start(0)
+        self.cell.connect_only(new, *others)
+        self.cell.settle(2_000)
+        self.assertEqual(self.states(old, new), [ESTABLISHED, ESTABLISHED])
+        self.cell.connect_only(old, *others)
+        self.cell.submit(old, self.cell.issue_key())
+        self.cell.settle(2_000)
+        self.assertEqual(self.states(old, new), [SUPERSEDED, ESTABLISHED])
+
+    def test_joiner_with_slow_clock_outranks_its_predecessor(self) -> None:
+        """Guards against a new occupant whose votes all claimants discard."""
+        old, *others = self.found()
+        self.cell.kill(old)
+        new = self.cell.start(0, skew_ms=-100_000)
+        self.cell.settle(3_000)
+        self.assertEqual(self.states(new), [ESTABLISHED])
+        before, after = old.establishment.incarnation, new.establishment.incarnation
+        assert before is not None and after is not None
+        self.assertGreater(after, before)
+        known = others[0].establishment.known.get(new.seat)
+        self.assertEqual(known, after)
+
+    def test_loss_of_a_majority_needs_a_new_generation(self) -> None:
+        """Guards against a cell founded beside hosts that may still run."""
+        lost = self.found()[:3]
+        for occupant in lost:
+            self.cell.kill(occupant)
+            self.cell.start(occupant.seat)
+        self.cell.settle(5_000)
+        self.assertEqual(self.states()[2:], [JOINING] * 3)
+        self.cell.generation = 2
+        for occupant in self.cell.occupants:
+            self.cell.enter_generation(occupant)
+        self.cell.settle(2_000)
+        self.assertEqual(self.states(), [ESTABLISHED] * 5)
+
+    def test_joiner_learns_grants(self) -> None:
+        """Guards against "not run" or silence about a key granted before."""
+        _, *others = self.found()
+        self.cell.settle(3_000)
+        key = self.cell.issue_key()
+        for number in range(1_200):
+            again = self.cell.issue_key() if number else key
+            self.cell.submit(others[0], again)
+            self.cell.deliver_all()
+        self.cell.run_all()
+        self.cell.kill(self.cell.occupants[0])
+        joiner = self.cell.start(0)
+        self.cell.settle(1_000)
+        self.cell.submit(joiner, key)
+        self.cell.deliver_all()
+        self.assertEqual(self.cell.count_dispatches(key), 1)
+        self.assertEqual(self.cell.faults, [])
