--- a/benchmarks/claim_cell.py
+++ b/benchmarks/claim_cell.py
@@ -289,7 +289,9 @@
         self.histories_by_key[key] = KeyHistory()
         return key
 
-    def submit(self, occupant: Occupant, key: RequestKey) -> RequestId:
+    def submit(
+        self, occupant: Occupant, key: RequestKey, idempotent: bool = False
+    ) -> RequestId:
         """Let a request with the key arrive at an occupant."""
         self._requests += 1
         request_id = RequestId(f"request-{self._requests}")
@@ -310,7 +312,8 @@
             arrived=now,
         )
         deadline_ms = now.monotonic_ms + ROUTE.deadline_ms
-        routed = RoutedRequest(request, TEAM, ROUTE, deadline_ms)
+        route = replace(ROUTE, idempotent=idempotent)
+        routed = RoutedRequest(request, TEAM, route, deadline_ms)
         history = self.histories_by_key.setdefault(key, KeyHistory())
         history.arrivals[request_id] = self._events
         self.feed(occupant, RequestAdmitted(routed))
