Wire the claim filters into the core

Cause: keyed requests were dispatched without a claim, and refusals before the claim (unknown team, no tables yet, admission, quarantine) said "not run" of keys that another host may have run.

--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -3,6 +3,13 @@
 import random
 from collections.abc import Sequence
 
+from figshunt.claims import (
+    ClaimantFilter,
+    ClaimRecords,
+    EstablishmentFilter,
+    GrantLedger,
+    VoterFilter,
+)
 from figshunt.control import (
     MembershipFilter,
     RevisionFilter,
@@ -37,6 +44,7 @@
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats)
         self.runners = RunnerFilter(self.revisions)
+        self.establishment = EstablishmentFilter(own_seat, seats, random_source)
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
         )
@@ -46,9 +54,12 @@
             self.revisions,
             self.membership,
             self.runners,
+            self.establishment,
+            VoterFilter(self.establishment, GrantLedger()),
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
             AdmissionFilter(),
+            ClaimantFilter(self.establishment, ClaimRecords()),
             self.schedule,
             self.slots,
             self.attempts,
--- /dev/null
+++ b/tests/claims/test_core_claims.py
@@ -0,0 +1,104 @@
+"""Claims inside of the whole chain of a daemon that is alone in its cell."""
+
+import random
+import unittest
+
+from benchmarks.claim_cell import build_key
+from figshunt.core import Core
+from figshunt.request import refuse
+from figshunt.types import (
+    AnswerHead,
+    AttemptFinished,
+    Effect,
+    ErrorCode,
+    FailAnswer,
+    ManualClock,
+    Message,
+    RequestKey,
+    RoutedRequest,
+    RunOutcome,
+    SeatNumber,
+    StartAttempt,
+    Step,
+    TeamName,
+)
+from tests.builders import (
+    build_arrival,
+    build_load,
+    build_pool,
+    build_request,
+    build_route,
+    build_tables,
+    build_tables_offered,
+)
+
+ROUTES = [build_route("booking", pool="registry", idempotent=False), build_route()]
+POOLS = [build_pool("registry", kind="plain"), build_pool()]
+
+
+class CoreClaimsTest(unittest.TestCase):
+    """Arrivals with and without keys."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock()
+        self.core = Core(SeatNumber(0), (SeatNumber(0),), random.Random(1))
+        self.feed(build_tables_offered(routes=ROUTES, pools=POOLS))
+        self.clock.advance(3_000)
+        self.feed(build_load("registry-1"))
+
+    def feed(self, message: Message) -> list[Effect]:
+        return self.core.handle(message, self.clock.now())
+
+    def arrive(self, number: int, key: RequestKey, **changes: str) -> Effect:
+        arrival = build_arrival(
+            self.clock.now(), number, key=key, **({"route": "booking"} | changes)
+        )
+        effects = self.feed(arrival)
+        kinds = (StartAttempt, FailAnswer)
+        return next(one for one in effects if isinstance(one, kinds))
+
+    def test_fresh_key_runs_once(self) -> None:
+        key = build_key(self.clock.now().wall_ms, 1)
+        start = self.arrive(1, key)
+        assert isinstance(start, StartAttempt)
+        for number, outcome in ((2, RunOutcome.MAY_HAVE_RUN), (3, RunOutcome.RAN)):
+            failure = self.arrive(number, key)
+            assert isinstance(failure, FailAnswer)
+            self.assertEqual(
+                (failure.code, failure.outcome), (ErrorCode.KEY_CLAIMED, outcome)
+            )
+            self.feed(AnswerHead(start.attempt_id, 200, "application/json"))
+            self.feed(AttemptFinished(start.attempt_id, 0))
+
+    def test_key_issued_before_the_daemon_started_does_not_run(self) -> None:
+        """Guards against a second run after the only daemon restarted."""
+        failure = self.arrive(1, build_key(self.clock.now().wall_ms - 3_001, 1))
+        assert isinstance(failure, FailAnswer)
+        self.assertEqual(failure.code, ErrorCode.CLAIM_UNAVAILABLE)
+        self.assertEqual(failure.outcome, RunOutcome.MAY_HAVE_RUN)
+
+    def test_idempotent_routes_need_no_claim(self) -> None:
+        self.feed(build_load())
+        start = self.arrive(1, RequestKey("any text"), route="chat")
+        self.assertIsInstance(start, StartAttempt)
+
+    def test_refusal_before_the_claim_is_not_called_not_run(self) -> None:
+        """Guards against "not run" for a key that ran at another host."""
+        key = build_key(self.clock.now().wall_ms, 1)
+        unknown = self.arrive(1, key, caller_key="nobody")
+        assert isinstance(unknown, FailAnswer)
+        self.assertEqual(unknown.outcome, RunOutcome.MAY_HAVE_RUN)
+        routes = build_tables(routes=ROUTES, pools=POOLS).routes_by_name
+        for route, step, outcome in (
+            ("booking", Step.ADMISSION, RunOutcome.MAY_HAVE_RUN),
+            ("booking", Step.QUARANTINE, RunOutcome.MAY_HAVE_RUN),
+            ("booking", Step.SCHEDULE, RunOutcome.NOT_RUN),
+            ("chat", Step.ADMISSION, RunOutcome.NOT_RUN),
+        ):
+            request = build_request(self.clock.now(), route=route, key=key)
+            (found,) = (one for name, one in routes.items() if name == route)
+            routed = RoutedRequest(request, TeamName("team-a"), found, 0)
+            failure, _ = refuse(routed, ErrorCode.QUEUE_FULL, step, "full")
+            assert isinstance(failure, FailAnswer)
+            with self.subTest(route=route, step=step):
+                self.assertEqual(failure.outcome, outcome)
