--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -1,5 +1,8 @@
 """Core types: identifiers, states, clock, errors, messages and effects."""
 
+from figshunt.types._audit import (
+    AuditEntry,
+)
 from figshunt.types._claim_messages import (
     ClaimReply,
     ClaimRequest,
@@ -43,6 +46,7 @@
     EndAnswer,
     FailAnswer,
     LogEvent,
+    ObserveDuration,
     SendAnswer,
     SendPeer,
     StartAnswer,
@@ -55,6 +59,11 @@
     ErrorCode,
     FigshuntError,
 )
+from figshunt.types._handshake_messages import (
+    Challenge,
+    Hello,
+    Welcome,
+)
 from figshunt.types._identifiers import (
     HIGHEST_TIER,
     LOWEST_TIER,
@@ -63,6 +72,7 @@
     Fingerprint,
     GenerationNumber,
     HostName,
+    IncarnationNumber,
     PoolName,
     RequestId,
     RequestKey,
@@ -77,9 +87,15 @@
 from figshunt.types._message import (
     Message,
 )
+from figshunt.types._outcome_messages import (
+    OutcomeNotice,
+    RefusalCount,
+    RouteOutcome,
+)
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
+    TablesAnnounce,
     TablesRequest,
     TablesTransfer,
 )
@@ -117,6 +133,17 @@
     Step,
     TableSourceKind,
 )
+from figshunt.types._suspicion_messages import (
+    Crash,
+    SuspicionNotice,
+)
+from figshunt.types._table_messages import (
+    RecordAudit,
+    SetReady,
+    TableReadsChanged,
+    TableServiceRead,
+    WatchTables,
+)
 
 __all__ = [
     "AnswerHead",
@@ -127,10 +154,12 @@
     "AttemptFinished",
     "AttemptId",
     "AttemptPlanned",
+    "AuditEntry",
     "CancelAttempt",
     "CancelReason",
     "CapacityChanged",
     "CapacityWanted",
+    "Challenge",
     "ClaimReply",
     "ClaimRequest",
     "ClaimVerdict",
@@ -138,6 +167,7 @@
     "ClockJumped",
     "ColdEvidence",
     "CountEvent",
+    "Crash",
     "DataCentreName",
     "DataCentreState",
     "Effect",
@@ -153,10 +183,12 @@
     "HIGHEST_TIER",
     "HTTP_STATUS_BY_CODE",
     "Heartbeat",
+    "Hello",
     "HostName",
     "HostState",
     "HostsListed",
     "Incarnation",
+    "IncarnationNumber",
     "JoinReply",
     "JoinRequest",
     "JoinerRecorded",
@@ -168,6 +200,8 @@
     "ManualClock",
     "Message",
     "Moment",
+    "ObserveDuration",
+    "OutcomeNotice",
     "PeerConnected",
     "PeerLost",
     "PeerMessage",
@@ -175,6 +209,8 @@
     "PoolKind",
     "PoolName",
     "PreemptionWanted",
+    "RecordAudit",
+    "RefusalCount",
     "Request",
     "RequestAdmitted",
     "RequestArrived",
@@ -186,6 +222,7 @@
     "RequestRouted",
     "RevisionNumber",
     "RouteName",
+    "RouteOutcome",
     "RoutedRequest",
     "RunOutcome",
     "RunnerChanged",
@@ -197,13 +234,18 @@
     "SendAnswer",
     "SendPeer",
     "SendState",
+    "SetReady",
     "StartAnswer",
     "StartAttempt",
     "StartIdentity",
     "Step",
     "StopRequested",
+    "SuspicionNotice",
     "SystemClock",
+    "TableReadsChanged",
+    "TableServiceRead",
     "TableSourceKind",
+    "TablesAnnounce",
     "TablesInForce",
     "TablesOffered",
     "TablesRefused",
@@ -214,4 +256,6 @@
     "TimerDue",
     "WakeAt",
     "WatchRunners",
+    "WatchTables",
+    "Welcome",
 ]
--- a/tests/claims/test_core_claims.py
+++ b/tests/claims/test_core_claims.py
@@ -12,6 +12,7 @@
     Effect,
     ErrorCode,
     FailAnswer,
+    HostName,
     ManualClock,
     Message,
     RequestKey,
@@ -32,6 +33,7 @@
     build_tables_offered,
 )
 
+SEAT = SeatNumber(0)
 ROUTES = [build_route("booking", pool="registry", idempotent=False), build_route()]
 POOLS = [build_pool("registry", kind="plain"), build_pool()]
 
@@ -41,7 +43,7 @@
 
     def setUp(self) -> None:
         self.clock = ManualClock()
-        self.core = Core(SeatNumber(0), (SeatNumber(0),), random.Random(1))
+        self.core = Core(HostName("host-0"), SEAT, (SEAT,), random.Random(1))
         self.feed(build_tables_offered(routes=ROUTES, pools=POOLS))
         self.clock.advance(3_000)
         self.feed(build_load("registry-1"))
