Detect cold, leaving and returning runners from evidence

Cause: the runner filter knew only the last report; a reset connection, slower tokens, a return from an out period or a peer's knowledge changed nothing. Change: a runner's record counts the completions since its start or the last cold evidence. Evidence: new start, refused or reset connection, lost stream, stale report, tokens slower than the runner's recent level at a similar batch size. A count that a report carries from before the evidence is no warm-up. Leaving comes from the report, the host list or a peer; the return ramps from cold. `RunnerNotice` tells peers: counts merge to the highest, a peer's lost connection only asks for a newer report, a leaving notice holds 10 s. After a pause, reports of the first second don't count, since they may have piled up. A runner that doesn't report load stays at its cold limit. A report's transit time isn't part of its age, so a report counts as fresh for up to that much longer.

--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -3,15 +3,20 @@
 from figshunt.control._membership_filter import (
     MembershipFilter,
 )
+from figshunt.control._ramp import (
+    ramped_limit,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
 from figshunt.control._runner_filter import (
     RunnerFilter,
+)
+from figshunt.control._runner_record import (
     RunnerRecord,
-    ramped_limit,
 )
 from figshunt.control._views import (
+    RunnerStanding,
     RunnersView,
     SeatsView,
     TablesView,
@@ -22,6 +27,7 @@
     "RevisionFilter",
     "RunnerFilter",
     "RunnerRecord",
+    "RunnerStanding",
     "RunnersView",
     "SeatsView",
     "TablesView",
--- a/figshunt/control/_views.py
+++ b/figshunt/control/_views.py
@@ -1,5 +1,6 @@
 """Read-only views that control filters offer to the filters behind them."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from figshunt.tables import Tables
@@ -9,9 +10,29 @@
     RunnerId,
     RunnerPhase,
     SeatNumber,
+    StartIdentity,
 )
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerStanding:
+    """What is known of one runner at one moment.
+
+    ``report``, measured at ``measured_ms``, is ``None`` unless it is fresh;
+    ``start`` and ``base`` tell on which view of the warm-up the limit rests.
+    Until ``valid_until_ms`` only a :class:`figshunt.types.RunnerChanged` can
+    make it wrong.
+    """
+
+    phase: RunnerPhase
+    limit: int
+    start: StartIdentity | None
+    base: int
+    report: LoadReport | None
+    measured_ms: int
+    valid_until_ms: int
+
+
 class TablesView(Protocol):
     """The tables in force."""
 
@@ -31,6 +52,9 @@
         Zero where it may receive no new work at all.
         """
 
+    def standing(self, runner_id: RunnerId, now: Moment) -> RunnerStanding:
+        """Return all that is known of the runner at once."""
+
     def report(self, runner_id: RunnerId) -> LoadReport | None:
         """Return the last report of the runner since it was last lost."""
 
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -36,7 +36,7 @@
     ) -> None:
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats)
-        self.runners = RunnerFilter(self.revisions)
+        self.runners = RunnerFilter(self.revisions, self.membership)
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
         )
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -91,6 +91,18 @@
     RequestReleased,
     RequestRouted,
 )
+from figshunt.types._runner_messages import (
+    RunnerNotice,
+)
+from figshunt.types._slot_messages import (
+    AskId,
+    LoanedSlots,
+    ReturnedSlots,
+    SlotLoan,
+    SlotOffer,
+    SlotRequest,
+    SlotReturn,
+)
 from figshunt.types._states import (
     AttemptFailure,
     CancelReason,
@@ -107,6 +119,7 @@
 
 __all__ = [
     "AnswerHead",
+    "AskId",
     "AttemptChunk",
     "AttemptEnded",
     "AttemptFailed",
@@ -141,6 +154,7 @@
     "ListedHost",
     "LoadReport",
     "LoadReported",
+    "LoanedSlots",
     "LogEvent",
     "ManualClock",
     "Message",
@@ -161,18 +175,24 @@
     "RequestKey",
     "RequestReleased",
     "RequestRouted",
+    "ReturnedSlots",
     "RevisionNumber",
     "RouteName",
     "RoutedRequest",
     "RunOutcome",
     "RunnerChanged",
     "RunnerId",
+    "RunnerNotice",
     "RunnerPhase",
     "RunnerUnreachable",
     "SeatNumber",
     "SendAnswer",
     "SendPeer",
     "SendState",
+    "SlotLoan",
+    "SlotOffer",
+    "SlotRequest",
+    "SlotReturn",
     "StartAnswer",
     "StartAttempt",
     "StartIdentity",
