Lend slots between hosts and wait out a predecessor in a seat

Cause: each host used only its own static share of a runner, and a replaced host took its whole share at once, whatever its predecessor still ran. Change: `SlotFilter` keeps an index of free slots by runner. Owners lend free slots on request; a loan counts from when it was asked for, takes new attempts for 2 s, and is void after cold evidence. A new occupant, a host without a majority and one that stood still hold back from runners that aren't warm. A pause yields `CancelAttempt` and `AttemptFailed` for each attempt on a borrowed slot, which `AttemptFilter` already handles. A stop hands back and offers.

--- /dev/null
+++ b/benchmarks/slot_cost.py
@@ -0,0 +1,70 @@
+"""CPU time of a slot decision at 4, 32 and 128 runners.
+
+One decision is ``has_slot``, the release of a request and the end of its
+attempt, through the pipeline of the tests; the baseline in the same run is the
+choice of a runner alone, which looks at every runner with a free slot.
+``python -m benchmarks.slot_cost``.
+"""
+
+import random
+import time
+
+from figshunt.policy import LeastLoaded, RunnerCandidate
+from figshunt.types import AttemptEnded, RunnerId
+from tests.builders import build_load
+from tests.slots.cell import POOL
+from tests.slots.one_host import OneHost
+
+DECISIONS = 5_000
+
+
+def measure(runners: int) -> None:
+    """Print the line for so many runners."""
+    host = OneHost(runners=runners, limit=16, cold_limit=4)
+    for number in range(runners):
+        host.feed(build_load(RunnerId(f"engines-{number + 1}")))
+    capacity = host.start(100_000)
+    full_us = _time_us(lambda: host.slots.has_slot(POOL, host.now))
+    for planned in host.planned[: capacity // 2]:
+        host.end(planned)
+    free_us = _time_us(lambda: host.slots.has_slot(POOL, host.now))
+
+    def decide() -> None:
+        host.start(1)
+        planned = host.planned.pop()
+        host.feed(
+            AttemptEnded(
+                planned.attempt_id, planned.runner_id, planned.routed, 0, 0, None
+            )
+        )
+
+    candidates = [
+        RunnerCandidate(RunnerId(f"engines-{number}"), number % 16, 0, 16)
+        for number in range(runners)
+    ]
+    chooser = LeastLoaded(random.Random(1))
+    routed = host.planned[0].routed
+    choose_us = _time_us(lambda: chooser.choose(routed, candidates))
+    print(
+        f"runners={runners:4} has_slot_full_us={full_us:.2f}"
+        f" has_slot_free_us={free_us:.2f} start_and_end_us={_time_us(decide):.1f}"
+        f" choose_alone_us={choose_us:.1f}"
+    )
+
+
+def _time_us(call: object) -> float:
+    assert callable(call)
+    started = time.process_time()
+    for _ in range(DECISIONS):
+        call()
+    return (time.process_time() - started) / DECISIONS * 1e6
+
+
+def main() -> None:
+    """Print one line for each number of runners."""
+    for runners in (4, 32, 128):
+        measure(runners)
+
+
+if __name__ == "__main__":
+    main()
--- a/figshunt/slots/_ownership.py
+++ b/figshunt/slots/_ownership.py
@@ -31,5 +31,10 @@
     ``limit`` and a larger limit never takes a slot away from a seat.
     """
     place = order_seats(runner_id, tuple(seats)).index(seat)
-    whole, rest = divmod(limit, len(seats))
+    return count_slots_at(place, limit, len(seats))
+
+
+def count_slots_at(place: int, limit: int, seats: int) -> int:
+    """Return how many slots the seat at this place of the order owns."""
+    whole, rest = divmod(limit, seats)
     return whole + (1 if place < rest else 0)
--- a/figshunt/slots/_slot_filter.py
+++ b/figshunt/slots/_slot_filter.py
@@ -1,34 +1,79 @@
 """Gives each released request a slot of a runner."""
 
-from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from figshunt.control import RunnersView, SeatsView, TablesView
 from figshunt.pipeline import Feedback, Output
-from figshunt.policy import RunnerCandidate, RunnerChooser
-from figshunt.slots._ownership import count_owned_slots
+from figshunt.policy import RunnerChooser
+from figshunt.slots._borrowing import BorrowedSlots, BorrowingBook
+from figshunt.slots._demand import Demand
+from figshunt.slots._leases import ASK_TIMEOUT_MS
+from figshunt.slots._lending import LendingBook
+from figshunt.slots._runner_slots import RunnerSlots, SlotIndex
+from figshunt.slots._seat_share import SeatShare
+from figshunt.slots._slot_borrower import SlotBorrower
+from figshunt.slots._slot_lender import SlotLender
 from figshunt.types import (
     AttemptEnded,
+    AttemptFailed,
+    AttemptFailure,
     AttemptId,
     AttemptPlanned,
+    CancelAttempt,
+    CancelReason,
     CapacityChanged,
+    CapacityWanted,
+    ClockJumped,
     Message,
     Moment,
+    PeerReceived,
     PoolName,
+    RequestAdmitted,
     RequestReleased,
-    RunnerId,
+    RoutedRequest,
+    RunnerChanged,
+    SeatNumber,
+    SendState,
+    SlotLoan,
+    SlotOffer,
+    SlotRequest,
+    SlotReturn,
     Step,
+    StopRequested,
+    TablesInForce,
+    TimerDue,
+    WakeAt,
 )
 
 
+@dataclass(frozen=True, slots=True)
+class SlotUse:
+    """The slot that an attempt holds; ``loan`` is ``None`` for an owned one."""
+
+    slots: RunnerSlots
+    loan: BorrowedSlots | None
+
+
 class SlotFilter:
-    """Owns the count of attempts by runner; offers a ``CapacityView``.
+    """Owns the slots of this daemon's seat; offers a ``CapacityView``.
 
-    A daemon uses only the slots that its own seat owns.
+    A slot is used by its owner or by the one peer that it is lent to, so a
+    runner never gets more work than its limit, whoever hears whom.
     """
 
     step = Step.SLOT
-    accepts: tuple[type[Message], ...] = (RequestReleased, AttemptEnded)
+    accepts: tuple[type[Message], ...] = (
+        RequestReleased,
+        AttemptEnded,
+        CapacityWanted,
+        RunnerChanged,
+        TablesInForce,
+        PeerReceived,
+        TimerDue,
+        ClockJumped,
+        StopRequested,
+    )
 
     def __init__(
         self,
@@ -38,47 +83,195 @@
         chooser: RunnerChooser,
     ) -> None:
         self._tables = tables
-        self._runners = runners
-        self._seats = seats
         self._chooser = chooser
-        self._running_by_runner: Counter[RunnerId] = Counter()
-        self._attempts_planned = 0
+        self._share = SeatShare(seats)
+        lending = LendingBook()
+        self._borrowing = BorrowingBook()
+        self._index = SlotIndex(runners, seats, self._share, lending, self._borrowing)
+        self._demand = Demand()
+        self._lender = SlotLender(self._index, lending, self._demand, seats)
+        self._borrower = SlotBorrower(self._index, self._borrowing, self._demand, seats)
+        self._uses_by_attempt: dict[AttemptId, SlotUse] = {}
+        self._session = 0
+        self._heard_majority = False
+        self._was_quiet = True
 
     def has_slot(self, pool: PoolName, now: Moment) -> bool:
         """Return whether some runner of the pool has a free slot here."""
-        return bool(self._candidates(pool, now))
+        return self._index.has_free(pool, now)
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
+        if self._session == 0:
+            self._session = now.wall_ms
+            self._share.begin(now)
+            if not self._share.is_alone:
+                yield WakeAt(self._share.quiet_until_ms)
         match message:
             case RequestReleased(routed):
-                candidates = self._candidates(routed.pool, now)
-                runner_id = self._chooser.choose(routed, candidates)
-                self._running_by_runner[runner_id] += 1
-                self._attempts_planned += 1
-                attempt_id = AttemptId(f"{routed.request_id}.{routed.tries + 1}")
-                lease_ends_ms = min(
-                    routed.deadline_ms, now.monotonic_ms + routed.route.max_run_ms
-                )
-                yield AttemptPlanned(attempt_id, runner_id, routed, lease_ends_ms)
+                yield from self._start(routed, now)
             case AttemptEnded():
-                self._running_by_runner[message.runner_id] -= 1
+                yield from self._end(message, now)
+            case CapacityWanted(pool, tier, waiting):
+                self._demand.set(pool, tier, waiting, now.monotonic_ms)
+                if not self._lender.is_stopping:
+                    yield from self._borrower.ask(pool, self._session, now)
+            case RunnerChanged(runner_id, pool):
+                self._index.forget_standing(runner_id)
+                self._index.refresh(runner_id, now)
+                yield from self._lender.serve_wishes(pool, self._session, now)
+                yield message
+            case TablesInForce(tables):
+                self._index.use_tables(tables, now)
                 yield message
-                yield Feedback(CapacityChanged(message.routed.pool))
-
-    def _candidates(self, pool: PoolName, now: Moment) -> list[RunnerCandidate]:
-        tables = self._tables.current()
-        if tables is None or pool not in tables.pools_by_name:
-            return []
-        candidates = []
-        for runner_id in tables.pools_by_name[pool].runner_ids:
-            limit = self._runners.limit(runner_id, now)
-            owned = count_owned_slots(
-                runner_id, limit, self._seats.own_seat, self._seats.seats
-            )
-            running = self._running_by_runner[runner_id]
-            if running < owned:
-                report = self._runners.report(runner_id)
-                reported = report.running + report.queued if report else 0
-                candidates.append(RunnerCandidate(runner_id, running, reported, limit))
-        return candidates
+            case PeerReceived():
+                yield message
+                yield from self._hear(message, now)
+            case TimerDue():
+                yield message
+                yield from self._check_times(now)
+            case ClockJumped():
+                yield from self._drop_leases(now)
+                yield message
+            case StopRequested():
+                yield message
+                self._lender.is_stopping = True
+                self._borrower.give_back_overdue(now, is_stopping=True)
+                yield from self._lender.offer_free(now)
+                yield WakeAt(now.monotonic_ms + ASK_TIMEOUT_MS)
+        yield from self._borrower.flush_returns()
+
+    def _start(self, routed: RoutedRequest, now: Moment) -> Iterable[Output]:
+        free = {one.runner_id: one for one in self._index.free(routed.pool, now)}
+        candidates = [one.candidate for one in free.values() if one.candidate]
+        if not candidates:
+            yield Feedback(RequestAdmitted(routed))
+            return
+        slots = free[self._chooser.choose(routed, candidates)]
+        lease_ends_ms = min(
+            routed.deadline_ms, now.monotonic_ms + routed.route.max_run_ms
+        )
+        loan = None
+        if slots.own_free > 0:
+            slots.running += 1
+        else:
+            loan = self._find_loan(slots, now)
+            loan.in_use += 1
+            lease_ends_ms = min(lease_ends_ms, loan.ends_ms)
+        attempt_id = AttemptId(f"{routed.request_id}.{routed.tries + 1}")
+        self._uses_by_attempt[attempt_id] = SlotUse(slots, loan)
+        self._demand.released(routed.pool, routed.tier)
+        self._index.refresh(slots.runner_id, now)
+        yield AttemptPlanned(attempt_id, slots.runner_id, routed, lease_ends_ms)
+
+    def _find_loan(self, slots: RunnerSlots, now: Moment) -> BorrowedSlots:
+        standing = self._index.standing(slots.runner_id, now)
+        return min(
+            (
+                loan
+                for loan in self._borrowing.loans(slots.runner_id)
+                if loan.idle > 0 and loan.is_usable(standing, now.monotonic_ms)
+            ),
+            key=lambda loan: loan.start_until_ms,
+        )
+
+    def _end(self, ended: AttemptEnded, now: Moment) -> Iterable[Output]:
+        yield ended
+        use = self._uses_by_attempt.pop(ended.attempt_id, None)
+        if use is None:
+            return
+        runner_id = use.slots.runner_id
+        if use.loan is None:
+            use.slots.running -= 1
+        else:
+            use.loan.in_use -= 1
+            use.loan.idle_since_ms = now.monotonic_ms
+            if self._lender.is_stopping:
+                self._borrowing.give_back(use.loan)
+            else:
+                yield self._borrower.watch_idle(use.loan, now)
+        self._index.refresh(runner_id, now)
+        yield from self._lender.serve_wishes(use.slots.pool, self._session, now)
+        yield Feedback(CapacityChanged(use.slots.pool))
+
+    def _hear(self, received: PeerReceived, now: Moment) -> Iterable[Output]:
+        seat = received.seat
+        match received.message:
+            case SlotRequest() as request:
+                yield from self._lender.take_request(seat, request, self._session, now)
+            case SlotReturn() as returned:
+                pools = self._lender.take_return(seat, returned, now)
+                yield from self._more_capacity(pools, now)
+            case SlotLoan() as loan:
+                yield from self._take_loan(seat, loan, now)
+            case SlotOffer() as offer:
+                if not self._lender.is_stopping:
+                    yield from self._borrower.take_offer(
+                        seat, offer, self._session, now
+                    )
+        if self._share.hears_majority(now) != self._heard_majority:
+            self._heard_majority = not self._heard_majority
+            yield from self._refresh_all(now)
+
+    def _take_loan(
+        self, seat: SeatNumber, message: SlotLoan, now: Moment
+    ) -> Iterable[Output]:
+        pool = self._borrower.take_loan(seat, message, self._session, now)
+        if self._lender.is_stopping:
+            self._borrower.give_back_overdue(now, is_stopping=True)
+        elif pool is not None and message.slots:
+            for one in message.slots:
+                for loan in self._borrowing.loans(one.runner_id):
+                    yield self._borrower.watch_idle(loan, now)
+            yield Feedback(CapacityChanged(pool))
+
+    def _check_times(self, now: Moment) -> Iterable[Output]:
+        self._borrower.give_back_overdue(now, self._lender.is_stopping)
+        pools = self._lender.expire(now)
+        yield from self._more_capacity(pools, now)
+        if self._quiet_is_over(now):
+            yield from self._refresh_all(now)
+        if self._lender.is_stopping:
+            yield from self._lender.offer_free(now)
+            yield WakeAt(now.monotonic_ms + ASK_TIMEOUT_MS)
+            return
+        for pool in self._index.pools():
+            yield from self._borrower.ask(pool, self._session, now)
+
+    def _quiet_is_over(self, now: Moment) -> bool:
+        quiet_until_ms = self._share.quiet_until_ms
+        if self._was_quiet and now.monotonic_ms >= quiet_until_ms:
+            self._was_quiet = False
+            return True
+        return False
+
+    def _drop_leases(self, now: Moment) -> Iterable[Output]:
+        """Cancel what runs on borrowed slots: their leases may be over."""
+        self._share.begin_again(now)
+        self._was_quiet = True
+        in_use = self._borrower.drop_all(now)
+        for attempt_id, use in tuple(self._uses_by_attempt.items()):
+            if use.loan in in_use:
+                yield CancelAttempt(attempt_id, CancelReason.LEASE_ENDED)
+                yield AttemptFailed(
+                    attempt_id,
+                    AttemptFailure.CANCELLED,
+                    SendState.MAY_HAVE_ARRIVED,
+                    "the process stood still and the lease of its slot may be over",
+                )
+        for runner_id in self._index.runners():
+            self._index.forget_standing(runner_id)
+            self._index.refresh(runner_id, now)
+        yield WakeAt(self._share.quiet_until_ms)
+
+    def _refresh_all(self, now: Moment) -> Iterable[Output]:
+        for runner_id in self._index.runners():
+            self._index.refresh(runner_id, now)
+        yield from self._more_capacity(set(self._index.pools()), now)
+
+    def _more_capacity(
+        self, pools: Iterable[PoolName], now: Moment
+    ) -> Iterable[Output]:
+        for pool in pools:
+            yield from self._lender.serve_wishes(pool, self._session, now)
+            yield Feedback(CapacityChanged(pool))
--- /dev/null
+++ b/tests/slots/cell.py
@@ -0,0 +1,326 @@
+"""A cell in virtual time: hosts with the filters under test, runners, network."""
+
+import heapq
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from figshunt.control import RunnerFilter, ramped_limit
+from figshunt.pipeline import Output, Pipeline
+from figshunt.policy import LeastLoaded
+from figshunt.slots import SlotFilter
+from figshunt.types import (
+    AttemptEnded,
+    AttemptFailed,
+    AttemptId,
+    AttemptPlanned,
+    CancelAttempt,
+    CapacityWanted,
+    ClockJumped,
+    ColdEvidence,
+    Heartbeat,
+    Message,
+    Moment,
+    PeerMessage,
+    PeerReceived,
+    PoolName,
+    RequestCancelled,
+    RequestId,
+    RequestReleased,
+    RevisionNumber,
+    RoutedRequest,
+    RouteName,
+    RunnerId,
+    RunnerUnreachable,
+    SeatNumber,
+    SendPeer,
+    StartIdentity,
+    Step,
+    TablesInForce,
+    TeamName,
+    TimerDue,
+    WakeAt,
+)
+from tests.builders import (
+    build_load,
+    build_pool,
+    build_request,
+    build_route,
+    build_tables,
+)
+from tests.stub_views import StubSeats, StubTables
+
+POOL = PoolName("engines")
+EVIDENCE_MS = 4_000  # freshness of a report plus the bound on its transit
+
+
+class Host:
+    """One occupant of a seat."""
+
+    step = Step.ATTEMPT
+    accepts: tuple[type[Message], ...] = (AttemptPlanned, AttemptFailed)
+
+    def __init__(self, cell: "Cell", seat: int) -> None:
+        self.cell = cell
+        self.offset_ms = cell.random.randrange(1_000_000)
+        self.seats = StubSeats(seat, cell.seats)
+        self.tables = StubTables(cell.tables)
+        self.runners = RunnerFilter(self.tables, self.seats)
+        self.slots = SlotFilter(
+            self.tables, self.runners, self.seats, LeastLoaded(cell.random)
+        )
+        self.pipeline = Pipeline([self.runners, self.slots, self])
+        self.attempts: dict[AttemptId, AttemptPlanned] = {}
+        self.arrivals_ms: deque[int] = deque()
+        self.waits_ms: list[int] = []
+        self.wakes: set[int] = set()
+        self.is_dead = self.is_detached = False
+        self.backlog: list[Message] | None = None
+        self.feed(TablesInForce(cell.tables))
+
+    @property
+    def now(self) -> Moment:
+        return Moment(
+            self.cell.now_ms + self.offset_ms, 1_800_000_000_000 + self.cell.now_ms
+        )
+
+    def feed(self, message: Message) -> None:
+        if self.is_dead:
+            return
+        if self.backlog is not None:
+            self.backlog.append(message)
+            return
+        if isinstance(message, PeerReceived):
+            self.seats.heard_ms[message.seat] = self.now.monotonic_ms
+        self.handle(message)
+        while self.arrivals_ms and self.slots.has_slot(POOL, self.now):
+            self.waits_ms.append(self.cell.now_ms - self.arrivals_ms.popleft())
+            self.handle(RequestReleased(self.cell.build_routed(self.now)))
+        waiting = len(self.arrivals_ms)
+        if waiting and self.cell.lends and not isinstance(message, TimerDue):
+            self.handle(CapacityWanted(POOL, self.cell.route.tier, waiting))
+
+    def arrive(self, requests: int = 1) -> None:
+        """Let requests arrive; without a free slot they wait."""
+        self.arrivals_ms.extend([self.cell.now_ms] * requests)
+        self.feed(RequestCancelled(RequestId("none")))
+
+    def handle(self, message: Message) -> None:
+        for effect in self.pipeline.handle(message, self.now):
+            if isinstance(effect, SendPeer):
+                self.cell.send(self, effect.seat, effect.message)
+            elif isinstance(effect, WakeAt):
+                if effect.monotonic_ms not in self.wakes:
+                    self.wakes.add(effect.monotonic_ms)
+                    wait_ms = max(1, effect.monotonic_ms - self.now.monotonic_ms)
+                    self.cell.after(wait_ms, self.wake, effect.monotonic_ms)
+            elif isinstance(effect, CancelAttempt):
+                self.cell.drop_attempt(effect.attempt_id)
+
+    def wake(self, due_ms: int) -> None:
+        self.wakes.discard(due_ms)
+        self.feed(TimerDue())
+
+    def process(self, message: Message, now: Moment) -> "list[Output]":
+        if isinstance(message, AttemptPlanned):
+            self.attempts[message.attempt_id] = message
+            self.cell.start_attempt(self, message)
+        elif isinstance(message, AttemptFailed):
+            self.cell.after(0, self.end, message.attempt_id)
+        return []
+
+    def end(self, attempt_id: AttemptId) -> None:
+        planned = self.attempts.pop(attempt_id, None)
+        if planned is not None:
+            self.cell.drop_attempt(attempt_id)
+            ended = AttemptEnded(
+                attempt_id, planned.runner_id, planned.routed, 0, 0, None
+            )
+            self.feed(ended)
+
+    def pause(self, gap_ms: int) -> None:
+        if self.backlog is None:
+            self.backlog = []
+            self.cell.after(gap_ms, self.resume, gap_ms)
+
+    def resume(self, gap_ms: int) -> None:
+        backlog, self.backlog = self.backlog or [], None
+        self.feed(ClockJumped(gap_ms))
+        for message in backlog:
+            self.feed(message)
+
+
+class Runner:
+    """What a runner really does; ``in_flight`` counts from each host's start."""
+
+    def __init__(self, cell: "Cell", runner_id: RunnerId) -> None:
+        self.cell = cell
+        self.runner_id = runner_id
+        self.starts = 0
+        self.completed = 0
+        self.cold_ms = -EVIDENCE_MS
+        self.in_flight: dict[AttemptId, tuple[Host, int]] = {}
+        self.carried: set[AttemptId] = set()
+
+    def restart(self) -> None:
+        self.starts += 1
+        self.completed = 0
+        self.cold_ms = self.cell.now_ms
+        hosts = {id(host): host for host, _ in self.in_flight.values()}
+        for attempt_id, (host, _) in tuple(self.in_flight.items()):
+            self.cell.after(self.cell.random.randrange(1, 300), host.end, attempt_id)
+        self.in_flight.clear()
+        self.carried.clear()
+        reset = RunnerUnreachable(self.runner_id, ColdEvidence.CONNECTION_RESET)
+        for host in hosts.values():
+            self.cell.after(self.cell.random.randrange(1, 300), host.feed, reset)
+
+    def report(self) -> None:
+        load = build_load(
+            self.runner_id,
+            self.completed,
+            start=StartIdentity(f"start-{self.starts}"),
+            running=len(self.carried),
+        )
+        for host in self.cell.hosts:
+            if self.cell.random.random() < self.cell.report_share:
+                self.cell.after(self.cell.random.randrange(1, 300), host.feed, load)
+        self.cell.after(250, self.report)
+
+
+class Cell:
+    """Event loop, network and faults; checks the promise at each start."""
+
+    def __init__(
+        self, seed: int, seats: int = 5, runners: int = 2, **pool: Any
+    ) -> None:
+        self.random = random.Random(seed)
+        self.seats = seats
+        self.now_ms = 0
+        self.events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.order = itertools.count()
+        self.cut: set[frozenset[int]] = set()
+        self.loss = self.repeats = self.latest_ms = 0.0
+        self.report_share = 1.0
+        self.lends = True
+        self.messages = self.warm_excess = 0
+        self.worst: list[str] = []
+        values: dict[str, Any] = {"limit": 40, "cold_limit": 3} | pool
+        self.tables = build_tables(
+            routes=[build_route(max_run_ms=4_000)],
+            pools=[build_pool(runners=runners, **values)],
+        )
+        self.route = self.tables.routes_by_name[RouteName("chat")]
+        self.runners = {one: Runner(self, one) for one in self.tables.runners_by_id}
+        self.hosts = [Host(self, seat) for seat in range(seats)]
+        for runner in self.runners.values():
+            runner.report()
+        self.beat()
+
+    @property
+    def started(self) -> int:
+        """Return how many attempts all hosts have started."""
+        return sum(len(host.waits_ms) for host in self.hosts)
+
+    def after(self, wait_ms: float, call: Callable[..., None], *values: Any) -> None:
+        due_ms = self.now_ms + int(wait_ms)
+        heapq.heappush(self.events, (due_ms, next(self.order), call, values))
+
+    def run(self, duration_ms: int) -> None:
+        end_ms = self.now_ms + duration_ms
+        while self.events and self.events[0][0] <= end_ms:
+            self.now_ms, _, call, values = heapq.heappop(self.events)
+            call(*values)
+        self.now_ms = end_ms
+
+    def build_routed(self, now: Moment) -> RoutedRequest:
+        request = build_request(now, next(self.order))
+        deadline_ms = now.monotonic_ms + 20_000
+        return RoutedRequest(request, TeamName("team-a"), self.route, deadline_ms)
+
+    def beat(self) -> None:
+        heartbeat = Heartbeat(RevisionNumber(1), False, False)
+        for host in self.hosts:
+            for seat in host.seats.seats:
+                if seat != host.seats.own_seat and host.backlog is None:
+                    self.send(host, seat, heartbeat)
+        self.after(500, self.beat)
+
+    def send(self, sender: Host, seat: SeatNumber, message: PeerMessage) -> None:
+        is_heartbeat = isinstance(message, Heartbeat)
+        self.messages += not is_heartbeat
+        pair = frozenset((int(sender.seats.own_seat), int(seat)))
+        if sender.is_detached or sender.is_dead or pair in self.cut:
+            return
+        copies = (self.random.random() >= self.loss) + (
+            self.random.random() < self.repeats
+        )
+        received = PeerReceived(sender.seats.own_seat, message)
+        for _ in range(copies):
+            delay_ms = self.random.uniform(1, 20)
+            if not is_heartbeat and self.random.random() < 0.2:
+                delay_ms += self.random.uniform(0, self.latest_ms)
+            self.after(delay_ms, self.deliver, seat, received)
+
+    def deliver(self, seat: SeatNumber, received: PeerReceived) -> None:
+        for host in self.hosts:
+            if host.seats.own_seat == seat and not host.is_detached:
+                host.feed(received)
+
+    def start_attempt(self, host: Host, planned: AttemptPlanned) -> None:
+        runner = self.runners[planned.runner_id]
+        attempt_id = planned.attempt_id
+        runner.in_flight[attempt_id] = (host, self.now_ms)
+        duration_ms = self.random.uniform(50, self.route.max_run_ms - 100)
+        self.after(self.random.uniform(1, 50), self.carry, runner, attempt_id)
+        self.after(duration_ms + 50, self.complete, runner, attempt_id)
+        lease_ms = planned.lease_ends_ms - host.now.monotonic_ms
+        self.after(max(lease_ms, 0), host.end, attempt_id)
+        self.check(runner)
+
+    def check(self, runner: Runner) -> None:
+        """Attempts started since the evidence got round are within the limit."""
+        pool = self.tables.pools_by_name[POOL]
+        since_ms = runner.cold_ms + EVIDENCE_MS
+        recent = sum(started >= since_ms for _, started in runner.in_flight.values())
+        limit = ramped_limit(pool, runner.completed)
+        if recent > limit and limit == pool.limit:
+            self.warm_excess = max(self.warm_excess, recent - limit)
+        elif recent > limit:
+            self.worst.append(f"{self.now_ms} ms: {recent} on limit {limit}")
+
+    def carry(self, runner: Runner, attempt_id: AttemptId) -> None:
+        if attempt_id in runner.in_flight:
+            runner.carried.add(attempt_id)
+
+    def complete(self, runner: Runner, attempt_id: AttemptId) -> None:
+        if attempt_id in runner.in_flight:
+            host, _ = runner.in_flight.pop(attempt_id)
+            runner.carried.discard(attempt_id)
+            runner.completed += 1
+            self.after(self.random.uniform(1, 50), host.end, attempt_id)
+
+    def drop_attempt(self, attempt_id: AttemptId) -> None:
+        for runner in self.runners.values():
+            runner.in_flight.pop(attempt_id, None)
+            runner.carried.discard(attempt_id)
+
+    def replace(self, seat: int, old_lives_on: bool, is_noticed: bool) -> None:
+        """Put a new, empty host in a seat.
+
+        The old one either lives on without contact to its peers, or is dead;
+        runners notice that, or go on with its attempts.
+        """
+        old = next(
+            one
+            for one in self.hosts
+            if one.seats.own_seat == seat and not (one.is_dead or one.is_detached)
+        )
+        old.is_detached = True
+        if not old_lives_on:
+            old.is_dead = True
+            for attempt_id in tuple(old.attempts) if is_noticed else ():
+                self.drop_attempt(attempt_id)
+        self.hosts.append(Host(self, seat))
--- /dev/null
+++ b/tests/slots/one_host.py
@@ -0,0 +1,164 @@
+"""One host with the filters under test, driven message by message."""
+
+import random
+from collections.abc import Sequence
+from typing import Any
+
+from figshunt.control import RunnerFilter
+from figshunt.pipeline import Output, Pipeline
+from figshunt.policy import LeastLoaded
+from figshunt.slots import SlotFilter
+from figshunt.types import (
+    AskId,
+    AttemptEnded,
+    AttemptFailed,
+    AttemptPlanned,
+    CapacityWanted,
+    Effect,
+    Heartbeat,
+    LoanedSlots,
+    ManualClock,
+    Message,
+    Moment,
+    PeerMessage,
+    PeerReceived,
+    PoolName,
+    RequestReleased,
+    RevisionNumber,
+    RoutedRequest,
+    RunnerId,
+    SeatNumber,
+    SendPeer,
+    SlotLoan,
+    SlotRequest,
+    StartIdentity,
+    Step,
+    TablesInForce,
+    TeamName,
+    Tier,
+    TimerDue,
+)
+from tests.builders import (
+    build_load,
+    build_pool,
+    build_request,
+    build_route,
+    build_tables,
+)
+from tests.slots.cell import POOL
+from tests.stub_views import StubSeats, StubTables
+
+RUNNER = RunnerId("engines-1")
+
+
+class OneHost:
+    """Collects what the filters under test emit."""
+
+    step = Step.ATTEMPT
+    accepts: tuple[type[Message], ...] = (AttemptPlanned, AttemptFailed)
+
+    def __init__(
+        self, seats: int = 5, runners: int = 1, max_run_ms: int = 4_000, **pool: Any
+    ) -> None:
+        self.clock = ManualClock()
+        self.route = build_route(max_run_ms=max_run_ms, deadline_ms=100_000)
+        self.pool = build_pool(
+            runners=runners, **({"limit": 20, "cold_limit": 10} | pool)
+        )
+        self.seats = StubSeats(0, seats)
+        self.tables = StubTables()
+        self.runners = RunnerFilter(self.tables, self.seats)
+        chooser = LeastLoaded(random.Random(1))
+        self.slots = SlotFilter(self.tables, self.runners, self.seats, chooser)
+        self.pipeline = Pipeline([self.runners, self.slots, self])
+        self.planned: list[AttemptPlanned] = []
+        self.failed: list[AttemptFailed] = []
+        self.effects: list[Effect] = []
+        self.number = 0
+        self.use_tables(1)
+
+    @property
+    def now(self) -> Moment:
+        return self.clock.now()
+
+    def use_tables(self, revision: int, **pool: Any) -> None:
+        self.tables.tables = build_tables(
+            revision,
+            routes=[self.route],
+            pools=[self.pool | pool],
+        )
+        self.feed(TablesInForce(self.tables.tables))
+
+    def process(self, message: Message, now: Moment) -> Sequence[Output]:
+        if isinstance(message, AttemptPlanned):
+            self.planned.append(message)
+        elif isinstance(message, AttemptFailed):
+            self.failed.append(message)
+        return []
+
+    def feed(self, message: Message) -> list[Effect]:
+        effects = self.pipeline.handle(message, self.now)
+        self.effects += effects
+        return effects
+
+    def hear(self, seat: int, message: PeerMessage) -> list[Any]:
+        """Deliver a peer's message; return what is sent back to anyone."""
+        self.seats.heard_ms[SeatNumber(seat)] = self.now.monotonic_ms
+        effects = self.feed(PeerReceived(SeatNumber(seat), message))
+        return [one.message for one in effects if isinstance(one, SendPeer)]
+
+    def advance(
+        self, duration_ms: int, peers: int = 4, report: bool = True, **load: Any
+    ) -> list[Any]:
+        """Let time pass with heartbeats and reports; return what was sent."""
+        before = len(self.effects)
+        for _ in range(duration_ms // 250):
+            self.clock.advance(250)
+            for seat in range(1, 1 + min(peers, len(self.seats.seats) - 1)):
+                self.hear(seat, Heartbeat(RevisionNumber(1), False, False))
+            if report:
+                self.feed(build_load(**load))
+            self.feed(TimerDue())
+        later = self.effects[before:]
+        return [one.message for one in later if isinstance(one, SendPeer)]
+
+    def start(self, most: int = 100) -> int:
+        """Start attempts while there are slots; return how many."""
+        started = 0
+        route = next(iter(self.tables.tables.routes_by_name.values()))  # type: ignore
+        while started < most and self.slots.has_slot(POOL, self.now):
+            self.number += 1
+            started += 1
+            request = build_request(self.now, self.number)
+            deadline_ms = self.now.monotonic_ms + route.deadline_ms
+            routed = RoutedRequest(request, TeamName("a"), route, deadline_ms)
+            self.feed(RequestReleased(routed))
+        return started
+
+    def end(self, planned: AttemptPlanned) -> list[Any]:
+        ended = AttemptEnded(
+            planned.attempt_id, planned.runner_id, planned.routed, 0, 0, None
+        )
+        effects = self.feed(ended)
+        return [one.message for one in effects if isinstance(one, SendPeer)]
+
+    def want(self, waiting: int = 3, tier: int = 2) -> list[SlotRequest]:
+        """Let requests wait without a slot; return the requests to peers."""
+        effects = self.feed(CapacityWanted(POOL, Tier(tier), waiting))
+        sent = [one.message for one in effects if isinstance(one, SendPeer)]
+        return [one for one in sent if isinstance(one, SlotRequest)]
+
+
+def build_loan(ask: AskId, loan: int = 1, count: int = 3, **changes: Any) -> SlotLoan:
+    """Return a loan of slots of the runner in its first, warm start."""
+    window_ms = changes.pop("window_ms", 2_000)
+    values = {"start": StartIdentity("start-1"), "base": 0} | changes
+    return SlotLoan(ask, window_ms, (LoanedSlots(loan, RUNNER, count, **values),))
+
+
+def build_slot_request(
+    number: int = 1, tier: int = 2, wanted: int = 8, lease_ms: int = 6_000
+) -> SlotRequest:
+    """Return a peer's request for slots."""
+    ask = AskId(77, number)
+    return SlotRequest(ask, PoolName(POOL), Tier(tier), wanted, lease_ms)
