--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -10,20 +10,28 @@
 from figshunt.pipeline import WakeQueue
 from figshunt.services._admin_listener import AdminListener
 from figshunt.services._caller_listener import CallerListener
+from figshunt.services._core_view import CoreView
 from figshunt.services._event_log import EventLog
 from figshunt.services._load_watcher import LoadWatcher
+from figshunt.services._metrics import Metrics
+from figshunt.services._peer_handshake import PeerIdentity
+from figshunt.services._peer_links import PeerLinks
 from figshunt.services._runner_client import RunnerClient
 from figshunt.services._table_watcher import TableWatcher
 from figshunt.settings import DaemonSettings
 from figshunt.types import (
     CancelAttempt,
     Clock,
+    CountEvent,
     Effect,
     EndAnswer,
     FailAnswer,
+    IncarnationNumber,
     LogEvent,
     Message,
+    ObserveDuration,
     SendAnswer,
+    SendPeer,
     StartAnswer,
     StartAttempt,
     TimerDue,
@@ -42,7 +50,8 @@
         self._settings = settings
         self._clock = clock
         self._log = EventLog({"host": settings.host})
-        self.core = Core(settings.seat, settings.seats, random_source)
+        self.core = Core(settings.host, settings.seat, settings.seats, random_source)
+        self._metrics = Metrics()
         self.callers = CallerListener(
             settings.caller_address,
             settings.limits,
@@ -51,7 +60,19 @@
             clock,
             self._log,
         )
-        self.admin = AdminListener(settings.admin_address)
+        self.admin = AdminListener(
+            settings.admin_address, CoreView(self.core, clock), self._metrics
+        )
+        self.peers = PeerLinks(
+            settings,
+            PeerIdentity(
+                settings.seat, settings.host, IncarnationNumber(clock.now().wall_ms)
+            ),
+            self,
+            clock,
+            self._log,
+            random_source,
+        )
         self._runner_client = RunnerClient(self)
         self._load_watcher = LoadWatcher(self, random_source)
         self._table_watcher = TableWatcher(
@@ -67,6 +88,7 @@
             self._load_watcher,
             self.admin,
             self.callers,
+            self.peers,
             self._table_watcher,
         ]
 
@@ -76,7 +98,9 @@
             "daemon_started",
             caller_port=self.callers.port,
             admin_port=self.admin.port,
+            peer_port=self.peers.port,
         )
+        self.feed(TimerDue())
 
     async def on_stop(self) -> None:
         """Cancel the timer."""
@@ -96,8 +120,14 @@
                 self._runner_client.start_attempt(effect)
             case CancelAttempt():
                 self._runner_client.cancel_attempt(effect)
+            case SendPeer():
+                self.peers.send(effect)
             case WakeAt(monotonic_ms):
                 self._wake_at(monotonic_ms)
+            case CountEvent():
+                self._metrics.count(effect)
+            case ObserveDuration():
+                self._metrics.observe(effect)
             case LogEvent(event, step, fields):
                 values: dict[str, Any] = dict(fields)
                 self._log.write(event, step=step.value, **values)
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -1,5 +1,8 @@
 """Core types: identifiers, states, clock, errors, messages and effects."""
 
+from figshunt.types._audit import (
+    AuditEntry,
+)
 from figshunt.types._clock import (
     Clock,
     ManualClock,
@@ -30,6 +33,7 @@
     EndAnswer,
     FailAnswer,
     LogEvent,
+    ObserveDuration,
     SendAnswer,
     SendPeer,
     StartAnswer,
@@ -42,6 +46,11 @@
     ErrorCode,
     FigshuntError,
 )
+from figshunt.types._handshake_messages import (
+    Challenge,
+    Hello,
+    Welcome,
+)
 from figshunt.types._identifiers import (
     HIGHEST_TIER,
     LOWEST_TIER,
@@ -50,6 +59,7 @@
     Fingerprint,
     GenerationNumber,
     HostName,
+    IncarnationNumber,
     PoolName,
     RequestId,
     RequestKey,
@@ -64,9 +74,15 @@
 from figshunt.types._message import (
     Message,
 )
+from figshunt.types._outcome_messages import (
+    OutcomeNotice,
+    RefusalCount,
+    RouteOutcome,
+)
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
+    TablesAnnounce,
     TablesRequest,
     TablesTransfer,
 )
@@ -116,6 +132,17 @@
     Step,
     TableSourceKind,
 )
+from figshunt.types._suspicion_messages import (
+    Crash,
+    SuspicionNotice,
+)
+from figshunt.types._table_messages import (
+    RecordAudit,
+    SetReady,
+    TableReadsChanged,
+    TableServiceRead,
+    WatchTables,
+)
 
 __all__ = [
     "AnswerHead",
@@ -127,14 +154,17 @@
     "AttemptFinished",
     "AttemptId",
     "AttemptPlanned",
+    "AuditEntry",
     "CancelAttempt",
     "CancelReason",
     "CapacityChanged",
     "CapacityWanted",
+    "Challenge",
     "Clock",
     "ClockJumped",
     "ColdEvidence",
     "CountEvent",
+    "Crash",
     "DataCentreName",
     "DataCentreState",
     "Effect",
@@ -147,9 +177,11 @@
     "HIGHEST_TIER",
     "HTTP_STATUS_BY_CODE",
     "Heartbeat",
+    "Hello",
     "HostName",
     "HostState",
     "HostsListed",
+    "IncarnationNumber",
     "LOWEST_TIER",
     "ListedHost",
     "LoadReport",
@@ -159,6 +191,8 @@
     "ManualClock",
     "Message",
     "Moment",
+    "ObserveDuration",
+    "OutcomeNotice",
     "PeerConnected",
     "PeerLost",
     "PeerMessage",
@@ -166,6 +200,8 @@
     "PoolKind",
     "PoolName",
     "PreemptionWanted",
+    "RecordAudit",
+    "RefusalCount",
     "Request",
     "RequestAdmitted",
     "RequestArrived",
@@ -178,6 +214,7 @@
     "ReturnedSlots",
     "RevisionNumber",
     "RouteName",
+    "RouteOutcome",
     "RoutedRequest",
     "RunOutcome",
     "RunnerChanged",
@@ -189,6 +226,7 @@
     "SendAnswer",
     "SendPeer",
     "SendState",
+    "SetReady",
     "SlotLoan",
     "SlotOffer",
     "SlotRequest",
@@ -198,8 +236,12 @@
     "StartIdentity",
     "Step",
     "StopRequested",
+    "SuspicionNotice",
     "SystemClock",
+    "TableReadsChanged",
+    "TableServiceRead",
     "TableSourceKind",
+    "TablesAnnounce",
     "TablesInForce",
     "TablesOffered",
     "TablesRefused",
@@ -210,4 +252,6 @@
     "TimerDue",
     "WakeAt",
     "WatchRunners",
+    "WatchTables",
+    "Welcome",
 ]
