--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -11,13 +11,17 @@
 from figshunt.control._pause_filter import (
     PauseFilter,
 )
+from figshunt.control._ramp import (
+    ramped_limit,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
 from figshunt.control._runner_filter import (
     RunnerFilter,
+)
+from figshunt.control._runner_record import (
     RunnerRecord,
-    ramped_limit,
 )
 from figshunt.control._suspicion_filter import (
     Suspicion,
@@ -26,6 +30,7 @@
     SuspicionView,
 )
 from figshunt.control._views import (
+    RunnerStanding,
     RunnersView,
     SeatsView,
     TablesView,
@@ -39,6 +44,7 @@
     "RevisionFilter",
     "RunnerFilter",
     "RunnerRecord",
+    "RunnerStanding",
     "RunnersView",
     "SeatsView",
     "Suspicion",
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -49,7 +49,7 @@
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats, random_source)
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
-        self.runners = RunnerFilter(self.revisions)
+        self.runners = RunnerFilter(self.revisions, self.membership)
         self.establishment = EstablishmentFilter(own_seat, seats, random_source)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -120,6 +120,18 @@
     RequestReleased,
     RequestRouted,
 )
+from figshunt.types._runner_messages import (
+    RunnerNotice,
+)
+from figshunt.types._slot_messages import (
+    AskId,
+    LoanedSlots,
+    ReturnedSlots,
+    SlotLoan,
+    SlotOffer,
+    SlotRequest,
+    SlotReturn,
+)
 from figshunt.types._states import (
     AttemptFailure,
     CancelReason,
@@ -147,6 +159,7 @@
 
 __all__ = [
     "AnswerHead",
+    "AskId",
     "AttemptChunk",
     "AttemptEnded",
     "AttemptFailed",
@@ -196,6 +209,7 @@
     "ListedHost",
     "LoadReport",
     "LoadReported",
+    "LoanedSlots",
     "LogEvent",
     "ManualClock",
     "Message",
@@ -220,6 +234,7 @@
     "RequestKey",
     "RequestReleased",
     "RequestRouted",
+    "ReturnedSlots",
     "RevisionNumber",
     "RouteName",
     "RouteOutcome",
@@ -227,6 +242,7 @@
     "RunOutcome",
     "RunnerChanged",
     "RunnerId",
+    "RunnerNotice",
     "RunnerPhase",
     "RunnerUnreachable",
     "SeatIncarnation",
@@ -235,6 +251,10 @@
     "SendPeer",
     "SendState",
     "SetReady",
+    "SlotLoan",
+    "SlotOffer",
+    "SlotRequest",
+    "SlotReturn",
     "StartAnswer",
     "StartAttempt",
     "StartIdentity",
