Answer a repeated key with the answer that its request got

Cause: a caller that lost its connection and repeated the key learnt only that the key was used.

It looks answers up by team and key and requires the same content. A claimant that tells another host "not run" abandons the key: else the key could run before the late refusal reaches the caller.

--- a/figshunt/claims/__init__.py
+++ b/figshunt/claims/__init__.py
@@ -1,5 +1,11 @@
 """Claims: a keyed request that must not be repeated runs at most once."""
 
+from figshunt.claims._answer_filter import (
+    AnswerFilter,
+)
+from figshunt.claims._answer_store import (
+    AnswerStore,
+)
 from figshunt.claims._claim_records import (
     ClaimRecord,
     ClaimRecords,
@@ -18,7 +24,6 @@
 )
 from figshunt.claims._grant_ledger import (
     GrantLedger,
-    LedgerKey,
 )
 from figshunt.claims._join_round import (
     JoinRound,
@@ -27,6 +32,7 @@
     CLOCK_SKEW_MS,
     GRANTED_AHEAD_MS,
     KEY_WINDOW_MS,
+    LedgerKey,
     parse_key,
     read_issue_ms,
 )
@@ -41,6 +47,8 @@
 )
 
 __all__ = [
+    "AnswerFilter",
+    "AnswerStore",
     "CLOCK_SKEW_MS",
     "ClaimRecord",
     "ClaimRecords",
--- a/figshunt/claims/_claim_records.py
+++ b/figshunt/claims/_claim_records.py
@@ -4,8 +4,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from figshunt.claims._grant_ledger import LedgerKey
-from figshunt.claims._key_time import GRANTED_AHEAD_MS, RETENTION_MS
+from figshunt.claims._key_time import GRANTED_AHEAD_MS, RETENTION_MS, LedgerKey
 from figshunt.types import Fingerprint, Moment, RequestId, RunOutcome
 
 MOST_CLAIMS = 200_000
@@ -17,6 +16,7 @@
     PENDING = "pending"
     OWNED = "owned"
     NOT_RUN = "not_run"
+    ABANDONED = "abandoned"
     ENDED = "ended"
 
 
@@ -91,6 +91,15 @@
             state = ClaimState.NOT_RUN if not_run else ClaimState.ENDED
             self._records_by_key[key] = replace(record, state=state, outcome=outcome)
 
+    def abandon(self, key: LedgerKey) -> None:
+        """Never run a key that was not run, as another host now says so.
+
+        Its answer to the caller may be late; the key must not run before.
+        """
+        record = self._records_by_key[key]
+        assert record.state is ClaimState.NOT_RUN
+        self._records_by_key[key] = replace(record, state=ClaimState.ABANDONED)
+
     def forget_expired(self, now: Moment) -> None:
         """Drop the records whose keys can't be claimed any more."""
         while self._expiries and self._expiries[0][0] <= now.monotonic_ms:
--- a/figshunt/claims/_claim_round.py
+++ b/figshunt/claims/_claim_round.py
@@ -1,5 +1,6 @@
 """Counts the votes on one claim."""
 
+from collections import Counter
 from enum import Enum
 
 from figshunt.claims._known_incarnations import KnownIncarnations
@@ -98,8 +99,10 @@
         return [seat for seat in self._seats if seat not in replied]
 
     def holder(self) -> SeatIncarnation | None:
-        """Return a claimant to which some seat granted the key before."""
-        for reply in self._replies_by_voter.values():
-            if reply.verdict is ClaimVerdict.HELD:
-                return reply.holder
-        return None
+        """Return the claimant to which most seats granted the key before."""
+        holders = Counter(
+            reply.holder
+            for reply in self._replies_by_voter.values()
+            if reply.verdict is ClaimVerdict.HELD and reply.holder is not None
+        )
+        return holders.most_common(1)[0][0] if holders else None
--- a/figshunt/claims/_claimant_filter.py
+++ b/figshunt/claims/_claimant_filter.py
@@ -4,18 +4,19 @@
 
 from figshunt.claims._claim_records import ClaimRecord, ClaimRecords, ClaimState
 from figshunt.claims._claim_round import ClaimRound, RoundResult
-from figshunt.claims._grant_ledger import LedgerKey
 from figshunt.claims._key_time import (
     CLOCK_SKEW_MS,
     GRANTED_AHEAD_MS,
     KEY_WINDOW_MS,
-    parse_key,
+    LedgerKey,
+    find_ledger_key,
     read_issue_ms,
 )
 from figshunt.claims._views import EstablishmentView
 from figshunt.pipeline import Feedback, Output
 from figshunt.request import refuse
 from figshunt.types import (
+    AnswerWanted,
     ClaimReply,
     ClaimRequest,
     ClockJumped,
@@ -30,6 +31,7 @@
     RequestId,
     RoutedRequest,
     RunOutcome,
+    SeatIncarnation,
     SeatNumber,
     SendPeer,
     Step,
@@ -74,7 +76,7 @@
                 else:
                     yield from self._admit(message, now)
             case RequestEnded(routed, outcome):
-                key = _ledger_key(routed)
+                key = find_ledger_key(routed)
                 if not routed.route.idempotent and key is not None:
                     self._records.end(key, routed.request_id, outcome)
                 yield message
@@ -97,7 +99,7 @@
 
     def _admit(self, admitted: RequestAdmitted, now: Moment) -> Iterable[Output]:
         routed = admitted.routed
-        key = _ledger_key(routed)
+        key = find_ledger_key(routed)
         if key is None:
             yield from refuse(
                 routed,
@@ -113,7 +115,7 @@
             yield admitted
             return
         if record is not None and record.state is not ClaimState.NOT_RUN:
-            yield from self._refuse_repeated(routed, record)
+            yield from self._want_own_answer(routed, record)
             return
         yield from self._start_round(routed, key, record, now)
 
@@ -123,16 +125,13 @@
             record.state is ClaimState.OWNED and record.request_id == routed.request_id
         )
 
-    def _refuse_repeated(
+    def _want_own_answer(
         self, routed: RoutedRequest, record: ClaimRecord
     ) -> Iterable[Output]:
-        yield from refuse(
-            routed,
-            ErrorCode.KEY_CLAIMED,
-            self.step,
-            "a request with this Idempotency-Key is running or has run",
-            outcome=record.outcome,
-        )
+        incarnation = self._establishment.incarnation
+        assert incarnation is not None
+        holder = SeatIncarnation(self._establishment.own_seat, incarnation)
+        yield AnswerWanted(routed, holder, record.outcome)
 
     def _start_round(
         self,
@@ -236,7 +235,7 @@
 
     def _win(self, number: int, now: Moment) -> Iterable[Output]:
         claim_round = self._close(number)
-        key = _ledger_key(claim_round.routed)
+        key = find_ledger_key(claim_round.routed)
         assert key is not None
         self._records.win(key, now)
         yield CountEvent("claims", {"result": RoundResult.WON.value})
@@ -245,25 +244,26 @@
     def _lose(self, number: int, now: Moment, detail: str) -> Iterable[Output]:
         claim_round = self._close(number)
         routed = claim_round.routed
-        key = _ledger_key(routed)
+        key = find_ledger_key(routed)
         assert key is not None
         outcome = self._records.lose(key)
         holder = claim_round.holder()
-        code = ErrorCode.KEY_CLAIMED if holder else ErrorCode.CLAIM_UNAVAILABLE
         yield CountEvent("claims", {"result": RoundResult.LOST.value})
+        if holder is not None and outcome is not RunOutcome.NOT_RUN:
+            yield AnswerWanted(routed, holder, outcome)
+            return
         yield from refuse(
             routed,
-            code,
+            ErrorCode.CLAIM_UNAVAILABLE,
             self.step,
             detail,
             outcome=outcome,
-            peer=f"seat {holder.seat}" if holder else None,
-            retry_after_ms=None if holder else RETRY_AFTER_MS,
+            retry_after_ms=RETRY_AFTER_MS,
         )
 
     def _cancel(self, request_id: RequestId) -> Iterable[Output]:
         claim_round = self._close(self._round_numbers_by_request[request_id])
-        key = _ledger_key(claim_round.routed)
+        key = find_ledger_key(claim_round.routed)
         assert key is not None
         outcome = self._records.lose(key)
         yield Feedback(RequestEnded(claim_round.routed, outcome, None))
@@ -280,8 +280,3 @@
             elif now.monotonic_ms >= claim_round.resend_ms:
                 claim_round.put_off_resend(now)
                 yield from self._send(claim_round)
-
-
-def _ledger_key(routed: RoutedRequest) -> LedgerKey | None:
-    key = parse_key(routed.request.key) if routed.request.key is not None else None
-    return None if key is None else (routed.team, key)
--- a/figshunt/claims/_grant_ledger.py
+++ b/figshunt/claims/_grant_ledger.py
@@ -5,6 +5,7 @@
 from figshunt.claims._key_time import (
     GRANTED_AHEAD_MS,
     RETENTION_MS,
+    LedgerKey,
     parse_key,
     read_issue_ms,
 )
@@ -18,8 +19,6 @@
 
 MOST_GRANTS = 200_000
 
-LedgerKey = tuple[TeamName, RequestKey]
-
 
 class GrantLedger:
     """Grants by team and key, kept until no clock of the cell allows the key."""
--- a/figshunt/claims/_key_time.py
+++ b/figshunt/claims/_key_time.py
@@ -1,8 +1,8 @@
-"""When a key was issued, and for how long it may be claimed."""
+"""How a key is read, and for how long it may be claimed."""
 
 import uuid
 
-from figshunt.types import RequestKey
+from figshunt.types import RequestKey, RoutedRequest, TeamName
 
 KEY_WINDOW_MS = 600_000
 # Largest difference between the wall clocks of any two hosts of a cell.
@@ -14,6 +14,8 @@
 # By then every clock of the cell shows that the key is out of the window.
 RETENTION_MS = KEY_WINDOW_MS + 2 * CLOCK_SKEW_MS
 
+LedgerKey = tuple[TeamName, RequestKey]
+
 UUID_VERSION = 7
 BITS_AFTER_TIME = 80
 
@@ -32,3 +34,9 @@
 def read_issue_ms(key: RequestKey) -> int:
     """Return the wall time at which a key in canonical form was issued."""
     return uuid.UUID(key).int >> BITS_AFTER_TIME
+
+
+def find_ledger_key(routed: RoutedRequest) -> LedgerKey | None:
+    """Return team and canonical key of a request, ``None`` without a valid key."""
+    key = parse_key(routed.request.key) if routed.request.key is not None else None
+    return None if key is None else (routed.team, key)
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 
 from figshunt.claims import (
+    AnswerFilter,
+    AnswerStore,
     ClaimantFilter,
     ClaimRecords,
     EstablishmentFilter,
@@ -57,6 +59,7 @@
         )
         self.schedule = ScheduleFilter(FirstInFirstOut(), self.slots, self.revisions)
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
+        claim_records = ClaimRecords()
         filters: list[Filter] = [
             PauseFilter(),
             self.revisions,
@@ -70,9 +73,12 @@
             RouteFilter(self.revisions),
             QuarantineFilter(self.suspicions),
             AdmissionFilter(),
-            ClaimantFilter(self.establishment, ClaimRecords()),
+            ClaimantFilter(self.establishment, claim_records),
             self.schedule,
             self.slots,
+            AnswerFilter(
+                self.establishment, claim_records, AnswerStore(), random_source
+            ),
             self.attempts,
         ]
         self._pipeline = Pipeline(filters)
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -4,6 +4,10 @@
     AuditEntry,
 )
 from figshunt.types._claim_messages import (
+    AnswerPart,
+    AnswerRequest,
+    AnswerState,
+    AnswerWanted,
     ClaimReply,
     ClaimRequest,
     ClaimVerdict,
@@ -147,6 +151,10 @@
 
 __all__ = [
     "AnswerHead",
+    "AnswerPart",
+    "AnswerRequest",
+    "AnswerState",
+    "AnswerWanted",
     "AttemptChunk",
     "AttemptEnded",
     "AttemptFailed",
--- a/figshunt/types/_claim_messages.py
+++ b/figshunt/types/_claim_messages.py
@@ -1,9 +1,10 @@
 """Messages by which the seats of a cell agree who may run a keyed request."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from figshunt.types._identifiers import (
+    Fingerprint,
     GenerationNumber,
     RequestKey,
     SeatNumber,
@@ -11,6 +12,8 @@
 )
 from figshunt.types._message import Message
 from figshunt.types._peer_messages import PeerMessage
+from figshunt.types._request import RoutedRequest
+from figshunt.types._states import RunOutcome
 
 
 @dataclass(frozen=True, slots=True, order=True)
@@ -136,3 +139,47 @@
     """Another seat told its grants to this daemon."""
 
     grants: tuple[GrantRecord, ...]
+
+
+class AnswerState(Enum):
+    """What a claimant can tell of the answer to a request that it claimed."""
+
+    RUNNING = "running"
+    KEPT = "kept"
+    NOT_KEPT = "not_kept"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerRequest(PeerMessage):
+    """Asks a claimant for the answer to a key; ``number`` marks the replies."""
+
+    number: int
+    team: TeamName
+    key: RequestKey
+    fingerprint: Fingerprint
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerPart(PeerMessage):
+    """A claimant's reply; with ``KEPT``, one of several parts of the answer."""
+
+    number: int
+    state: AnswerState
+    outcome: RunOutcome
+    status: int = 0
+    content_type: str = ""
+    data: bytes = field(default=b"", repr=False)
+    part: int = 0
+    parts: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerWanted(Message):
+    """A request repeats a key that ``holder`` claimed, in this daemon or another.
+
+    ``outcome`` is what can be said if the holder tells nothing.
+    """
+
+    routed: RoutedRequest
+    holder: SeatIncarnation
+    outcome: RunOutcome
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -21,6 +21,7 @@
     ADMISSION = "admission"
     SCHEDULE = "schedule"
     SLOT = "slot"
+    ANSWER = "answer"
     ATTEMPT = "attempt"
     CALLER_LISTENER = "caller_listener"
     ADMIN_LISTENER = "admin_listener"
