Spread table revisions over the cell, with an audit trail

Cause: every daemon read the configuration service on its own, a stale or dead service decided what a starting daemon used, and nothing recorded what changed, when and why something was refused. Change: ReaderFilter chooses the reader (lowest live seat whose reads work). RevisionFilter accepts only rising revisions, announces them, transfers them on request, asks all peers before the daemon is ready and again after a pause, merges the host list into the tables and keeps the audit trail. New work waits while the tables aren't settled. A half-published pair is refused only after 5 s, a bad content once. Watches are held for 1 s in place of 20 s, because a reader whose watch hangs must be replaced within 3 s. The host list is polled every second. The report's test builds its filters with the new parameters. Edits that make a test fail: lower revisions accepted, no revision in heartbeats, answers to old questions counted, no question after a pause or at the start. Two contents of one revision that different daemons accepted are shown by the digest in /status, but not resolved.

--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -1,5 +1,8 @@
 """Control filters: tables, membership, runners; and the views they offer."""
 
+from figshunt.control._host_merge import (
+    merge_hosts,
+)
 from figshunt.control._membership_filter import (
     MembershipFilter,
 )
@@ -11,9 +14,15 @@
 from figshunt.control._pause_filter import (
     PauseFilter,
 )
+from figshunt.control._reader_filter import (
+    ReaderFilter,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
+from figshunt.control._revision_status import (
+    RevisionStatus,
+)
 from figshunt.control._runner_filter import (
     RunnerFilter,
     RunnerRecord,
@@ -36,7 +45,9 @@
     "PauseFilter",
     "OutcomeFilter",
     "PeerOutcome",
+    "ReaderFilter",
     "RevisionFilter",
+    "RevisionStatus",
     "RunnerFilter",
     "RunnerRecord",
     "RunnersView",
@@ -46,6 +57,7 @@
     "SuspicionFilter",
     "SuspicionView",
     "TablesView",
+    "merge_hosts",
     "ramped_limit",
     "target_latency_ms",
 ]
--- a/figshunt/control/_membership_filter.py
+++ b/figshunt/control/_membership_filter.py
@@ -130,7 +130,6 @@
                 yield self._heartbeat_for(seat, now)
             case TablesInForce(tables):
                 self._revision = tables.revision
-                yield from self._beat(now)
             case TableReadsChanged(works):
                 self._reads_tables = works
                 yield from self._beat(now)
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -7,6 +7,7 @@
     MembershipFilter,
     OutcomeFilter,
     PauseFilter,
+    ReaderFilter,
     RevisionFilter,
     RunnerFilter,
     SuspicionFilter,
@@ -21,7 +22,7 @@
     ScheduleFilter,
     TeamFilter,
 )
-from figshunt.slots import SlotFilter
+from figshunt.slots import SettledCapacity, SlotFilter
 from figshunt.types import Effect, HostName, Message, Moment, SeatNumber
 
 
@@ -39,18 +40,27 @@
         seats: Sequence[SeatNumber],
         random_source: random.Random,
     ) -> None:
-        self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats, random_source)
+        self.revisions = RevisionFilter(self.membership)
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
+        self.reader = ReaderFilter(self.membership, self.revisions)
         self.runners = RunnerFilter(self.revisions)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
-            self.revisions, self.runners, self.membership, LeastLoaded(random_source)
+            self.revisions,
+            self.runners,
+            self.membership,
+            LeastLoaded(random_source),
+        )
+        self.schedule = ScheduleFilter(
+            FirstInFirstOut(),
+            SettledCapacity(self.slots, self.revisions.is_settled),
+            self.revisions,
         )
-        self.schedule = ScheduleFilter(FirstInFirstOut(), self.slots, self.revisions)
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
         filters: list[Filter] = [
             PauseFilter(),
+            self.reader,
             self.revisions,
             self.membership,
             self.outcomes,
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -30,6 +30,10 @@
 from figshunt.services._feed import (
     Feed,
 )
+from figshunt.services._host_list_watcher import (
+    HostListWatcher,
+    decode_host_list,
+)
 from figshunt.services._load_watcher import (
     LoadWatcher,
     decode_load_report,
@@ -51,6 +55,10 @@
 from figshunt.services._runner_client import (
     RunnerClient,
 )
+from figshunt.services._table_decoder import (
+    TableDecoder,
+    TransferDecodingFeed,
+)
 from figshunt.services._table_watcher import (
     TableWatcher,
 )
@@ -67,6 +75,7 @@
     "EventStreamReader",
     "Feed",
     "Handshake",
+    "HostListWatcher",
     "KeyValueDestination",
     "LinkCount",
     "LoadWatcher",
@@ -76,7 +85,10 @@
     "Metrics",
     "RunnerClient",
     "ServerSentEvent",
+    "TableDecoder",
     "TableWatcher",
+    "TransferDecodingFeed",
+    "decode_host_list",
     "decode_load_report",
     "format_value",
     "open_log",
--- a/figshunt/services/_core_view.py
+++ b/figshunt/services/_core_view.py
@@ -1,11 +1,13 @@
 """What the administration listener shows of a core."""
 
 from collections.abc import Mapping, Sequence
+from dataclasses import asdict
 from typing import Any
 
+from figshunt.control import RevisionStatus
 from figshunt.core import Core
 from figshunt.report import FleetReport, build_report
-from figshunt.types import Clock
+from figshunt.types import AuditEntry, Clock
 
 
 class CoreView:
@@ -34,6 +36,7 @@
         return {
             "seat": core.membership.own_seat,
             "revision": tables.revision if tables else None,
+            "tables": _describe_revision(core.revisions.status(now)),
             "generation": tables.generation if tables else None,
             "seats_heard": [
                 seat
@@ -52,4 +55,23 @@
 
     def audit(self) -> Sequence[Mapping[str, Any]]:
         """Return the audit trail, the newest entry last."""
-        return ()
+        status = self._core.revisions.status(self._clock.now())
+        return [_describe_entry(entry) for entry in status.audit]
+
+
+def _describe_entry(entry: AuditEntry) -> Mapping[str, Any]:
+    return asdict(entry) | {"source": entry.source.value}
+
+
+def _describe_revision(status: RevisionStatus) -> Mapping[str, Any]:
+    in_force = status.in_force
+    return {
+        "digest": status.digest,
+        "source": in_force.source.value if in_force else None,
+        "source_peer": in_force.peer if in_force else None,
+        "in_force_ms": in_force.in_force_ms if in_force else None,
+        "last_read_age_ms": status.last_read_age_ms,
+        "is_alone": status.is_alone,
+        "is_settled": status.is_settled,
+        "highest_peer_revision": status.highest_peer_revision,
+    }
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -12,14 +12,17 @@
 from figshunt.services._caller_listener import CallerListener
 from figshunt.services._core_view import CoreView
 from figshunt.services._event_log import EventLog
+from figshunt.services._host_list_watcher import HostListWatcher
 from figshunt.services._load_watcher import LoadWatcher
 from figshunt.services._metrics import Metrics
 from figshunt.services._peer_handshake import PeerIdentity
 from figshunt.services._peer_links import PeerLinks
 from figshunt.services._runner_client import RunnerClient
+from figshunt.services._table_decoder import TableDecoder, TransferDecodingFeed
 from figshunt.services._table_watcher import TableWatcher
 from figshunt.settings import DaemonSettings
 from figshunt.types import (
+    AuditEntry,
     CancelAttempt,
     Clock,
     CountEvent,
@@ -30,13 +33,17 @@
     LogEvent,
     Message,
     ObserveDuration,
+    RecordAudit,
     SendAnswer,
     SendPeer,
+    SetReady,
     StartAnswer,
     StartAttempt,
+    Step,
     TimerDue,
     WakeAt,
     WatchRunners,
+    WatchTables,
 )
 
 
@@ -63,12 +70,13 @@
         self.admin = AdminListener(
             settings.admin_address, CoreView(self.core, clock), self._metrics
         )
+        decoder = TableDecoder()
         self.peers = PeerLinks(
             settings,
             PeerIdentity(
                 settings.seat, settings.host, IncarnationNumber(clock.now().wall_ms)
             ),
-            self,
+            TransferDecodingFeed(self, decoder),
             clock,
             self._log,
             random_source,
@@ -76,7 +84,10 @@
         self._runner_client = RunnerClient(self)
         self._load_watcher = LoadWatcher(self, random_source)
         self._table_watcher = TableWatcher(
-            settings.configuration_url, self, random_source
+            settings.configuration_url, self, decoder, random_source
+        )
+        self._host_list_watcher = HostListWatcher(
+            settings.host_list_url, self, clock, self._log, random_source
         )
         self._timer: asyncio.TimerHandle | None = None
         self._wake_queue = WakeQueue()
@@ -90,6 +101,7 @@
             self.callers,
             self.peers,
             self._table_watcher,
+            self._host_list_watcher,
         ]
 
     async def on_started(self) -> None:
@@ -133,7 +145,26 @@
                 self._log.write(event, step=step.value, **values)
             case WatchRunners(urls_by_runner):
                 self._load_watcher.watch(urls_by_runner)
-                self.admin.is_ready = True
+            case WatchTables(wanted, restart):
+                self._table_watcher.set_wanted(wanted, restart)
+            case SetReady(is_ready):
+                self.admin.is_ready = is_ready
+            case RecordAudit(entry):
+                self._write_audit(entry)
+
+    def _write_audit(self, entry: AuditEntry) -> None:
+        self._log.write(
+            "tables_refused" if entry.refusals else "tables_in_force",
+            "warning" if entry.refusals else "info",
+            step=Step.REVISION.value,
+            peer=entry.peer,
+            source=entry.source.value,
+            revision=entry.revision,
+            seen_ms=entry.seen_ms,
+            in_force_ms=entry.in_force_ms,
+            changes="; ".join(entry.changes),
+            refusals="; ".join(entry.refusals),
+        )
 
     def _wake_at(self, monotonic_ms: int) -> None:
         self._wake_queue.add(monotonic_ms)
--- a/figshunt/services/_table_watcher.py
+++ b/figshunt/services/_table_watcher.py
@@ -6,82 +6,114 @@
 import aiohttp
 from mode import Service
 
-from figshunt.codec import decode_tables
 from figshunt.services._feed import Feed
-from figshunt.types import (
-    RevisionNumber,
-    TablesOffered,
-    TableSourceKind,
-    TablesRefused,
-)
-
-WATCH_MS = 20_000
-RETRY_MS = 500
+from figshunt.services._table_decoder import TableDecoder
+from figshunt.types import TableServiceRead, TableSourceKind
+
+# A watch that hangs must be noticed in time for another seat to take over and
+# still bring a revision into force within 3 s.
+WATCH_MS = 1_000
+ANSWER_LIMIT_MS = 750
+FIRST_RETRY_MS = 250
+LONGEST_RETRY_MS = 1_000
+# Bounds the rate of reads where the service answers a watch at once.
+LEAST_INTERVAL_MS = 50
+LARGEST_VALUE_BYTES = 2 * 1024 * 1024
 TABLE_NAMES = ("routes", "pools")
 
 
 class TableWatcher(Service):
-    """Reads both tables, then waits for changes of either with a long poll."""
+    """Reads both tables, then waits for changes of either with a long poll.
+
+    It reads only while it is wanted: one reader for each cell is enough.
+    """
 
-    def __init__(self, url: str, feed: Feed, random_source: random.Random) -> None:
+    def __init__(
+        self, url: str, feed: Feed, decoder: TableDecoder, random_source: random.Random
+    ) -> None:
         super().__init__()
         self._url = url
         self._feed = feed
+        self._decoder = decoder
         self._random = random_source
         self._session: aiohttp.ClientSession | None = None
         self._texts_by_name: dict[str, str] = {}
         self._watches: list[asyncio.Task[None]] = []
 
     async def on_start(self) -> None:
-        """Start one watch for each table."""
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=WATCH_MS / 1000 + 5)
-        )
-        loop = asyncio.get_running_loop()
-        self._watches = [loop.create_task(self._watch(name)) for name in TABLE_NAMES]
+        """Open the client session."""
+        self._session = aiohttp.ClientSession()
 
     async def on_stop(self) -> None:
         """End the watches."""
-        for task in self._watches:
-            task.cancel()
+        self.set_wanted(False)
         if self._session is not None:
             await self._session.close()
 
-    async def _watch(self, name: str) -> None:
+    def set_wanted(self, wanted: bool, restart: bool = False) -> None:
+        """Begin or end to watch; with ``restart``, read everything afresh."""
+        if restart or not wanted:
+            for task in self._watches:
+                task.cancel()
+            self._watches = []
+            self._texts_by_name.clear()
+        if wanted and not self._watches and self._session is not None:
+            loop = asyncio.get_running_loop()
+            self._watches = [
+                loop.create_task(self._watch(self._session, name))
+                for name in TABLE_NAMES
+            ]
+
+    async def _watch(self, session: aiohttp.ClientSession, name: str) -> None:
         version = ""
+        retry_ms = FIRST_RETRY_MS
         while True:
             try:
-                version = await self._read(name, version)
-            except (aiohttp.ClientError, OSError, TimeoutError, UnicodeError):
-                wait_ms = RETRY_MS * (0.5 + self._random.random())
-                await asyncio.sleep(wait_ms / 1000)
+                version = await self._read(session, name, version)
+                self._feed.feed(TableServiceRead(True))
+                retry_ms = FIRST_RETRY_MS
+                pause_ms = LEAST_INTERVAL_MS if version else WATCH_MS
+                await asyncio.sleep(pause_ms / 1000)
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+                detail = f"{name}: {type(error).__name__}: {error}"
+                self._feed.feed(TableServiceRead(False, detail[:200]))
+                await asyncio.sleep(retry_ms * (0.5 + self._random.random()) / 1000)
+                retry_ms = min(2 * retry_ms, LONGEST_RETRY_MS)
 
-    async def _read(self, name: str, version: str) -> str:
-        assert self._session is not None
+    async def _read(
+        self, session: aiohttp.ClientSession, name: str, version: str
+    ) -> str:
         params = {"after": version, "wait_ms": str(WATCH_MS)} if version else {}
-        url = f"{self._url}/v1/values/{name}"
-        async with self._session.get(url, params=params) as response:
-            if response.status == 304:
-                return version
-            response.raise_for_status()
-            self._texts_by_name[name] = await response.text()
-            self._offer()
-            return response.headers.get("X-Version", "")
+        limit_ms = ANSWER_LIMIT_MS + (WATCH_MS if version else 0)
+        async with asyncio.timeout(limit_ms / 1000):
+            async with session.get(
+                f"{self._url}/v1/values/{name}", params=params
+            ) as response:
+                if response.status == 304:
+                    return version
+                response.raise_for_status()
+                text = await _read_bounded(response)
+                version = response.headers.get("X-Version", "")
+        self._texts_by_name[name] = text
+        self._offer()
+        return version
 
     def _offer(self) -> None:
-        if len(self._texts_by_name) < len(TABLE_NAMES):
-            return
-        routes, pools = (self._texts_by_name[name] for name in TABLE_NAMES)
-        checked = decode_tables(routes, pools)
-        if checked.tables is not None:
+        if len(self._texts_by_name) == len(TABLE_NAMES):
+            routes, pools = (self._texts_by_name[name] for name in TABLE_NAMES)
             self._feed.feed(
-                TablesOffered(
-                    checked.tables, (routes, pools), TableSourceKind.SERVICE, self._url
-                )
+                self._decoder.decode(routes, pools, TableSourceKind.SERVICE, self._url)
             )
-            return
-        faults = tuple(str(fault) for fault in checked.faults)
-        revision: RevisionNumber | None = None
-        self._feed.feed(
-            TablesRefused(revision, faults, TableSourceKind.SERVICE, self._url)
-        )
+
+
+async def _read_bounded(response: aiohttp.ClientResponse) -> str:
+    """Return the text of a value.
+
+    :raises ValueError: if it is too large or not UTF-8.
+    """
+    data = b""
+    async for chunk in response.content.iter_any():
+        data += chunk
+        if len(data) > LARGEST_VALUE_BYTES:
+            raise ValueError(f"larger than {LARGEST_VALUE_BYTES} bytes")
+    return data.decode("utf-8")
--- a/figshunt/slots/__init__.py
+++ b/figshunt/slots/__init__.py
@@ -4,6 +4,9 @@
     count_owned_slots,
     order_seats,
 )
+from figshunt.slots._settled_capacity import (
+    SettledCapacity,
+)
 from figshunt.slots._slot_filter import (
     SlotFilter,
 )
@@ -13,6 +16,7 @@
 
 __all__ = [
     "CapacityView",
+    "SettledCapacity",
     "SlotFilter",
     "count_owned_slots",
     "order_seats",
--- a/figshunt/tables/__init__.py
+++ b/figshunt/tables/__init__.py
@@ -4,6 +4,9 @@
     CheckedTables,
     check_tables,
 )
+from figshunt.tables._difference import (
+    describe_difference,
+)
 from figshunt.tables._fields import (
     Fault,
     FaultList,
@@ -30,4 +33,5 @@
     "Team",
     "check_tables",
     "describe",
+    "describe_difference",
 ]
--- a/figshunt/tables/_check.py
+++ b/figshunt/tables/_check.py
@@ -30,10 +30,16 @@
 
 @dataclass(frozen=True, slots=True)
 class CheckedTables:
-    """The result of a check: tables if there was no fault, else the faults."""
+    """The result of a check: tables if there was no fault, else the faults.
+
+    ``revision`` is that of the routes, where it could be read.
+    ``is_unpaired`` tells that both revisions are valid but differ.
+    """
 
     tables: Tables | None
     faults: tuple[Fault, ...]
+    revision: RevisionNumber | None = None
+    is_unpaired: bool = False
 
 
 def check_tables(routes_document: object, pools_document: object) -> CheckedTables:
@@ -46,8 +52,12 @@
     pools_reader = FieldReader(pools_document, "pools:", faults)
     revision = routes_reader.integer("revision", 1, LARGEST_REVISION)
     pools_revision = pools_reader.integer("revision", 1, LARGEST_REVISION)
-    if revision != pools_revision:
-        pools_reader.fault("revision", f"{revision}, the revision of the routes")
+    has_revisions = not faults
+    is_unpaired = has_revisions and revision != pools_revision
+    if is_unpaired:
+        pools_reader.fault(
+            "revision", f"{revision}, the revision of the routes, got {pools_revision}"
+        )
     generation = routes_reader.integer("generation", 1, LARGEST_REVISION, default=1)
     states_by_name = _read_data_centres(pools_reader)
     pools, runners = _read_pools(pools_reader, states_by_name, faults)
@@ -56,7 +66,12 @@
     routes_reader.finish()
     pools_reader.finish()
     if faults:
-        return CheckedTables(None, faults.as_tuple())
+        return CheckedTables(
+            None,
+            faults.as_tuple(),
+            RevisionNumber(revision) if has_revisions else None,
+            is_unpaired,
+        )
     tables = Tables(
         revision=RevisionNumber(revision),
         generation=GenerationNumber(generation),
@@ -66,7 +81,7 @@
         teams_by_key_sha256=teams,
         data_centre_states_by_name=states_by_name,
     )
-    return CheckedTables(tables, ())
+    return CheckedTables(tables, (), tables.revision)
 
 
 def _read_data_centres(
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -82,6 +82,7 @@
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
+    RevisionQuery,
     TablesAnnounce,
     TablesRequest,
     TablesTransfer,
@@ -198,6 +199,7 @@
     "RequestReleased",
     "RequestRouted",
     "RevisionNumber",
+    "RevisionQuery",
     "RouteName",
     "RouteOutcome",
     "RoutedRequest",
--- a/figshunt/types/_control_messages.py
+++ b/figshunt/types/_control_messages.py
@@ -25,23 +25,31 @@
 class TablesOffered(Message):
     """A checked pair of tables was read from the service or a peer.
 
-    ``text`` holds both documents as published, to pass on to peers.
+    ``text`` holds both documents as published, to pass on to peers, and
+    ``digest`` is a hash of it.
     """
 
     tables: "Tables"
     text: tuple[str, str]
     source: TableSourceKind
     peer: str
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class TablesRefused(Message):
-    """A published pair of tables failed its checks."""
+    """A published pair of tables failed its checks.
+
+    ``is_unpaired`` tells that the documents carry different revisions, as
+    they do for a while when operators publish one after the other.
+    """
 
     revision: RevisionNumber | None
     faults: tuple[str, ...]
     source: TableSourceKind
     peer: str
+    digest: str = ""
+    is_unpaired: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/types/_peer_messages.py
+++ b/figshunt/types/_peer_messages.py
@@ -26,11 +26,22 @@
     echo: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class RevisionQuery(PeerMessage):
+    """Asks for the revision in force; ``number`` is opaque to the addressee."""
+
+    number: int
+
+
 @dataclass(frozen=True, slots=True)
 class TablesAnnounce(PeerMessage):
-    """Tells the revision in force; zero if there is none yet."""
+    """Tells the revision in force; zero if there is none yet.
+
+    ``answers`` is the number of the query that this answers, if it does.
+    """
 
     revision: RevisionNumber
+    answers: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -13,6 +13,10 @@
     ManagedProcess,
     start_module,
 )
+from tests.harness._virtual_cell import (
+    VirtualCell,
+    VirtualDaemon,
+)
 
 __all__ = [
     "DaemonHandle",
@@ -20,6 +24,8 @@
     "Fleet",
     "ManagedProcess",
     "ProxyMode",
+    "VirtualCell",
+    "VirtualDaemon",
     "seeded",
     "start_module",
 ]
--- a/tests/report/test_report.py
+++ b/tests/report/test_report.py
@@ -35,8 +35,8 @@
 
     def setUp(self) -> None:
         self.clock = ManualClock()
-        self.revisions = RevisionFilter()
         self.membership = MembershipFilter(SEATS[0], SEATS, random.Random(1))
+        self.revisions = RevisionFilter(self.membership)
         self.outcomes = OutcomeFilter(HostName("h0"), self.membership, self.revisions)
         self.feed(build_tables_offered())
 
