Shut down gracefully on SIGTERM

Cause: SIGTERM closed the listener at once and cut every stream. Change: the daemon first reports not ready and tells its peers, announces the close of connections, accepts requests for the grace period, then closes the listening socket and waits until no request is in progress, for at most body timeout + longest deadline + 10 s. Requests count from their first byte, so one whose body is still being read isn't cut. Further signals change nothing.

--- a/figshunt/commands/_serve.py
+++ b/figshunt/commands/_serve.py
@@ -17,6 +17,8 @@
 def serve(settings: Path) -> int:
     """Run one daemon until SIGTERM or SIGINT asks for a graceful shutdown.
 
+    A further signal doesn't shorten the shutdown; no request is cut off.
+
     Exit status: 0 after a graceful shutdown, 2 if the settings are invalid.
 
     :param settings: settings file, JSON with comments.
@@ -39,4 +41,5 @@
         loop.add_signal_handler(number, stop_asked.set)
     await daemon.start()
     await stop_asked.wait()
+    await daemon.drain()
     await daemon.stop()
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -62,6 +62,9 @@
         self._log = log
         self._streams_by_request: dict[RequestId, AnswerStream] = {}
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._open_requests = 0
+        self._is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
         self.port = address.port
@@ -74,6 +77,7 @@
         app.router.add_route(
             "*", "/route/{route}/{tail:.*}", self._guard(self._pass_through)
         )
+        app.on_response_prepare.append(self._announce_close)
         self._runner = web.AppRunner(
             app,
             handler_cancellation=True,
@@ -83,13 +87,13 @@
             max_field_size=self._limits.header_bytes,
         )
         await self._runner.setup()
-        site = web.TCPSite(
+        self._site = web.TCPSite(
             self._runner,
             self._address.host,
             self._address.port,
             ssl_context=_server_context(self._tls),
         )
-        await site.start()
+        await self._site.start()
         self.port = self._runner.addresses[0][1]
 
     async def on_stop(self) -> None:
@@ -97,6 +101,16 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def start_drain(self) -> None:
+        """From now on, ask callers to close their connection after its answer."""
+        self._is_draining = True
+
+    async def stop_accepting(self) -> None:
+        """Accept no new connections; open ones are still served."""
+        if self._site is not None:
+            await self._site.stop()
+            self._site = None
+
     async def wait_idle(self) -> None:
         """Wait until no request is in progress."""
         await self._idle.wait()
@@ -104,7 +118,7 @@
     @property
     def requests_in_progress(self) -> int:
         """Return how many requests have not been answered in full."""
-        return len(self._streams_by_request)
+        return self._open_requests
 
     def deliver(self, part: AnswerPart) -> None:
         """Hand a part of an answer to the caller's connection."""
@@ -116,6 +130,8 @@
         self, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
     ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
         async def guarded(http_request: web.Request) -> web.StreamResponse:
+            self._open_requests += 1
+            self._idle.clear()
             try:
                 return await handler(http_request)
             except FigshuntError as error:
@@ -128,9 +144,20 @@
                     detail=error.detail,
                 )
                 return _error_response(error)
+            finally:
+                self._open_requests -= 1
+                if not self._open_requests:
+                    self._idle.set()
 
         return guarded
 
+    async def _announce_close(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self._is_draining:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     async def _complete(self, http_request: web.Request) -> web.StreamResponse:
         body = await self._read_body(http_request)
         return await self._serve(http_request, body, decode_completion_body(body))
@@ -158,7 +185,6 @@
         request = self._to_request(http_request, body, decoded)
         stream = AnswerStream()
         self._streams_by_request[request.request_id] = stream
-        self._idle.clear()
         try:
             self._feed.feed(RequestArrived(request))
             return await self._send_answer(http_request, request, stream)
@@ -167,8 +193,6 @@
             raise
         finally:
             del self._streams_by_request[request.request_id]
-            if not self._streams_by_request:
-                self._idle.set()
 
     def _to_request(
         self, http_request: web.Request, body: bytes, decoded: DecodedBody
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -40,12 +40,16 @@
     StartAnswer,
     StartAttempt,
     Step,
+    StopRequested,
     TimerDue,
     WakeAt,
     WatchRunners,
     WatchTables,
 )
 
+# Added to the longest deadline: requests end by it on their own.
+DRAIN_MARGIN_MS = 10_000
+
 
 class Daemon(Service):
     """The services of one entry host around one :class:`figshunt.core.Core`."""
@@ -119,6 +123,37 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    async def drain(self) -> None:
+        """Shut down gracefully: finish every request, refuse none.
+
+        New connections are accepted for the grace period, since balancers and
+        callers take a while to notice; then only open ones are served, and
+        only until no request is in progress.
+        """
+        self.feed(StopRequested())
+        self._log.write("drain_started", grace_ms=self._settings.drain_grace_ms)
+        self.callers.start_drain()
+        await asyncio.sleep(self._settings.drain_grace_ms / 1000)
+        await self.callers.stop_accepting()
+        limit_ms = self._longest_request_ms() + DRAIN_MARGIN_MS
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                await self.callers.wait_idle()
+        except TimeoutError:
+            self._log.write(
+                "drain_incomplete",
+                "error",
+                requests=self.callers.requests_in_progress,
+                limit_ms=limit_ms,
+            )
+        self._log.write("drain_finished")
+
+    def _longest_request_ms(self) -> int:
+        tables = self.core.revisions.current()
+        routes = tables.routes_by_name.values() if tables else ()
+        deadline_ms = max((route.deadline_ms for route in routes), default=0)
+        return self._settings.limits.body_timeout_ms + deadline_ms
+
     def feed(self, message: Message) -> None:
         """Process one message now and carry out its effects."""
         for effect in self.core.handle(message, self._clock.now()):
