--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -3,6 +3,13 @@
 import random
 from collections.abc import Sequence
 
+from figshunt.claims import (
+    ClaimantFilter,
+    ClaimRecords,
+    EstablishmentFilter,
+    GrantLedger,
+    VoterFilter,
+)
 from figshunt.control import (
     MembershipFilter,
     OutcomeFilter,
@@ -45,6 +52,7 @@
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
         self.reader = ReaderFilter(self.membership, self.revisions)
         self.runners = RunnerFilter(self.revisions)
+        self.establishment = EstablishmentFilter(own_seat, seats, random_source)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
             self.revisions,
@@ -66,10 +74,13 @@
             self.outcomes,
             self.runners,
             self.suspicions,
+            self.establishment,
+            VoterFilter(self.establishment, GrantLedger()),
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
             QuarantineFilter(self.suspicions),
             AdmissionFilter(),
+            ClaimantFilter(self.establishment, ClaimRecords()),
             self.schedule,
             self.slots,
             self.attempts,
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -1,5 +1,8 @@
 """Real processes and a fault-injecting proxy for integration tests."""
 
+from tests.harness._balancer import (
+    Balancer,
+)
 from tests.harness._fault_proxy import (
     FaultProxy,
     ProxyMode,
@@ -19,6 +22,7 @@
 )
 
 __all__ = [
+    "Balancer",
     "DaemonHandle",
     "FaultProxy",
     "Fleet",
