--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -12,14 +12,17 @@
 from figshunt.services._caller_listener import CallerListener
 from figshunt.services._core_view import CoreView
 from figshunt.services._event_log import EventLog
+from figshunt.services._host_list_watcher import HostListWatcher
 from figshunt.services._load_watcher import LoadWatcher
 from figshunt.services._metrics import Metrics
 from figshunt.services._peer_handshake import PeerIdentity
 from figshunt.services._peer_links import PeerLinks
 from figshunt.services._runner_client import RunnerClient
+from figshunt.services._table_decoder import TableDecoder, TransferDecodingFeed
 from figshunt.services._table_watcher import TableWatcher
 from figshunt.settings import DaemonSettings
 from figshunt.types import (
+    AuditEntry,
     CancelAttempt,
     Clock,
     CountEvent,
@@ -30,15 +33,23 @@
     LogEvent,
     Message,
     ObserveDuration,
+    RecordAudit,
     SendAnswer,
     SendPeer,
+    SetReady,
     StartAnswer,
     StartAttempt,
+    Step,
+    StopRequested,
     TimerDue,
     WakeAt,
     WatchRunners,
+    WatchTables,
 )
 
+# Added to the longest deadline: requests end by it on their own.
+DRAIN_MARGIN_MS = 10_000
+
 
 class Daemon(Service):
     """The services of one entry host around one :class:`figshunt.core.Core`."""
@@ -63,12 +74,13 @@
         self.admin = AdminListener(
             settings.admin_address, CoreView(self.core, clock), self._metrics
         )
+        decoder = TableDecoder()
         self.peers = PeerLinks(
             settings,
             PeerIdentity(
                 settings.seat, settings.host, IncarnationNumber(clock.now().wall_ms)
             ),
-            self,
+            TransferDecodingFeed(self, decoder),
             clock,
             self._log,
             random_source,
@@ -76,7 +88,10 @@
         self._runner_client = RunnerClient(self)
         self._load_watcher = LoadWatcher(self, random_source)
         self._table_watcher = TableWatcher(
-            settings.configuration_url, self, random_source
+            settings.configuration_url, self, decoder, random_source
+        )
+        self._host_list_watcher = HostListWatcher(
+            settings.host_list_url, self, clock, self._log, random_source
         )
         self._timer: asyncio.TimerHandle | None = None
         self._wake_queue = WakeQueue()
@@ -90,6 +105,7 @@
             self.callers,
             self.peers,
             self._table_watcher,
+            self._host_list_watcher,
         ]
 
     async def on_started(self) -> None:
@@ -107,6 +123,37 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    async def drain(self) -> None:
+        """Shut down gracefully: finish every request, refuse none.
+
+        New connections are accepted for the grace period, since balancers and
+        callers take a while to notice; then only open ones are served, and
+        only until no request is in progress.
+        """
+        self.feed(StopRequested())
+        self._log.write("drain_started", grace_ms=self._settings.drain_grace_ms)
+        self.callers.start_drain()
+        await asyncio.sleep(self._settings.drain_grace_ms / 1000)
+        await self.callers.stop_accepting()
+        limit_ms = self._longest_request_ms() + DRAIN_MARGIN_MS
+        try:
+            async with asyncio.timeout(limit_ms / 1000):
+                await self.callers.wait_idle()
+        except TimeoutError:
+            self._log.write(
+                "drain_incomplete",
+                "error",
+                requests=self.callers.requests_in_progress,
+                limit_ms=limit_ms,
+            )
+        self._log.write("drain_finished")
+
+    def _longest_request_ms(self) -> int:
+        tables = self.core.revisions.current()
+        routes = tables.routes_by_name.values() if tables else ()
+        deadline_ms = max((route.deadline_ms for route in routes), default=0)
+        return self._settings.limits.body_timeout_ms + deadline_ms
+
     def feed(self, message: Message) -> None:
         """Process one message now and carry out its effects."""
         for effect in self.core.handle(message, self._clock.now()):
@@ -133,7 +180,26 @@
                 self._log.write(event, step=step.value, **values)
             case WatchRunners(urls_by_runner):
                 self._load_watcher.watch(urls_by_runner)
-                self.admin.is_ready = True
+            case WatchTables(wanted, restart):
+                self._table_watcher.set_wanted(wanted, restart)
+            case SetReady(is_ready):
+                self.admin.is_ready = is_ready
+            case RecordAudit(entry):
+                self._write_audit(entry)
+
+    def _write_audit(self, entry: AuditEntry) -> None:
+        self._log.write(
+            "tables_refused" if entry.refusals else "tables_in_force",
+            "warning" if entry.refusals else "info",
+            step=Step.REVISION.value,
+            peer=entry.peer,
+            source=entry.source.value,
+            revision=entry.revision,
+            seen_ms=entry.seen_ms,
+            in_force_ms=entry.in_force_ms,
+            changes="; ".join(entry.changes),
+            refusals="; ".join(entry.refusals),
+        )
 
     def _wake_at(self, monotonic_ms: int) -> None:
         self._wake_queue.add(monotonic_ms)
