Answer bad input with coded errors and cut off callers that stop reading

Cause: bad input was never tried against a running daemon. Of 25 kinds, 9 got an uncoded answer or a wrong code: broken gzip or chunks, oversized header or path, bytes that aren't HTTP, unknown path or method, a key outside ASCII, a declared length above the limit. The path was decoded before it was sent to the runner, and one with a line break missed every route. The bound on a waiting answer was checked only after a blocked write, so it never held. Change: a connection handler with coded errors, checks of header values in the codec, paths passed on as they were sent, the bound checked when a part arrives (the connection is then reset and the run cancelled), a write time limit of 30 s, a reset instead of a close for HTTP/1.0 callers, content type passed on with its parameters, header_too_large (431). A half-closed connection counts as a caller that is gone.

--- a/figshunt/codec/__init__.py
+++ b/figshunt/codec/__init__.py
@@ -7,6 +7,12 @@
     fingerprint_content,
     hash_prefixes,
 )
+from figshunt.codec._caller_headers import (
+    decode_bearer_key,
+    decode_content_type,
+    decode_request_key,
+    decode_runner_path,
+)
 from figshunt.codec._documents import (
     decode_document,
     decode_settings,
@@ -22,9 +28,13 @@
 __all__ = [
     "DecodedBody",
     "UnknownKind",
+    "decode_bearer_key",
     "decode_completion_body",
+    "decode_content_type",
     "decode_document",
     "decode_peer_message",
+    "decode_request_key",
+    "decode_runner_path",
     "decode_settings",
     "decode_tables",
     "encode_error",
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -10,9 +10,17 @@
 from figshunt.services._caller_listener import (
     CallerListener,
 )
+from figshunt.services._caller_protocol import (
+    CallerProtocol,
+)
 from figshunt.services._daemon import (
     Daemon,
 )
+from figshunt.services._error_response import (
+    build_error_body,
+    build_error_response,
+    to_error,
+)
 from figshunt.services._event_log import (
     EventLog,
     KeyValueDestination,
@@ -42,6 +50,7 @@
     "AnswerPart",
     "AnswerStream",
     "CallerListener",
+    "CallerProtocol",
     "Daemon",
     "EventLog",
     "EventStreamReader",
@@ -51,7 +60,10 @@
     "RunnerClient",
     "ServerSentEvent",
     "TableWatcher",
+    "build_error_body",
+    "build_error_response",
     "decode_load_report",
     "format_value",
     "open_log",
+    "to_error",
 ]
--- a/figshunt/services/_answer_stream.py
+++ b/figshunt/services/_answer_stream.py
@@ -11,7 +11,8 @@
 class AnswerStream:
     """A queue of answer parts with a count of the bytes that wait in it."""
 
-    def __init__(self) -> None:
+    def __init__(self, transport: asyncio.Transport | None = None) -> None:
+        self._transport = transport
         self._parts: deque[AnswerPart] = deque()
         self._arrived = asyncio.Event()
         self.waiting_bytes = 0
@@ -23,6 +24,11 @@
         self._parts.append(part)
         self._arrived.set()
 
+    def cut_off(self) -> None:
+        """Reset the caller's connection; its handler is then cancelled."""
+        if self._transport is not None:
+            self._transport.abort()
+
     async def get(self) -> AnswerPart:
         """Return the next part, waiting for it if there is none."""
         while not self._parts:
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -5,21 +5,30 @@
 import uuid
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
+from aiohttp.http_exceptions import HttpProcessingError
 from mode import Service
 
 from figshunt.codec import (
     DecodedBody,
+    decode_bearer_key,
     decode_completion_body,
-    encode_error,
+    decode_content_type,
+    decode_request_key,
+    decode_runner_path,
     fingerprint_content,
 )
 from figshunt.services._answer_stream import AnswerPart, AnswerStream
+from figshunt.services._caller_protocol import CallerProtocol
+from figshunt.services._error_response import (
+    build_error_body,
+    build_error_response,
+    to_error,
+)
 from figshunt.services._event_log import EventLog
 from figshunt.services._feed import Feed
 from figshunt.settings import Address, LimitSettings, TlsSettings
 from figshunt.types import (
-    HTTP_STATUS_BY_CODE,
     Clock,
     EndAnswer,
     ErrorCode,
@@ -29,7 +38,6 @@
     RequestArrived,
     RequestCancelled,
     RequestId,
-    RequestKey,
     RouteName,
     RunOutcome,
     SendAnswer,
@@ -38,6 +46,8 @@
 )
 
 MOST_WAITING_BYTES = 1024 * 1024
+MOST_SHOWN_PATH = 80
+WRITE_TIMEOUT_S = 30.0
 EVENT_STREAM = "text/event-stream"
 
 
@@ -62,6 +72,7 @@
         self._log = log
         self._streams_by_request: dict[RequestId, AnswerStream] = {}
         self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
         self._idle = asyncio.Event()
         self._idle.set()
         self.port = address.port
@@ -72,28 +83,24 @@
         app.router.add_post("/v1/chat/completions", self._guard(self._complete))
         app.router.add_post("/v1/completions", self._guard(self._complete))
         app.router.add_route(
-            "*", "/route/{route}/{tail:.*}", self._guard(self._pass_through)
-        )
-        self._runner = web.AppRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=self._limits.keepalive_timeout_ms / 1000,
-            max_line_size=self._limits.header_bytes,
-            max_field_size=self._limits.header_bytes,
+            "*", "/route/{route}/{tail:[\\s\\S]*}", self._guard(self._pass_through)
         )
+        app.router.add_route("*", "/{tail:[\\s\\S]*}", self._guard(self._refuse_path))
+        self._runner = web.AppRunner(app, handler_cancellation=True)
         await self._runner.setup()
-        site = web.TCPSite(
-            self._runner,
+        self._server = await asyncio.get_running_loop().create_server(
+            self._build_protocol,
             self._address.host,
             self._address.port,
-            ssl_context=_server_context(self._tls),
+            ssl=_server_context(self._tls),
+            reuse_address=True,
         )
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        self.port = self._server.sockets[0].getsockname()[1]
 
     async def on_stop(self) -> None:
         """Close the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -109,8 +116,23 @@
     def deliver(self, part: AnswerPart) -> None:
         """Hand a part of an answer to the caller's connection."""
         stream = self._streams_by_request.get(part.request_id)
-        if stream is not None:
-            stream.put(part)
+        if stream is None:
+            return
+        stream.put(part)
+        if stream.waiting_bytes > MOST_WAITING_BYTES:
+            self._log_slow_caller(part.request_id)
+            stream.cut_off()
+
+    def _build_protocol(self) -> CallerProtocol:
+        assert self._runner is not None and self._runner.server is not None
+        return CallerProtocol(
+            self._runner.server,
+            loop=asyncio.get_running_loop(),
+            access_log=None,  # type: ignore[arg-type]
+            keepalive_timeout=self._limits.keepalive_timeout_ms / 1000,
+            max_line_size=self._limits.header_bytes,
+            max_field_size=self._limits.header_bytes,
+        )
 
     def _guard(
         self, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -127,7 +149,19 @@
                     code=error.code.value,
                     detail=error.detail,
                 )
-                return _error_response(error)
+                return build_error_response(error)
+            except ConnectionError:
+                raise
+            except Exception as error:
+                self._log.write(
+                    "request_failed",
+                    "error",
+                    step=Step.CALLER_LISTENER.value,
+                    peer=http_request.remote,
+                    code=ErrorCode.INTERNAL.value,
+                    detail=f"{type(error).__name__}: {error}",
+                )
+                raise
 
         return guarded
 
@@ -141,13 +175,22 @@
         decoded = DecodedBody(route, stream=False, prompt_tokens=0, prefixes=())
         return await self._serve(http_request, body, decoded)
 
+    async def _refuse_path(self, http_request: web.Request) -> web.StreamResponse:
+        detail = f"no {http_request.method} {http_request.path[:MOST_SHOWN_PATH]!a}"
+        raise _refusal(ErrorCode.UNKNOWN_ROUTE, detail)
+
     async def _read_body(self, http_request: web.Request) -> bytes:
+        too_large = f"body is larger than {self._limits.body_bytes} bytes"
+        if (http_request.content_length or 0) > self._limits.body_bytes:
+            raise _refusal(ErrorCode.BODY_TOO_LARGE, too_large)
         try:
             async with asyncio.timeout(self._limits.body_timeout_ms / 1000):
                 return await http_request.read()
         except web.HTTPRequestEntityTooLarge as error:
-            detail = f"body is larger than {self._limits.body_bytes} bytes"
-            raise _refusal(ErrorCode.BODY_TOO_LARGE, detail) from error
+            raise _refusal(ErrorCode.BODY_TOO_LARGE, too_large) from error
+        except (web.RequestPayloadError, HttpProcessingError) as error:
+            detail = f"body is malformed: {type(error).__name__}"
+            raise _refusal(ErrorCode.BAD_REQUEST, detail) from error
         except TimeoutError as error:
             detail = f"body took longer than {self._limits.body_timeout_ms} ms"
             raise _refusal(ErrorCode.BAD_REQUEST, detail) from error
@@ -156,13 +199,13 @@
         self, http_request: web.Request, body: bytes, decoded: DecodedBody
     ) -> web.StreamResponse:
         request = self._to_request(http_request, body, decoded)
-        stream = AnswerStream()
+        stream = AnswerStream(http_request.transport)
         self._streams_by_request[request.request_id] = stream
         self._idle.clear()
         try:
             self._feed.feed(RequestArrived(request))
             return await self._send_answer(http_request, request, stream)
-        except (asyncio.CancelledError, ConnectionError):
+        except BaseException:
             self._feed.feed(RequestCancelled(request.request_id))
             raise
         finally:
@@ -173,16 +216,19 @@
     def _to_request(
         self, http_request: web.Request, body: bytes, decoded: DecodedBody
     ) -> Request:
-        path = _runner_path(http_request)
-        key = http_request.headers.get("Idempotency-Key")
+        headers = http_request.headers
+        path = http_request.path
+        if "route" in http_request.match_info:
+            url = http_request.rel_url
+            path = decode_runner_path(url.raw_path, url.raw_query_string)
         return Request(
             request_id=RequestId(uuid.uuid4().hex),
             route=decoded.route,
-            caller_key=_bearer_key(http_request),
-            key=RequestKey(key) if key else None,
+            caller_key=decode_bearer_key(headers.get("Authorization", "")),
+            key=decode_request_key(headers.get("Idempotency-Key")),
             method=http_request.method,
             path=path,
-            content_type=http_request.content_type,
+            content_type=decode_content_type(headers.get("Content-Type")),
             body=body,
             stream=decoded.stream,
             prompt_tokens=decoded.prompt_tokens,
@@ -209,19 +255,37 @@
                     await response.prepare(http_request)
                 case SendAnswer(_, data):
                     assert response is not None
-                    if stream.waiting_bytes > MOST_WAITING_BYTES:
-                        raise ConnectionResetError("caller reads too slowly")
-                    await response.write(data)
+                    await self._write(response, data, stream)
                 case EndAnswer():
                     assert response is not None
                     await response.write_eof()
                     return response
                 case FailAnswer():
                     if response is None:
-                        return _error_response(_to_error(part), request.request_id)
+                        return build_error_response(to_error(part), request.request_id)
                     await self._break_off(http_request, response, part)
                     return response
 
+    async def _write(
+        self, response: web.StreamResponse, data: bytes, stream: AnswerStream
+    ) -> None:
+        try:
+            async with asyncio.timeout(WRITE_TIMEOUT_S):
+                await response.write(data)
+        except TimeoutError as error:
+            stream.cut_off()
+            raise ConnectionResetError("caller stopped reading") from error
+
+    def _log_slow_caller(self, request_id: RequestId) -> None:
+        self._log.write(
+            "caller_too_slow",
+            "warning",
+            step=Step.CALLER_LISTENER.value,
+            code=ErrorCode.STREAM_BROKEN.value,
+            outcome=RunOutcome.MAY_HAVE_RUN.value,
+            request=request_id,
+        )
+
     async def _break_off(
         self,
         http_request: web.Request,
@@ -230,25 +294,17 @@
     ) -> None:
         """End a started answer so that no caller can take it for a whole one."""
         if response.content_type == EVENT_STREAM:
-            body = _error_body(_to_error(failure), failure.request_id)
+            body = build_error_body(to_error(failure), failure.request_id)
             await response.write(b"event: error\ndata: " + body + b"\n\n")
-        if http_request.transport is not None:
+        if http_request.transport is None:
+            return
+        if http_request.version < HttpVersion11:
+            # Only a reset tells an HTTP/1.0 caller that the body is cut short.
+            http_request.transport.abort()
+        else:
             http_request.transport.close()
 
 
-def _runner_path(http_request: web.Request) -> str:
-    if "route" not in http_request.match_info:
-        return http_request.path
-    path = "/" + http_request.match_info["tail"]
-    query = http_request.query_string
-    return f"{path}?{query}" if query else path
-
-
-def _bearer_key(http_request: web.Request) -> str:
-    scheme, _, key = http_request.headers.get("Authorization", "").partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
-
-
 def _server_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
     if tls is None:
         return None
@@ -259,41 +315,3 @@
 
 def _refusal(code: ErrorCode, detail: str) -> FigshuntError:
     return FigshuntError(code, Step.CALLER_LISTENER, detail)
-
-
-def _to_error(failure: FailAnswer) -> FigshuntError:
-    return FigshuntError(
-        failure.code,
-        failure.step,
-        failure.detail,
-        peer=failure.peer,
-        outcome=failure.outcome,
-        retry_after_ms=failure.retry_after_ms,
-    )
-
-
-def _error_body(error: FigshuntError, request_id: str) -> bytes:
-    return encode_error(
-        {
-            "code": error.code.value,
-            "outcome": error.outcome.value,
-            "step": error.step.value,
-            "peer": error.peer,
-            "message": error.detail,
-            "request_id": request_id,
-        }
-    )
-
-
-def _error_response(error: FigshuntError, request_id: str = "") -> web.Response:
-    headers = {"X-Run-Outcome": error.outcome.value}
-    if error.retry_after_ms is not None:
-        headers["Retry-After"] = str(max(1, -(-error.retry_after_ms // 1000)))
-    if error.outcome is not RunOutcome.NOT_RUN:
-        headers["X-Should-Retry"] = "false"
-    return web.Response(
-        status=HTTP_STATUS_BY_CODE.get(error.code, 500),
-        body=_error_body(error, request_id),
-        content_type="application/json",
-        headers=headers,
-    )
--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -84,6 +84,8 @@
         except (aiohttp.ClientError, OSError) as error:
             self._unreachable(effect, ColdEvidence.CONNECTION_RESET)
             self._fail(attempt_id, AttemptFailure.CONNECTION_LOST, _MAY, error)
+        except (ValueError, AssertionError) as error:
+            self._fail(attempt_id, AttemptFailure.PROTOCOL, _MAY, error)
 
     async def _exchange(self, effect: StartAttempt) -> None:
         assert self._session is not None
--- a/figshunt/standins/_plain_service.py
+++ b/figshunt/standins/_plain_service.py
@@ -40,7 +40,7 @@
 
     def add_routes(self, app: web.Application) -> None:
         """Serve every path that isn't one of the controls."""
-        app.router.add_route("*", "/{tail:.*}", self._serve)
+        app.router.add_route("*", "/{tail:[\\s\\S]*}", self._serve)
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         return await self.run_counted(request, self._run)
--- a/figshunt/types/_errors.py
+++ b/figshunt/types/_errors.py
@@ -17,6 +17,7 @@
     KEY_CLAIMED = "key_claimed"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     BODY_TOO_LARGE = "body_too_large"
+    HEADER_TOO_LARGE = "header_too_large"
     RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
@@ -42,6 +43,7 @@
     ErrorCode.KEY_CLAIMED: 409,
     ErrorCode.CLAIM_UNAVAILABLE: 503,
     ErrorCode.BODY_TOO_LARGE: 413,
+    ErrorCode.HEADER_TOO_LARGE: 431,
     ErrorCode.RATE_LIMITED: 429,
     ErrorCode.QUEUE_FULL: 429,
     ErrorCode.DEADLINE_UNREACHABLE: 503,
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from figshunt.replay import TraceRequest
+from figshunt.settings import DaemonSettings, check_settings
 from figshunt.tables import Tables, check_tables
 from figshunt.types import (
     Fingerprint,
@@ -175,3 +176,28 @@
         "output_tokens": 3,
     }
     return TraceRequest(**(values | changes))
+
+
+def build_settings(configuration_url: str, **changes: Any) -> DaemonSettings:
+    """Return settings of a daemon without peers, on loopback ports."""
+    loopback = {"ip": "127.0.0.1", "port": 0}
+    document = {
+        "host": "host-a",
+        "data_centre": "accra-1",
+        "seat": 0,
+        "peers": [],
+        "peer_secret": "secret-of-the-tests",
+        "caller_address": loopback,
+        "admin_address": loopback,
+        "peer_address": loopback,
+        "configuration_url": configuration_url,
+        "host_list_url": configuration_url,
+    }
+    checked = check_settings(document | changes)
+    assert checked.settings is not None, checked.faults
+    return checked.settings
+
+
+def build_runner_entry(name: str, url: str) -> dict[str, Any]:
+    """Return a runner as it stands in the pools document."""
+    return {"id": name, "url": url, "data_centre": "accra-1"}
--- /dev/null
+++ b/tests/services/test_caller_listener.py
@@ -0,0 +1,233 @@
+"""Bad input and bad callers against a real daemon on loopback ports."""
+
+import asyncio
+import gzip
+import json
+import random
+import unittest
+
+from aiohttp import web
+
+from figshunt.services import Daemon
+from figshunt.standins import (
+    BatchProfile,
+    ConfigurationService,
+    EngineProfile,
+    ModelEngine,
+    PlainProfile,
+    PlainService,
+    WebStandin,
+)
+from figshunt.types import SystemClock
+from tests.builders import (
+    CALLER_KEY,
+    build_completion_body,
+    build_documents,
+    build_pool,
+    build_route,
+    build_runner_entry,
+    build_settings,
+)
+
+CHAT = "/v1/chat/completions"
+AUTHORIZATION = f"Authorization: Bearer {CALLER_KEY}"
+LIMITS = {"body_bytes": 4096, "header_bytes": 2048, "body_timeout_ms": 300}
+FAST = BatchProfile(token_ms=0.1, token_ms_per_request=0.0)
+GOOD = build_completion_body(tokens=2)
+
+
+def build_http(
+    body: bytes,
+    *headers: str,
+    path: str = CHAT,
+    method: str = "POST",
+    length: int | None = None,
+) -> bytes:
+    size = len(body) if length is None else length
+    lines = [f"{method} {path} HTTP/1.1", "Host: x", f"Content-Length: {size}"]
+    head = "\r\n".join([*lines, AUTHORIZATION, *headers]) + "\r\n\r\n"
+    return head.encode("latin-1") + body
+
+
+def build_bad_chat(**changes: object) -> bytes:
+    return build_http(build_completion_body(**changes))  # type: ignore[arg-type]
+
+
+BAD_GZIP = build_http(b"not gzip", "Content-Encoding: gzip")
+BOMB = build_http(gzip.compress(b" " * 100_000), "Content-Encoding: gzip")
+CHUNKED = "Transfer-Encoding: chunked"
+BAD_CHUNK = build_http(b"zz\r\n", CHUNKED).replace(b"Content-Length: 4\r\n", b"")
+BIG_CHUNK = BAD_CHUNK.replace(b"zz\r\n", b"2000\r\n" + b"x" * 0x2000 + b"\r\n0\r\n\r\n")
+HUGE_LENGTH = build_http(b"", length=10_000_000)
+
+# What is sent, and the code, step and status of the error.
+BAD_INPUT = (
+    ("not JSON", build_http(b"{"), "bad_request", "caller_listener", 400),
+    ("not UTF-8", build_http(b"\xff"), "bad_request", "caller_listener", 400),
+    ("deep", build_http(b"[" * 4000), "bad_request", "caller_listener", 400),
+    ("a list", build_http(b"[]"), "bad_request", "caller_listener", 400),
+    ("model", build_bad_chat(model=5), "bad_request", "caller_listener", 400),
+    ("stream", build_bad_chat(stream="yes"), "bad_request", "caller_listener", 400),
+    ("messages", build_bad_chat(messages={}), "bad_request", "caller_listener", 400),
+    ("message", build_bad_chat(messages=[1]), "bad_request", "caller_listener", 400),
+    ("no prompt", build_http(b'{"model":"chat"}'), "bad_request", None, 400),
+    ("surrogate", build_bad_chat(model="\ud800"), "unknown_route", "route", 404),
+    ("bad gzip", BAD_GZIP, "bad_request", "caller_listener", 400),
+    ("gzip bomb", BOMB, "body_too_large", "caller_listener", 413),
+    ("bad chunk", BAD_CHUNK, "bad_request", "caller_listener", 400),
+    ("big chunk", BIG_CHUNK, "body_too_large", "caller_listener", 413),
+    ("big body", build_http(b"x" * 5000), "body_too_large", "caller_listener", 413),
+    ("huge length", HUGE_LENGTH, "body_too_large", "caller_listener", 413),
+    ("big header", build_http(GOOD, "X: " + "x" * 3000), "header_too_large", None, 431),
+    (
+        "big path",
+        build_http(GOOD, path="/" + "x" * 3000),
+        "header_too_large",
+        None,
+        431,
+    ),
+    ("slow body", build_http(b"", length=10), "bad_request", "caller_listener", 400),
+    ("not HTTP", b"\x16\x03\x01 nonsense\r\n\r\n", "bad_request", None, 400),
+    ("no route", build_bad_chat(route="nowhere"), "unknown_route", "route", 404),
+    ("no path", build_http(GOOD, path="/v2/x"), "unknown_route", None, 404),
+    ("method", build_http(b"", method="GET"), "unknown_route", "caller_listener", 404),
+    ("no key", build_http(b"", path="/route/book/x"), "key_missing", "route", 400),
+    ("key", build_http(GOOD, "Idempotency-Key: \xff"), "key_invalid", None, 400),
+)
+
+
+class FloodService(WebStandin):
+    """Answers every call with bytes without end."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.was_cancelled = asyncio.Event()
+
+    def build_app(self) -> web.Application:
+        """Return the application to serve."""
+        app = web.Application()
+        app.router.add_get("/{tail:.*}", self._flood)
+        return app
+
+    async def _flood(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        try:
+            while True:
+                await response.write(bytes(2**16))
+                await asyncio.sleep(0)
+        finally:
+            self.was_cancelled.set()
+
+
+class CallerListenerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against input that stops the daemon or gets an uncoded answer."""
+
+    async def asyncSetUp(self) -> None:
+        profile = EngineProfile(batch=FAST, warm_after=0)
+        self.engine = ModelEngine(profile, random.Random(1))
+        self.plain = PlainService(PlainProfile(service_ms=1), random.Random(1))
+        configuration = ConfigurationService()
+        self.flood = FloodService()
+        for standin in (self.engine, self.plain, self.flood, configuration):
+            await standin.start()
+            self.addAsyncCleanup(standin.stop)
+        engines = build_pool(runners=0)
+        engines["runners"] = [build_runner_entry("engine-1", self.engine.url)]
+        plains = build_pool("plains", runners=0, kind="plain")
+        plains["runners"] = [build_runner_entry("plain-1", self.plain.url)]
+        floods = build_pool("floods", runners=0, kind="plain", reports_load=False)
+        floods["runners"] = [build_runner_entry("flood-1", self.flood.url)]
+        routes = [
+            build_route(),
+            build_route("flood", pool="floods", deadline_ms=600_000),
+            build_route("book", pool="plains", idempotent=False),
+            build_route("roster", pool="plains"),
+        ]
+        documents = build_documents(routes=routes, pools=[engines, plains, floods])
+        for name, document in zip(("routes", "pools"), documents):
+            configuration.publish(name, json.dumps(document))
+        settings = build_settings(configuration.url, limits=LIMITS)
+        self.daemon = Daemon(settings, SystemClock(), random.Random(1))
+        await self.daemon.start()
+        self.addAsyncCleanup(self.daemon.stop)
+        async with asyncio.timeout(10):
+            while not self.daemon.admin.is_ready:
+                await asyncio.sleep(0.01)
+            while b"[DONE]" not in await self.exchange(build_http(GOOD)):
+                await asyncio.sleep(0.01)
+
+    async def connect(
+        self, data: bytes, limit: int = 2**16
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.daemon.callers.port, limit=limit
+        )
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader, writer
+
+    async def exchange(self, data: bytes) -> bytes:
+        """Send bytes and return the answer up to the end of its body."""
+        reader, writer = await self.connect(data)
+        async with asyncio.timeout(10):
+            head = await reader.readuntil(b"\r\n\r\n")
+            if b"chunked" in head:
+                return head + await reader.readuntil(b"0\r\n\r\n")
+            length = int(head.lower().split(b"content-length:")[1].split()[0])
+            return head + await reader.readexactly(length)
+
+    async def wait_until_idle(self) -> None:
+        async with asyncio.timeout(10):
+            while (
+                self.daemon.callers.requests_in_progress
+                or self.engine.runner_state.in_progress
+            ):
+                await asyncio.sleep(0.01)
+
+    async def test_bad_input_gets_a_coded_error(self) -> None:
+        before = self.engine.runner_state.totals.answered
+        for name, data, code, step, status in BAD_INPUT:
+            with self.subTest(name):
+                head, _, body = (await self.exchange(data)).partition(b"\r\n\r\n")
+                error = json.loads(body)["error"]
+                self.assertEqual((error["code"], error["outcome"]), (code, "not_run"))
+                self.assertEqual(error["step"], step or "caller_listener")
+                self.assertIn(f" {status} ".encode(), head.splitlines()[0])
+                self.assertIn(b"x-run-outcome: not_run", head.lower())
+        await self.wait_until_idle()
+        self.assertLessEqual(self.engine.runner_state.totals.answered - before, 1)
+        self.assertIn(b"[DONE]", await self.exchange(build_http(GOOD)))
+
+    async def test_runner_gets_the_path_as_it_was_sent(self) -> None:
+        """Guards against a decoded line break that splits a runner's request."""
+        path = "/route/roster/a%20b%0d%0aX-Evil:%201%0d%0a%ff?q=%0a"
+        answer = await self.exchange(build_http(b"", path=path))
+        self.assertIn(b" 200 ", answer.splitlines()[0])
+        self.assertIn(rb"a b\r\nX-Evil", answer)
+
+    async def test_caller_that_goes_away_cancels_the_run(self) -> None:
+        long = build_http(build_completion_body(tokens=1_000_000))
+        for name in ("closed", "half closed", "during the body"):
+            with self.subTest(name):
+                totals = self.engine.runner_state.totals
+                before = totals.cancelled
+                is_short = name == "during the body"
+                reader, writer = await self.connect(long[: -5 if is_short else None])
+                if not is_short:
+                    await reader.readuntil(b"id: 3\n")
+                if name == "closed":
+                    writer.close()
+                else:
+                    writer.write_eof()
+                await self.wait_until_idle()
+                self.assertEqual(totals.cancelled - before, 0 if is_short else 1)
+
+    async def test_reader_that_stops_is_cut_off_and_its_run_cancelled(self) -> None:
+        """Guards against an answer that grows in memory without a bound."""
+        flood = build_http(b"", path="/route/flood/x", method="GET")
+        _, writer = await self.connect(flood, limit=1024)
+        async with asyncio.timeout(60):
+            await self.flood.was_cancelled.wait()
+        await self.wait_until_idle()
+        self.assertIn(b"[DONE]", await self.exchange(build_http(GOOD)))
