--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -3,6 +3,14 @@
 from figshunt.control._membership_filter import (
     MembershipFilter,
 )
+from figshunt.control._outcome_filter import (
+    OutcomeFilter,
+    PeerOutcome,
+    target_latency_ms,
+)
+from figshunt.control._pause_filter import (
+    PauseFilter,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
@@ -11,6 +19,12 @@
     RunnerRecord,
     ramped_limit,
 )
+from figshunt.control._suspicion_filter import (
+    Suspicion,
+    SuspicionEntry,
+    SuspicionFilter,
+    SuspicionView,
+)
 from figshunt.control._views import (
     RunnersView,
     SeatsView,
@@ -19,11 +33,19 @@
 
 __all__ = [
     "MembershipFilter",
+    "PauseFilter",
+    "OutcomeFilter",
+    "PeerOutcome",
     "RevisionFilter",
     "RunnerFilter",
     "RunnerRecord",
     "RunnersView",
     "SeatsView",
+    "Suspicion",
+    "SuspicionEntry",
+    "SuspicionFilter",
+    "SuspicionView",
     "TablesView",
     "ramped_limit",
+    "target_latency_ms",
 ]
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -2,6 +2,7 @@
 
 from figshunt.services._admin_listener import (
     AdminListener,
+    AdminSource,
 )
 from figshunt.services._answer_stream import (
     AnswerPart,
@@ -13,6 +14,9 @@
 from figshunt.services._caller_protocol import (
     CallerProtocol,
 )
+from figshunt.services._core_view import (
+    CoreView,
+)
 from figshunt.services._daemon import (
     Daemon,
 )
@@ -40,6 +44,20 @@
     LoadWatcher,
     decode_load_report,
 )
+from figshunt.services._metrics import (
+    Metrics,
+)
+from figshunt.services._peer_dialler import (
+    LinkCount,
+    PeerDialler,
+)
+from figshunt.services._peer_handshake import (
+    Handshake,
+    PeerIdentity,
+)
+from figshunt.services._peer_links import (
+    PeerLinks,
+)
 from figshunt.services._runner_client import (
     RunnerClient,
 )
@@ -49,17 +67,25 @@
 
 __all__ = [
     "AdminListener",
+    "AdminSource",
     "AnswerPart",
     "AnswerStream",
     "CallerListener",
     "CallerProtocol",
+    "CoreView",
     "Daemon",
     "EventLog",
     "EventRun",
     "EventStreamReader",
     "Feed",
+    "Handshake",
     "KeyValueDestination",
+    "LinkCount",
     "LoadWatcher",
+    "PeerDialler",
+    "PeerIdentity",
+    "PeerLinks",
+    "Metrics",
     "RunnerClient",
     "ServerSentEvent",
     "TableWatcher",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -17,6 +17,7 @@
     RequestArrived,
     RequestId,
     RequestKey,
+    RoutedRequest,
     RouteName,
     RunnerId,
     StartIdentity,
@@ -41,23 +42,31 @@
     return route | changes
 
 
+def build_runner(runner_id: str, url: str, **changes: Any) -> dict[str, Any]:
+    """Return a runner as it stands in the pools document."""
+    return {"id": runner_id, "url": url, "data_centre": "accra-1"} | changes
+
+
 def build_pool(
-    name: str = "engines", runners: int = 1, **changes: Any
+    name: str = "engines",
+    runners: int | Sequence[Mapping[str, Any]] = 1,
+    **changes: Any,
 ) -> dict[str, Any]:
-    """Return a pool with so many runners as it stands in the pools document."""
+    """Return a pool as it stands in the pools document.
+
+    :param runners: the runners, or how many to make up.
+    """
+    if isinstance(runners, int):
+        runners = [
+            build_runner(f"{name}-{number}", f"http://127.0.0.1:{9000 + number}")
+            for number in range(1, runners + 1)
+        ]
     pool = {
         "name": name,
         "kind": "engine",
         "limit": 16,
         "cold_limit": 2,
-        "runners": [
-            {
-                "id": f"{name}-{number}",
-                "url": f"http://127.0.0.1:{9000 + number}",
-                "data_centre": "accra-1",
-            }
-            for number in range(1, runners + 1)
-        ],
+        "runners": list(runners),
     }
     return pool | changes
 
@@ -136,6 +145,15 @@
     return RequestArrived(build_request(now, number, **changes))
 
 
+def build_routed(now: Moment, number: int = 1, **route_changes: Any) -> RoutedRequest:
+    """Return a request that arrived at ``now`` and has its route."""
+    tables = build_tables(routes=[build_route(**route_changes)])
+    (route,) = tables.routes_by_name.values()
+    request = build_request(now, number, route=route.name)
+    deadline_ms = now.monotonic_ms + route.deadline_ms
+    return RoutedRequest(request, TeamName("team-a"), route, deadline_ms)
+
+
 def build_load(
     runner: str = "engines-1", completed: int = 1000, **changes: Any
 ) -> LoadReported:
@@ -152,6 +170,24 @@
     return LoadReported(RunnerId(runner), LoadReport(**(values | changes)))
 
 
+def build_settings_document(**changes: Any) -> dict[str, Any]:
+    """Return the settings of a daemon without peers, on ports chosen at bind."""
+    loopback = {"ip": "127.0.0.1", "port": 0}
+    document = {
+        "host": "host-0",
+        "data_centre": "accra-1",
+        "seat": 0,
+        "peers": [],
+        "peer_secret": "peer-secret-of-the-tests",
+        "caller_address": loopback,
+        "admin_address": loopback,
+        "peer_address": loopback,
+        "configuration_url": "http://127.0.0.1:1",
+        "host_list_url": "http://127.0.0.1:1",
+    }
+    return document | changes
+
+
 def build_completion_body(
     route: str = "chat", tokens: int = 4, prompt: str = "Hello", **changes: Any
 ) -> bytes:
@@ -179,25 +215,8 @@
 
 
 def build_settings(configuration_url: str, **changes: Any) -> DaemonSettings:
-    """Return settings of a daemon without peers, on loopback ports."""
-    loopback = {"ip": "127.0.0.1", "port": 0}
-    document = {
-        "host": "host-a",
-        "data_centre": "accra-1",
-        "seat": 0,
-        "peers": [],
-        "peer_secret": "secret-of-the-tests",
-        "caller_address": loopback,
-        "admin_address": loopback,
-        "peer_address": loopback,
-        "configuration_url": configuration_url,
-        "host_list_url": configuration_url,
-    }
-    checked = check_settings(document | changes)
+    """Return checked settings of a daemon without peers."""
+    urls = {"configuration_url": configuration_url, "host_list_url": configuration_url}
+    checked = check_settings(build_settings_document(**urls, **changes))
     assert checked.settings is not None, checked.faults
     return checked.settings
-
-
-def build_runner_entry(name: str, url: str) -> dict[str, Any]:
-    """Return a runner as it stands in the pools document."""
-    return {"id": name, "url": url, "data_centre": "accra-1"}
--- a/tests/services/test_caller_listener.py
+++ b/tests/services/test_caller_listener.py
@@ -25,7 +25,7 @@
     build_documents,
     build_pool,
     build_route,
-    build_runner_entry,
+    build_runner,
     build_settings,
 )
 
@@ -133,11 +133,11 @@
             await standin.start()
             self.addAsyncCleanup(standin.stop)
         engines = build_pool(runners=0)
-        engines["runners"] = [build_runner_entry("engine-1", self.engine.url)]
+        engines["runners"] = [build_runner("engine-1", self.engine.url)]
         plains = build_pool("plains", runners=0, kind="plain")
-        plains["runners"] = [build_runner_entry("plain-1", self.plain.url)]
+        plains["runners"] = [build_runner("plain-1", self.plain.url)]
         floods = build_pool("floods", runners=0, kind="plain", reports_load=False)
-        floods["runners"] = [build_runner_entry("flood-1", self.flood.url)]
+        floods["runners"] = [build_runner("flood-1", self.flood.url)]
         routes = [
             build_route(),
             build_route("flood", pool="floods", deadline_ms=600_000),
