Say in the replay report when a runner's counters were lost

Cause: a runner process that was replaced during a replay made the counters smaller without a word, and one that couldn't be read lost the whole report. Change: readings are kept by runner; one that went back or is missing is counted as lost, and the report says that its figures are lower bounds.

--- a/figshunt/replay/__init__.py
+++ b/figshunt/replay/__init__.py
@@ -24,8 +24,9 @@
 )
 from figshunt.replay._runner_counters import (
     RunnerFigures,
+    RunnerReading,
+    compare_readings,
     read_runners,
-    subtract_figures,
 )
 from figshunt.replay._sender import (
     KEY_FORMAT,
@@ -72,6 +73,7 @@
     "ReplayPlan",
     "ReplayReport",
     "RunnerFigures",
+    "RunnerReading",
     "StreamCheck",
     "TraceHeader",
     "TraceRequest",
@@ -80,6 +82,7 @@
     "Workload",
     "adomako_monday",
     "build_outgoing",
+    "compare_readings",
     "decode_header",
     "decode_request",
     "encode_header",
@@ -91,7 +94,6 @@
     "read_requests",
     "read_runners",
     "replay_requests",
-    "subtract_figures",
     "timberline_storm",
     "write_trace",
 ]
--- a/figshunt/replay/_replay.py
+++ b/figshunt/replay/_replay.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 from figshunt.replay._report import ReplayReport
-from figshunt.replay._runner_counters import read_runners, subtract_figures
+from figshunt.replay._runner_counters import compare_readings, read_runners
 from figshunt.replay._sender import ReplayPlan, TraceSender, open_session
 from figshunt.replay._trace import TraceRequest
 from figshunt.types import RouteName
@@ -19,7 +19,6 @@
 
     :param runner_urls: runner stand-ins whose counters are read before and
         after; without them runs by key and wasted work stay unknown.
-    :raises aiohttp.ClientError: if a runner's counters can't be read.
     """
     report = ReplayReport(targets_ms_by_route)
     async with open_session() as session:
@@ -27,5 +26,5 @@
         await TraceSender(plan, session, report).send(requests)
         if runner_urls:
             after = await read_runners(session, runner_urls)
-            report.runners = subtract_figures(after, before)
+            report.runners = compare_readings(runner_urls, before, after)
     return report
--- a/figshunt/replay/_report.py
+++ b/figshunt/replay/_report.py
@@ -90,7 +90,7 @@
     def is_good(self) -> bool:
         """Return whether each caller got a whole answer or a true refusal.
 
-        Runs and refusals are judged only if the runners were read.
+        Runs and refusals are judged only by the runners that were read.
         """
         totals = self._totals()
         bad = (CallResult.FAILED, CallResult.BROKEN, CallResult.NOT_SENT)
@@ -128,6 +128,7 @@
             "most_running_cold": runners.most_running_cold if runners else None,
             "collapses": runners.collapses if runners else None,
             "crashes": runners.crashes if runners else None,
+            "runners_lost": runners.lost if runners else None,
             "false_refusals": self.false_refusals,
             "is_good": self.is_good,
         }
@@ -221,3 +222,5 @@
             f"runners: {runners.crashes} crashes, {runners.collapses} collapses "
             f"while cold, most at once while cold {runners.most_running_cold}"
         )
+        if runners.lost:
+            yield f"counters of {runners.lost} runners were lost: lower bounds above"
--- a/figshunt/replay/_runner_counters.py
+++ b/figshunt/replay/_runner_counters.py
@@ -1,22 +1,37 @@
 """What the runner stand-ins counted during a replay."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 
-COUNTERS = ("tokens_generated", "crashes", "collapses")
+
+@dataclass(frozen=True, slots=True)
+class RunnerReading:
+    """The counters of one runner at one moment."""
+
+    tokens_generated: int
+    crashes: int
+    collapses: int
+    most_running_cold: int
+    runs_by_key: Mapping[str, int]
 
 
 @dataclass(slots=True)
 class RunnerFigures:
-    """Counters of all runners together, as the difference of two readings."""
+    """What all runners together counted between two readings.
+
+    ``lost`` counts runners whose counters can't be told, because the process
+    was replaced or couldn't be read; figures are lower bounds if there is one.
+    """
 
     tokens_generated: int = 0
     crashes: int = 0
     collapses: int = 0
     most_running_cold: int = 0
+    lost: int = 0
     runs_by_key: Counter[str] = field(default_factory=Counter)
 
     @property
@@ -27,36 +42,63 @@
 
 async def read_runners(
     session: aiohttp.ClientSession, urls: Sequence[str]
-) -> RunnerFigures:
-    """Read the counters of every runner.
+) -> dict[str, RunnerReading]:
+    """Read the counters of every runner that can be read, by URL."""
+    readings_by_url = {}
+    for url in urls:
+        try:
+            counters = await _get(session, f"{url}/standin/counters")
+            runs = await _get(session, f"{url}/standin/runs")
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            continue
+        readings_by_url[url] = RunnerReading(
+            tokens_generated=int(counters["tokens_generated"]),
+            crashes=int(counters["crashes"]),
+            collapses=int(counters["collapses"]),
+            most_running_cold=int(counters["most_running_cold"]),
+            runs_by_key=runs["by_key"],
+        )
+    return readings_by_url
 
-    :raises aiohttp.ClientError: if a runner can't be read.
-    """
+
+def compare_readings(
+    urls: Sequence[str],
+    before_by_url: Mapping[str, RunnerReading],
+    after_by_url: Mapping[str, RunnerReading],
+) -> RunnerFigures:
+    """Return what was counted between two readings."""
     figures = RunnerFigures()
     for url in urls:
-        async with session.get(f"{url}/standin/counters") as response:
-            response.raise_for_status()
-            counters = await response.json()
-        for name in COUNTERS:
-            setattr(figures, name, getattr(figures, name) + int(counters[name]))
+        before, after = before_by_url.get(url), after_by_url.get(url)
+        if before is None or after is None or _went_back(before, after):
+            figures.lost += 1
+        if after is None:
+            continue
+        if before is None or _went_back(before, after):
+            before = RunnerReading(0, 0, 0, 0, {})
+        figures.tokens_generated += after.tokens_generated - before.tokens_generated
+        figures.crashes += after.crashes - before.crashes
+        figures.collapses += after.collapses - before.collapses
         figures.most_running_cold = max(
-            figures.most_running_cold, int(counters["most_running_cold"])
+            figures.most_running_cold, after.most_running_cold
         )
-        async with session.get(f"{url}/standin/runs") as response:
-            response.raise_for_status()
-            figures.runs_by_key.update((await response.json())["by_key"])
+        figures.runs_by_key += Counter(after.runs_by_key) - Counter(before.runs_by_key)
     return figures
 
 
-def subtract_figures(after: RunnerFigures, before: RunnerFigures) -> RunnerFigures:
-    """Return what was counted between two readings.
-
-    Keys are issued anew for each replay, so their counts need no difference.
-    """
-    return RunnerFigures(
-        tokens_generated=after.tokens_generated - before.tokens_generated,
-        crashes=after.crashes - before.crashes,
-        collapses=after.collapses - before.collapses,
-        most_running_cold=after.most_running_cold,
-        runs_by_key=after.runs_by_key - before.runs_by_key,
+def _went_back(before: RunnerReading, after: RunnerReading) -> bool:
+    return (
+        after.tokens_generated < before.tokens_generated
+        or after.crashes < before.crashes
+        or any(
+            after.runs_by_key.get(key, 0) < runs
+            for key, runs in before.runs_by_key.items()
+        )
     )
+
+
+async def _get(session: aiohttp.ClientSession, url: str) -> dict[str, Any]:
+    async with session.get(url) as response:
+        response.raise_for_status()
+        decoded: dict[str, Any] = await response.json()
+        return decoded
