--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -3,6 +3,13 @@
 import random
 from collections.abc import Sequence
 
+from figshunt.claims import (
+    ClaimantFilter,
+    ClaimRecords,
+    EstablishmentFilter,
+    GrantLedger,
+    VoterFilter,
+)
 from figshunt.control import (
     MembershipFilter,
     OutcomeFilter,
@@ -42,7 +49,8 @@
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats, random_source)
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
-        self.runners = RunnerFilter(self.revisions)
+        self.runners = RunnerFilter(self.revisions, self.membership)
+        self.establishment = EstablishmentFilter(own_seat, seats, random_source)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
@@ -56,10 +64,13 @@
             self.outcomes,
             self.runners,
             self.suspicions,
+            self.establishment,
+            VoterFilter(self.establishment, GrantLedger()),
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
             QuarantineFilter(self.suspicions),
             AdmissionFilter(),
+            ClaimantFilter(self.establishment, ClaimRecords()),
             self.schedule,
             self.slots,
             self.attempts,
