Add strict priority and tiered fair scheduling policies

Cause: only first in, first out existed; it has no tiers, no floors and no shares of teams, so one burst blocks every class.

Change: StrictPriority and TieredFair beside FirstInFirstOut, all behind SchedulingPolicy, which now also covers putting a request back in its place, the queue bound, what yields and what may be suspended. TieredFair accounts slot time continuously with a decay (10 s) instead of whole slots; a class without a published floor gets 0.02 (0.1 for all of them together); teams share a class by deficit round robin, charged with the expected slot time and corrected with the true one. ServiceEstimates learns run time, first token and output length by team and class in decayed histograms, bounded to 1,024 teams and 256 classes. Token buckets, and sums of waiting work by tier and team. RequestUnplaced is the message for a released request that fits no slot. Tables gets teams_by_name.

Conclusion: a class with waiting work gets a slot within a stated bound even if it used the whole pool before; not used by the core yet.

--- a/figshunt/policy/_first_in_first_out.py
+++ b/figshunt/policy/_first_in_first_out.py
@@ -1,48 +1,66 @@
 """Scheduling in order of arrival; the baseline that others are compared with."""
 
+from figshunt.policy._waiting_index import WaitingIndex
+from figshunt.policy._waiting_queue import WaitingQueue
 from figshunt.types import Moment, PoolName, RequestId, RoutedRequest
 
 
 class FirstInFirstOut:
-    """One queue for each pool, in order of arrival."""
+    """One queue for each pool, in order of arrival; nothing yields."""
 
     def __init__(self) -> None:
-        self._requests_by_pool: dict[PoolName, dict[RequestId, RoutedRequest]] = {}
+        self._queues_by_pool: dict[PoolName, WaitingQueue] = {}
+        self._index = WaitingIndex()
 
     def enqueue(self, routed: RoutedRequest, now: Moment) -> None:
-        """Add a request to the queue of its pool."""
-        queue = self._requests_by_pool.setdefault(routed.pool, {})
-        queue[routed.request_id] = routed
+        """Add a fresh request to the queue of its pool."""
+        self._index.add(routed)
+        self._queue(routed.pool).append(routed)
+
+    def put_back(self, routed: RoutedRequest, now: Moment) -> None:
+        """Queue a request that was chosen before, in the place that it had."""
+        self._index.add(routed)
+        self._queue(routed.pool).put_back(routed)
 
     def choose(self, pool: PoolName, now: Moment) -> RoutedRequest | None:
         """Remove and return the next request of the pool, if there is one."""
-        queue = self._requests_by_pool.get(pool)
-        if not queue:
-            return None
-        return queue.pop(next(iter(queue)))
+        first = self._queue(pool).first()
+        return self.remove(first.request_id, now) if first else None
 
-    def remove(self, request_id: RequestId) -> RoutedRequest | None:
+    def remove(self, request_id: RequestId, now: Moment) -> RoutedRequest | None:
         """Remove and return a waiting request, if it is there."""
-        for queue in self._requests_by_pool.values():
-            if request_id in queue:
-                return queue.pop(request_id)
-        return None
+        routed = self._index.discard(request_id)
+        if routed is not None:
+            self._queue(routed.pool).remove(request_id)
+        return routed
 
     def expire(self, now: Moment) -> list[RoutedRequest]:
         """Remove and return all requests whose deadline has passed."""
-        expired = [
-            routed
-            for queue in self._requests_by_pool.values()
-            for routed in queue.values()
-            if routed.deadline_ms <= now.monotonic_ms
-        ]
-        for routed in expired:
-            self.remove(routed.request_id)
-        return expired
+        passed = self._index.passed(now)
+        for routed in passed:
+            self.remove(routed.request_id, now)
+        return passed
 
     def waiting(self, pool: PoolName) -> list[RoutedRequest]:
         """Return the waiting requests of a pool, in no particular order."""
-        return list(self._requests_by_pool.get(pool, {}).values())
+        return list(self._queue(pool))
+
+    def has_room(self, routed: RoutedRequest, bound: int) -> bool:
+        """Return whether a fresh request fits a queue of ``bound`` places."""
+        return self._queue(routed.pool).fresh_count < bound
+
+    def find_yielding(self, routed: RoutedRequest, bound: int) -> RoutedRequest | None:
+        """Return nothing: no waiting request is shed for another."""
+        return None
+
+    def may_suspend(
+        self, running: RoutedRequest, wanted_by: RoutedRequest, now: Moment
+    ) -> bool:
+        """Return ``False``: no running work yields."""
+        return False
 
     def record_service(self, routed: RoutedRequest, slot_ms: int, now: Moment) -> None:
-        """Account for slot time that a request used; this policy doesn't."""
+        """End the service of a chosen request; this policy keeps no account."""
+
+    def _queue(self, pool: PoolName) -> WaitingQueue:
+        return self._queues_by_pool.setdefault(pool, WaitingQueue())
--- a/figshunt/request/_schedule_filter.py
+++ b/figshunt/request/_schedule_filter.py
@@ -54,7 +54,7 @@
                 yield WakeAt(routed.deadline_ms)
                 yield from self._release(routed.pool, now)
             case RequestCancelled(request_id):
-                removed = self._policy.remove(request_id)
+                removed = self._policy.remove(request_id, now)
                 if removed is None:
                     yield message
                 else:
--- a/figshunt/tables/_check.py
+++ b/figshunt/tables/_check.py
@@ -65,6 +65,7 @@
         runners_by_id=runners,
         teams_by_key_sha256=teams,
         data_centre_states_by_name=states_by_name,
+        teams_by_name={team.name: team for team in teams.values()},
     )
     return CheckedTables(tables, ())
 
--- a/figshunt/tables/_model.py
+++ b/figshunt/tables/_model.py
@@ -94,6 +94,7 @@
     runners_by_id: Mapping[RunnerId, Runner]
     teams_by_key_sha256: Mapping[str, Team] = field(repr=False)
     data_centre_states_by_name: Mapping[DataCentreName, DataCentreState]
+    teams_by_name: Mapping[TeamName, Team] = field(default_factory=dict, repr=False)
 
     def team_for_caller_key(self, caller_key: str) -> Team | None:
         """Return the team whose key has the hash of ``caller_key``.
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -91,6 +91,9 @@
     RequestReleased,
     RequestRouted,
 )
+from figshunt.types._schedule_messages import (
+    RequestUnplaced,
+)
 from figshunt.types._states import (
     AttemptFailure,
     CancelReason,
@@ -161,6 +164,7 @@
     "RequestKey",
     "RequestReleased",
     "RequestRouted",
+    "RequestUnplaced",
     "RevisionNumber",
     "RouteName",
     "RoutedRequest",
--- a/figshunt/types/_request.py
+++ b/figshunt/types/_request.py
@@ -47,7 +47,9 @@
     """A request with the facts that the first filters added.
 
     ``deadline_ms`` is a monotonic time. ``resume_offset`` counts tokens that
-    the caller already received; ``tries`` counts attempts started.
+    the caller already received; ``tries`` counts attempts started and
+    ``preemptions`` those that were suspended for a higher tier;
+    ``first_token_ms`` is the monotonic time of the first token, if one came.
     """
 
     request: Request
@@ -58,6 +60,8 @@
     tries: int = 0
     queued_ms: int = 0
     alone: bool = False
+    preemptions: int = 0
+    first_token_ms: int | None = None
 
     @property
     def request_id(self) -> RequestId:
--- a/figshunt/types/_request_messages.py
+++ b/figshunt/types/_request_messages.py
@@ -112,6 +112,7 @@
     """An attempt no longer holds its slot, for whatever reason.
 
     The attempt filter emits it exactly once for each planned attempt.
+    ``first_token_ms`` counts from the start of the attempt.
     """
 
     attempt_id: AttemptId
@@ -120,6 +121,7 @@
     started_ms: int
     tokens: int
     failure: AttemptFailure | None
+    first_token_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/figshunt/types/_schedule_messages.py
@@ -0,0 +1,17 @@
+"""Messages between the scheduler and the filters behind it."""
+
+from dataclasses import dataclass
+
+from figshunt.types._message import Message
+from figshunt.types._request import RoutedRequest
+
+
+@dataclass(frozen=True, slots=True)
+class RequestUnplaced(Message):
+    """No free slot suits a released request; fed back by the slot filter.
+
+    The request keeps its place and is released again when the capacity of
+    its pool has changed; others behind it aren't held up.
+    """
+
+    routed: RoutedRequest
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -90,6 +90,7 @@
     OVERLOADED = "overloaded"
     PROTOCOL = "protocol"
     CANCELLED = "cancelled"
+    PREEMPTED = "preempted"
 
 
 class SendState(Enum):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -14,11 +14,13 @@
     RequestArrived,
     RequestId,
     RequestKey,
+    RoutedRequest,
     RouteName,
     RunnerId,
     StartIdentity,
     TablesOffered,
     TableSourceKind,
+    TeamName,
 )
 
 CALLER_KEY = "caller-key-of-team-a"
@@ -58,12 +60,15 @@
     return pool | changes
 
 
-def build_team(name: str = "team-a", caller_key: str = CALLER_KEY) -> dict[str, Any]:
+def build_team(
+    name: str = "team-a", caller_key: str = CALLER_KEY, **changes: Any
+) -> dict[str, Any]:
     """Return a team as it stands in the routes document."""
-    return {
+    team = {
         "name": name,
         "key_sha256": hashlib.sha256(caller_key.encode()).hexdigest(),
     }
+    return team | changes
 
 
 def build_documents(
@@ -132,6 +137,20 @@
     return RequestArrived(build_request(now, number, **changes))
 
 
+def build_routed(
+    now: Moment, number: int = 1, team: str = "team-a", **route_changes: Any
+) -> RoutedRequest:
+    """Return a routed request that arrives at ``now``."""
+    route_document = build_route(**route_changes)
+    tables = build_tables(
+        routes=[route_document], pools=[build_pool(route_document["pool"])]
+    )
+    (route,) = tables.routes_by_name.values()
+    request = build_request(now, number, route=route.name)
+    deadline_ms = now.monotonic_ms + route.deadline_ms
+    return RoutedRequest(request, TeamName(team), route, deadline_ms)
+
+
 def build_load(
     runner: str = "engines-1", completed: int = 1000, **changes: Any
 ) -> LoadReported:
--- /dev/null
+++ b/tests/policy/test_policies.py
@@ -0,0 +1,351 @@
+"""Order of service, floors and fairness of the scheduling policies."""
+
+import itertools
+import math
+import unittest
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from figshunt.policy import (
+    FirstInFirstOut,
+    SchedulingPolicy,
+    ServiceEstimates,
+    StrictPriority,
+    TieredFair,
+)
+from figshunt.policy._class_shares import DEFAULT_FLOOR, SHARE_WINDOW_MS
+from figshunt.policy._team_queues import MOST_DEBTS
+from figshunt.types import Moment, PoolName, RequestId, RoutedRequest
+from tests.builders import build_routed
+from tests.policy.fakes import FixedRuns, FixedWeights
+
+START = Moment(1_000, 1_800_000_000_000)
+POOL = PoolName("engines")
+
+
+def build_fair(**weights: float) -> TieredFair:
+    return TieredFair(FixedWeights(**weights), FixedRuns())
+
+
+BUILDERS: tuple[Callable[[], SchedulingPolicy], ...] = (
+    FirstInFirstOut,
+    StrictPriority,
+    build_fair,
+)
+
+
+def fill(policy: SchedulingPolicy, *wanted: tuple[int, dict[str, Any]]) -> None:
+    """Enqueue ``count`` requests of each description, numbered from 1."""
+    numbers = itertools.count(1)
+    for count, changes in wanted:
+        first = build_routed(START, **({"deadline_ms": 10**7} | changes))
+        for _ in range(count):
+            request_id = RequestId(f"request-{next(numbers)}")
+            request = replace(first.request, request_id=request_id)
+            policy.enqueue(replace(first, request=request), START)
+
+
+def serve(
+    policy: SchedulingPolicy,
+    slots: int,
+    until_ms: int,
+    run_ms: Callable[[RoutedRequest], int],
+    key: Callable[[RoutedRequest], str],
+) -> tuple[Counter[str], dict[str, list[int]]]:
+    """Keep the slots busy; return slot time by key and times of starts by key."""
+    used: Counter[str] = Counter()
+    starts: dict[str, list[int]] = {}
+    running: list[tuple[int, int, RoutedRequest]] = []
+    now_ms = 0
+    while now_ms < until_ms:
+        now = START.plus(now_ms)
+        for entry in [one for one in running if one[0] <= now_ms]:
+            running.remove(entry)
+            policy.record_service(entry[2], entry[0] - entry[1], now)
+        while len(running) < slots:
+            routed = policy.choose(POOL, now)
+            if routed is None:
+                break
+            used[key(routed)] += run_ms(routed)
+            starts.setdefault(key(routed), []).append(now_ms)
+            running.append((now_ms + run_ms(routed), now_ms, routed))
+        now_ms = min((one[0] for one in running), default=until_ms)
+    for ends_ms, started_ms, routed in running:
+        policy.record_service(routed, ends_ms - started_ms, START.plus(until_ms))
+    return used, starts
+
+
+class OrderTest(unittest.TestCase):
+    def test_order_of_choice(self) -> None:
+        """Guards against a policy that serves tiers in the wrong order."""
+        waiting = [(1, {"name": f"t{tier}", "tier": tier}) for tier in (3, 1, 4, 2)]
+        expected = {
+            FirstInFirstOut: [3, 1, 4, 2],
+            StrictPriority: [1, 2, 3, 4],
+            build_fair: [1, 2, 3, 4],
+        }
+        for build in BUILDERS:
+            with self.subTest(build):
+                policy = build()
+                fill(policy, *waiting)
+                order = []
+                while (routed := policy.choose(POOL, START)) is not None:
+                    order.append(int(routed.tier))
+                    policy.record_service(routed, 0, START)
+                self.assertEqual(order, expected[build])
+
+    def test_put_back_keeps_its_place(self) -> None:
+        """Guards against a suspended request that goes behind later ones."""
+        for build in BUILDERS:
+            with self.subTest(build):
+                policy = build()
+                fill(policy, (3, {}), (2, {"team": "team-b"}))
+                chosen = [policy.choose(POOL, START) for _ in range(2)]
+                for routed in reversed(chosen):
+                    assert routed is not None
+                    policy.record_service(routed, 10, START)
+                    policy.put_back(routed, START)
+                again = [policy.choose(POOL, START) for _ in range(2)]
+                self.assertEqual(set(again), set(chosen))
+
+    def test_removed_and_expired_requests_are_gone(self) -> None:
+        for build in BUILDERS:
+            with self.subTest(build):
+                policy = build()
+                fill(policy, (3, {"deadline_ms": 100}), (1, {"name": "late"}))
+                first, second, *_ = policy.waiting(POOL)
+                self.assertEqual(policy.remove(first.request_id, START), first)
+                self.assertIsNone(policy.remove(first.request_id, START))
+                expired = policy.expire(START.plus(100))
+                self.assertIn(second, expired)
+                self.assertEqual(len(expired), 2)
+                last = policy.choose(POOL, START.plus(100))
+                assert last is not None
+                self.assertEqual(last.route.name, "late")
+                self.assertIsNone(policy.choose(POOL, START.plus(100)))
+
+    def test_what_yields(self) -> None:
+        """Guards against shedding an equal or higher tier for a lower one."""
+        waiting = ((4, {"name": "low", "tier": 3}), (4, {"name": "mid", "tier": 2}))
+        cases = ((1, "low", True), (2, "low", True), (3, None, False), (4, None, False))
+        for build in (StrictPriority, build_fair):
+            for tier, yielding, suspends in cases:
+                if build is build_fair and tier == 3:
+                    # The team in class "low" holds more places of this tier.
+                    yielding = "low"
+                with self.subTest(build, tier=tier):
+                    policy = build()
+                    fill(policy, *waiting)
+                    new = build_routed(START, 99, name="new", tier=tier)
+                    found = policy.find_yielding(new, 1)
+                    self.assertEqual(found.route.name if found else None, yielding)
+                    low = build_routed(START, 98, name="low", tier=3)
+                    policy.enqueue(low, START)
+                    serve(policy, 16, 5_000, lambda _: 1_000, lambda _: "")
+                    fill(policy, (1, {"name": "low", "tier": 3}))
+                    running = policy.choose(POOL, START.plus(5_000))
+                    assert running is not None
+                    now = START.plus(6_000)
+                    self.assertEqual(policy.may_suspend(running, new, now), suspends)
+
+
+class FloorTest(unittest.TestCase):
+    def test_floors_hold_under_a_saturating_higher_tier(self) -> None:
+        """Guards against starvation, with long runs and few slots too."""
+        for slots, run_low_ms, floor in (
+            (1, 1_000, 0.2),
+            (4, 1_000, 0.1),
+            (16, 8_000, 0.2),
+            (2, 500, 0.0),
+        ):
+            with self.subTest(slots=slots, run_low_ms=run_low_ms, floor=floor):
+                policy = build_fair()
+                fill(
+                    policy,
+                    (8_000, {"name": "high", "tier": 1}),
+                    (500, {"name": "low", "tier": 4, "floor_share": floor}),
+                )
+                runs = {"high": 400, "low": run_low_ms}
+                used, starts = serve(
+                    policy,
+                    slots,
+                    150_000,
+                    lambda one: runs[one.route.name],
+                    lambda one: one.route.name,
+                )
+                share = used["low"] / (used["low"] + used["high"])
+                published = floor or DEFAULT_FLOOR
+                slack = 2 * run_low_ms * slots / (150_000 * slots) + 0.02
+                self.assertGreater(share, published - slack)
+                self.assertLess(share, published + slack)
+                gaps = zip(starts["low"], starts["low"][1:], strict=False)
+                bound_ms = run_low_ms / (published * slots) + 2 * run_low_ms + 800
+                self.assertLess(max(b - a for a, b in gaps), 2 * bound_ms)
+
+    def test_class_that_had_the_whole_pool_waits_at_most_the_bound(self) -> None:
+        """Guards against a class that pays for lent slot time for ever."""
+        for slots_after in (4, 1):
+            with self.subTest(slots_after=slots_after):
+                policy = build_fair()
+                low = {"name": "low", "tier": 4, "floor_share": 0.1}
+                fill(policy, (600, low))
+                serve(policy, 4, 60_000, lambda _: 1_000, lambda _: "low")
+                later = START.plus(60_000)
+                for number in range(2_000):
+                    changes = {"name": "high", "tier": 1, "deadline_ms": 10**7}
+                    routed = build_routed(later, 10_000 + number, **changes)
+                    policy.enqueue(routed, later)
+                waited_ms = self.wait_for(policy, "low", slots_after, later)
+                decayed = math.log(1 + 4 / slots_after * (1 / 0.1 - 1))
+                self.assertLess(waited_ms, SHARE_WINDOW_MS * decayed + 1_000)
+
+    def wait_for(
+        self, policy: SchedulingPolicy, name: str, slots: int, start: Moment
+    ) -> int:
+        for waited_ms in itertools.count(0, 100):
+            now = start.plus(waited_ms)
+            chosen = [policy.choose(POOL, now) for _ in range(slots)]
+            if any(one is not None and one.route.name == name for one in chosen):
+                return waited_ms
+            for routed in chosen:
+                assert routed is not None
+                policy.record_service(routed, 100, now.plus(100))
+        raise AssertionError
+
+    def test_burst_after_a_quiet_time_takes_no_more_than_its_floor(self) -> None:
+        """Guards against repaying unused floors at once, which blocks chats."""
+        policy = build_fair()
+        fill(policy, (2_000, {"name": "high", "tier": 1}))
+        serve(policy, 10, 30_000, lambda _: 400, lambda _: "")
+        now = START.plus(30_000)
+        for number in range(50):
+            changes = {"name": "low", "tier": 4, "floor_share": 0.2}
+            policy.enqueue(build_routed(now, 9_000 + number, **changes), now)
+        names = Counter[str]()
+        for _ in range(10):
+            routed = policy.choose(POOL, now)
+            assert routed is not None
+            names[routed.route.name] += 1
+        self.assertLessEqual(names["low"], 3)
+
+    def test_unused_floor_is_lent(self) -> None:
+        policy = build_fair()
+        fill(policy, (100, {"name": "high", "tier": 1}))
+        used, _ = serve(policy, 4, 10_000, lambda _: 500, lambda _: "high")
+        self.assertEqual(used["high"], 40_000)
+
+    def test_work_within_its_floor_is_not_suspended(self) -> None:
+        """Guards against a floor that preemption takes away."""
+        policy = build_fair()
+        fill(
+            policy,
+            (900, {"name": "high", "tier": 1}),
+            (10, {"name": "low", "tier": 4, "floor_share": 0.3}),
+        )
+        serve(policy, 4, 20_000, lambda _: 500, lambda _: "")
+        now = START.plus(20_000)
+        high = build_routed(now, 9_999, name="high", tier=1)
+        low = build_routed(now, 9_998, name="low", tier=4, floor_share=0.3)
+        self.assertFalse(policy.may_suspend(low, high, now))
+
+    def test_classes_of_a_tier_share_by_weight(self) -> None:
+        policy = build_fair()
+        fill(
+            policy,
+            (900, {"name": "a", "tier": 2, "weight": 3.0}),
+            (900, {"name": "b", "tier": 2, "weight": 1.0}),
+        )
+        used, _ = serve(policy, 4, 60_000, lambda _: 500, lambda one: one.route.name)
+        self.assertAlmostEqual(used["a"] / used["b"], 3.0, delta=0.4)
+
+
+class TeamFairnessTest(unittest.TestCase):
+    @settings(max_examples=15, deadline=None, derandomize=True)
+    @given(
+        large=st.integers(1, 3),
+        run_large_ms=st.sampled_from((300, 1_000, 3_000)),
+        weight=st.sampled_from((0.5, 1.0, 2.0)),
+        slots=st.sampled_from((1, 3, 8)),
+    )
+    def test_large_teams_leave_a_small_team_its_share(
+        self, large: int, run_large_ms: int, weight: float, slots: int
+    ) -> None:
+        """Guards against large teams, or ones with long runs, crowding others out."""
+        policy = build_fair(small=weight)
+        teams = [f"large-{index}" for index in range(large)]
+        fill(policy, *((700, {"team": team}) for team in teams))
+        fill(policy, (900, {"team": "small"}))
+        runs = {team: run_large_ms for team in teams} | {"small": 400}
+        until_ms = 60_000
+        used, _ = serve(
+            policy, slots, until_ms, lambda one: runs[one.team], lambda one: one.team
+        )
+        fair_ms = until_ms * slots * weight / (weight + large)
+        demand_ms = 900 * 400
+        one_round_ms = (run_large_ms + 1_000) * (large + weight + slots)
+        least_ms = min(fair_ms, demand_ms) - 2 * one_round_ms
+        self.assertGreater(used["small"], least_ms)
+
+    def test_teams_share_by_weight(self) -> None:
+        policy = build_fair(large=3.0)
+        fill(policy, (500, {"team": "large"}), (500, {"team": "small"}))
+        used, _ = serve(policy, 4, 60_000, lambda _: 500, lambda one: one.team)
+        self.assertAlmostEqual(used["large"] / used["small"], 3.0, delta=0.3)
+
+    def test_suspended_team_is_next_in_turn(self) -> None:
+        """Guards against a suspended request that waits for another round."""
+        policy = build_fair()
+        teams = ("a", "b", "c", "d")
+        fill(policy, *((2, {"team": team}) for team in teams))
+        chosen = policy.choose(POOL, START)
+        assert chosen is not None
+        policy.record_service(chosen, 10, START)
+        policy.put_back(chosen, START)
+        self.assertEqual(policy.choose(POOL, START), chosen)
+
+    def test_choice_among_low_weights_takes_few_steps(self) -> None:
+        """Guards against visiting all teams once for each quantum they lack."""
+        runs = FixedRuns()
+        weights = FixedWeights(**{f"t{index}": 0.01 for index in range(50)})
+        policy = TieredFair(weights, runs)
+        fill(policy, *((1, {"team": f"t{index}"}) for index in range(50)))
+        policy.choose(POOL, START)
+        self.assertLess(runs.calls, 300)
+
+    def test_full_queue_takes_a_place_from_the_longest_team(self) -> None:
+        """Guards against one team filling the queue of everyone."""
+        policy = build_fair()
+        fill(policy, (50, {"team": "large"}), (3, {"team": "small"}))
+        small = build_routed(START, 99, "small", deadline_ms=10**7)
+        self.assertFalse(policy.has_room(small, 10))
+        yielding = policy.find_yielding(small, 10)
+        assert yielding is not None
+        self.assertEqual(yielding.team, "large")
+        large = build_routed(START, 98, "large", deadline_ms=10**7)
+        self.assertIsNone(policy.find_yielding(large, 10))
+
+    def test_state_of_idle_teams_is_bounded(self) -> None:
+        """Guards against memory that grows with 37,000 teams."""
+        policy = build_fair()
+        for number in range(MOST_DEBTS * 3):
+            policy.enqueue(build_routed(START, number, f"team-{number}"), START)
+            routed = policy.choose(POOL, START)
+            assert routed is not None
+            policy.record_service(routed, 9_000, START)
+        ((_, queues),) = policy._pools.items()
+        ((_, teams),) = queues.teams_by_route.items()
+        self.assertEqual(len(teams._queues_by_team), 0)
+        self.assertLessEqual(len(teams._debts_by_team), MOST_DEBTS)
+        self.assertEqual(len(policy._services_by_id), 0)
+
+
+class DefaultPolicyTest(unittest.TestCase):
+    def test_works_with_learned_estimates(self) -> None:
+        policy = TieredFair(FixedWeights(), ServiceEstimates())
+        fill(policy, (1, {}))
+        self.assertIsNotNone(policy.choose(POOL, START))
