Admit, shed and suspend by tier; make TieredFair the default

Cause: the scheduler had no queue bound, never suspended running work, and admitted requests that could not meet their deadline. It also reported "not run" for cancelled requests that had been tried before, and the attempt filter kept an entry for each request that ended while queued for a retry.

Change: ScheduleFilter bounds the fresh requests of a pool, sheds lower tiers and the longest team first, asks for capacity at most every 200 ms, and asks the attempt filter (PreemptionWanted) to suspend idempotent lower-tier work above its floor for requests that would be late or shed. A suspended request keeps its offset, its place and its retries. Released requests that fit no slot (RequestUnplaced) are held without blocking others; pools removed from the tables end their waiting requests. AdmissionFilter refuses before the claim: queue full, deadline unreachable, team rate. first_token_ms of RequestEnded is that of the first attempt. Core takes a PolicyBuilder.

Failed tries: suspending by the share used so far, while choosing by the share committed, looped for ever within one message, since the floor rule gave the slot back at once; both now use the committed share, and work that began at this moment is never suspended. Comparing only as many late requests as there are slots left tier 2 to be refused while tier 4 ran; all late ones are compared now. A tier 2 request yielded its queue place to tier 1 while tier 4 ran above its floor; running work is now suspended first.

--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -9,12 +9,19 @@
     RunnerFilter,
 )
 from figshunt.pipeline import Filter, Pipeline
-from figshunt.policy import FirstInFirstOut, LeastLoaded, RetryBudget
+from figshunt.policy import (
+    LeastLoaded,
+    PolicyBuilder,
+    RetryBudget,
+    ServiceEstimates,
+    TieredFair,
+)
 from figshunt.request import (
     AdmissionFilter,
     AttemptFilter,
     RouteFilter,
     ScheduleFilter,
+    TableTeams,
     TeamFilter,
 )
 from figshunt.slots import SlotFilter
@@ -33,6 +40,7 @@
         own_seat: SeatNumber,
         seats: Sequence[SeatNumber],
         random_source: random.Random,
+        build_policy: PolicyBuilder = TieredFair,
     ) -> None:
         self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats)
@@ -40,7 +48,11 @@
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
         )
-        self.schedule = ScheduleFilter(FirstInFirstOut(), self.slots, self.revisions)
+        teams = TableTeams(self.revisions)
+        estimates = ServiceEstimates()
+        self.schedule = ScheduleFilter(
+            build_policy(teams, estimates), self.slots, self.revisions, teams, estimates
+        )
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
         filters: list[Filter] = [
             self.revisions,
@@ -48,7 +60,7 @@
             self.runners,
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
-            AdmissionFilter(),
+            AdmissionFilter(teams, self.membership, self.schedule, estimates),
             self.schedule,
             self.slots,
             self.attempts,
--- a/figshunt/policy/_class_shares.py
+++ b/figshunt/policy/_class_shares.py
@@ -78,23 +78,21 @@
         use.started_sum_ms -= started_ms
         use.expected_sum_ms -= expected_ms
 
-    def used_share(self, route: Route, now_ms: int) -> float:
-        """Return the part of the slot time that the class used until now."""
-        self.advance(now_ms)
-        total_ms = sum(use.served_ms for use in self._use_by_route.values())
-        use = self._use_by_route.get(route)
-        return use.served_ms / total_ms if use and total_ms > 0 else 0.0
-
     def committed_ms(self, route: Route, now_ms: int) -> float:
         """Return the slot time used and expected of the running work."""
         use = self._use_by_route.get(route)
         return use.served_ms + use.expected_left_ms(now_ms) if use else 0.0
 
-    def committed_share(self, route: Route, now_ms: int) -> float | None:
-        """Return the share of :meth:`committed_ms`; ``None`` in an idle pool."""
+    def is_owed(self, route: Route, now_ms: int, without_ms: float = 0.0) -> bool:
+        """Return whether the class is below its floor.
+
+        :param without_ms: leaves out so much of the slot time that the
+            class's running work is expected to use.
+        """
         self.advance(now_ms)
-        total_ms = self._total_ms(now_ms)
-        return self.committed_ms(route, now_ms) / total_ms if total_ms > 0 else None
+        total_ms = self._total_ms(now_ms) - without_ms
+        committed_ms = self.committed_ms(route, now_ms) - without_ms
+        return committed_ms < self.floor(route) * total_ms
 
     def advance(self, now_ms: int) -> None:
         """Decay the figures and accrue the time of running work."""
--- a/figshunt/policy/_tiered_fair.py
+++ b/figshunt/policy/_tiered_fair.py
@@ -140,12 +140,17 @@
     def may_suspend(
         self, running: RoutedRequest, wanted_by: RoutedRequest, now: Moment
     ) -> bool:
-        """Return whether the work is of a lower tier and above its floor."""
-        if running.tier <= wanted_by.tier:
+        """Return whether the work is of a lower tier and above its floor.
+
+        Without it the class must not be below its floor, by the measure of
+        :meth:`choose`; otherwise it would get the freed slot back at once.
+        """
+        service = self._services_by_id.get(running.request_id)
+        if running.tier <= wanted_by.tier or service is None:
             return False
+        left_ms = service.expected_ms - (now.monotonic_ms - service.started_ms)
         shares = self._pool(running.pool).shares
-        used_share = shares.used_share(running.route, now.monotonic_ms)
-        return used_share > shares.floor(running.route)
+        return not shares.is_owed(running.route, now.monotonic_ms, max(0, left_ms))
 
     def record_service(self, routed: RoutedRequest, slot_ms: int, now: Moment) -> None:
         """End the service of a chosen request that held a slot for ``slot_ms``."""
@@ -183,20 +188,21 @@
         if len(waiting) <= 1:
             return waiting[0] if waiting else None
         shares = queues.shares
-        shares.advance(now.monotonic_ms)
-        owed = [
-            (route.tier, share / floor, index)
-            for index, route in enumerate(waiting)
-            if (share := shares.committed_share(route, now.monotonic_ms)) is not None
-            and share < (floor := shares.floor(route))
-        ]
+        now_ms = now.monotonic_ms
+        owed = [route for route in waiting if shares.is_owed(route, now_ms)]
         if owed:
-            return waiting[min(owed)[2]]
+            return min(
+                owed,
+                key=lambda one: (
+                    one.tier,
+                    shares.committed_ms(one, now_ms) / shares.floor(one),
+                ),
+            )
         return min(
             waiting,
             key=lambda one: (
                 one.tier,
-                shares.committed_ms(one, now.monotonic_ms) / one.weight,
+                shares.committed_ms(one, now_ms) / one.weight,
             ),
         )
 
--- a/figshunt/request/__init__.py
+++ b/figshunt/request/__init__.py
@@ -7,6 +7,9 @@
     Attempt,
     AttemptFilter,
 )
+from figshunt.request._queue_view import (
+    QueueView,
+)
 from figshunt.request._refusal import (
     refuse,
     refuse_unrouted,
@@ -17,6 +20,9 @@
 from figshunt.request._schedule_filter import (
     ScheduleFilter,
 )
+from figshunt.request._table_teams import (
+    TableTeams,
+)
 from figshunt.request._team_filter import (
     TeamFilter,
 )
@@ -25,8 +31,10 @@
     "AdmissionFilter",
     "Attempt",
     "AttemptFilter",
+    "QueueView",
     "RouteFilter",
     "ScheduleFilter",
+    "TableTeams",
     "TeamFilter",
     "refuse",
     "refuse_unrouted",
--- a/figshunt/request/_attempt_filter.py
+++ b/figshunt/request/_attempt_filter.py
@@ -24,6 +24,7 @@
     Message,
     Moment,
     PoolKind,
+    PreemptionWanted,
     RequestAdmitted,
     RequestCancelled,
     RequestEnded,
@@ -77,7 +78,9 @@
         AttemptChunk,
         AttemptFinished,
         AttemptFailed,
+        PreemptionWanted,
         RequestCancelled,
+        RequestEnded,
         TimerDue,
     )
 
@@ -101,8 +104,13 @@
                 yield from self._finish(attempt_id, now)
             case AttemptFailed(attempt_id):
                 yield from self._fail(message, now)
+            case PreemptionWanted(request_id):
+                yield from self._preempt(request_id)
             case RequestCancelled(request_id):
                 yield from self._cancel(request_id, now)
+            case RequestEnded(routed):
+                yield message
+                self._head_sent.discard(routed.request_id)
             case TimerDue():
                 yield from self._expire(now)
 
@@ -189,11 +197,7 @@
         yield from self._end_attempt(attempt, failed.failure)
         if self._may_try_again(attempt, failed, now):
             yield CountEvent("retries", {"failure": failed.failure.value})
-            yield Feedback(
-                RequestAdmitted(
-                    replace(attempt.routed, resume_offset=attempt.delivered)
-                )
-            )
+            yield Feedback(RequestAdmitted(_resumed(attempt)))
             return
         outcome = (
             RunOutcome.NOT_RUN
@@ -216,7 +220,8 @@
         self, attempt: Attempt, failed: AttemptFailed, now: Moment
     ) -> bool:
         routed = attempt.routed
-        if routed.deadline_ms <= now.monotonic_ms or routed.tries >= MOST_TRIES:
+        tries = routed.tries - routed.preemptions
+        if routed.deadline_ms <= now.monotonic_ms or tries >= MOST_TRIES:
             return False
         if not routed.route.idempotent and failed.sent is not SendState.UNSENT:
             return False
@@ -224,6 +229,22 @@
             return False
         return self._retry_budget.take_retry(now)
 
+    def _preempt(self, request_id: RequestId) -> Iterable[Output]:
+        """Suspend an attempt for a higher tier; no part of the retry budget."""
+        attempt_id = self._attempt_ids_by_request.get(request_id)
+        attempt = self._attempts_by_id.get(attempt_id) if attempt_id else None
+        if attempt is None or not attempt.routed.route.idempotent:
+            return
+        if attempt.head_sent and not self._can_resume(attempt):
+            return
+        self._remove(attempt.attempt_id)
+        yield CancelAttempt(attempt.attempt_id, CancelReason.PREEMPTED)
+        yield from self._end_attempt(attempt, AttemptFailure.PREEMPTED)
+        resumed = _resumed(attempt)
+        yield Feedback(
+            RequestAdmitted(replace(resumed, preemptions=resumed.preemptions + 1))
+        )
+
     def _can_resume(self, attempt: Attempt) -> bool:
         tables = self._tables.current()
         assert tables is not None
@@ -278,6 +299,11 @@
                 started_ms=attempt.started_ms,
                 tokens=attempt.delivered - attempt.routed.resume_offset,
                 failure=failure,
+                first_token_ms=(
+                    attempt.first_token_ms - attempt.started_ms
+                    if attempt.first_token_ms is not None
+                    else None
+                ),
             )
         )
 
@@ -288,17 +314,16 @@
         code: ErrorCode | None,
         now: Moment,
     ) -> Iterable[Output]:
-        routed = attempt.routed
-        self._head_sent.discard(routed.request_id)
+        routed = _resumed(attempt)
         arrived_ms = routed.request.arrived.monotonic_ms
         yield Feedback(
             RequestEnded(
-                routed,
+                attempt.routed,
                 outcome,
                 code,
                 first_token_ms=(
-                    attempt.first_token_ms - arrived_ms
-                    if attempt.first_token_ms is not None
+                    routed.first_token_ms - arrived_ms
+                    if routed.first_token_ms is not None
                     else None
                 ),
                 whole_ms=now.monotonic_ms - arrived_ms,
@@ -308,3 +333,14 @@
 
     def _count_late(self, part: str) -> CountEvent:
         return CountEvent("late_parts_dropped", {"part": part})
+
+
+def _resumed(attempt: Attempt) -> RoutedRequest:
+    """Return the request as it goes on after the attempt."""
+    routed = attempt.routed
+    first_token_ms = routed.first_token_ms
+    if first_token_ms is None:
+        first_token_ms = attempt.first_token_ms
+    return replace(
+        routed, resume_offset=attempt.delivered, first_token_ms=first_token_ms
+    )
--- a/figshunt/request/_schedule_filter.py
+++ b/figshunt/request/_schedule_filter.py
@@ -4,89 +4,314 @@
 
 from figshunt.control import TablesView
 from figshunt.pipeline import Feedback, Output
-from figshunt.policy import SchedulingPolicy
+from figshunt.policy import (
+    SchedulingPolicy,
+    ServiceEstimates,
+    TeamWeights,
+    WaitingWork,
+)
+from figshunt.request._capacity_requests import CapacityRequests
+from figshunt.request._preemption import PreemptionPlanner, latest_start_ms
 from figshunt.request._refusal import refuse
+from figshunt.request._running_work import RunningWork
 from figshunt.slots import CapacityView
 from figshunt.types import (
     AttemptEnded,
     CapacityChanged,
+    CountEvent,
     ErrorCode,
     Message,
     Moment,
+    PoolKind,
     PoolName,
+    PreemptionWanted,
     RequestAdmitted,
     RequestCancelled,
     RequestEnded,
+    RequestId,
     RequestReleased,
+    RequestUnplaced,
+    RoutedRequest,
     RunnerChanged,
     RunOutcome,
     Step,
+    TablesInForce,
     TimerDue,
     WakeAt,
 )
 
+QUEUE_BOUND = 1_024
+LEAST_RETRY_AFTER_MS = 1_000
+MOST_RETRY_AFTER_MS = 60_000
+
 
 class ScheduleFilter:
-    """Owns the queues; releases requests in the order that the policy gives."""
+    """Owns the queues; releases requests in the order that the policy gives.
+
+    Offers a ``QueueView``. A queue holds at most ``queue_bound`` fresh
+    requests of a pool, as the policy counts them. Requests that were released
+    before are bounded by the slots; they keep their place and are never shed.
+    """
 
     step = Step.SCHEDULE
     accepts: tuple[type[Message], ...] = (
         RequestAdmitted,
+        RequestUnplaced,
         RequestCancelled,
+        RequestEnded,
         AttemptEnded,
         CapacityChanged,
         RunnerChanged,
+        TablesInForce,
         TimerDue,
     )
 
     def __init__(
-        self, policy: SchedulingPolicy, capacity: CapacityView, tables: TablesView
+        self,
+        policy: SchedulingPolicy,
+        capacity: CapacityView,
+        tables: TablesView,
+        weights: TeamWeights,
+        estimates: ServiceEstimates,
+        queue_bound: int = QUEUE_BOUND,
     ) -> None:
         self._policy = policy
         self._capacity = capacity
         self._tables = tables
+        self._weights = weights
+        self._estimates = estimates
+        self._queue_bound = queue_bound
+        self._running = RunningWork(estimates)
+        self._planner = PreemptionPlanner(policy, self._running, estimates)
+        self._capacity_requests = CapacityRequests()
+        self._work_by_pool: dict[PoolName, WaitingWork] = {}
+        self._unplaced_by_id: dict[RequestId, RoutedRequest] = {}
+
+    def has_room(self, routed: RoutedRequest, now: Moment) -> bool:
+        """Return whether the request can be queued, if need be in another's place."""
+        return (
+            self._policy.has_room(routed, self._queue_bound)
+            or self._policy.find_yielding(routed, self._queue_bound) is not None
+            or self.would_yield(routed, now)
+        )
+
+    def would_yield(self, routed: RoutedRequest, now: Moment) -> bool:
+        """Return whether some running work yields its slot to the request."""
+        kind = self._kind(routed.pool)
+        return kind is not None and self._planner.would_yield(routed, kind, now)
+
+    def expected_wait_ms(self, routed: RoutedRequest, now: Moment) -> int:
+        """Return the least time that a new request is expected to wait.
+
+        Counts the work of its own and higher tiers on all slots in use; work
+        of lower tiers isn't counted, whether it is within a floor or not.
+        """
+        slots = self._running.count(routed.pool)
+        if slots == 0 or self._capacity.has_slot(routed.pool, now):
+            return 0
+        left_ms = self._running.left_in_tiers_ms(routed.pool, routed.tier, now)
+        ahead_ms = self._work(routed.pool).ahead_ms(routed)
+        return int((ahead_ms + left_ms / slots) / slots)
+
+    def retry_after_ms(self, routed: RoutedRequest, now: Moment) -> int:
+        """Return when a refused request may try again."""
+        wait_ms = self.expected_wait_ms(routed, now)
+        return max(LEAST_RETRY_AFTER_MS, min(MOST_RETRY_AFTER_MS, wait_ms))
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
         match message:
             case RequestAdmitted(routed):
-                self._policy.enqueue(routed, now)
-                yield WakeAt(routed.deadline_ms)
-                yield from self._release(routed.pool, now)
+                yield from self._admit(routed, now)
+            case RequestUnplaced(routed):
+                self._keep_unplaced(routed, now)
             case RequestCancelled(request_id):
-                removed = self._policy.remove(request_id, now)
+                removed = self._remove(request_id, now)
                 if removed is None:
                     yield message
                 else:
-                    yield Feedback(RequestEnded(removed, RunOutcome.NOT_RUN, None))
+                    yield Feedback(RequestEnded(removed, _outcome(removed), None))
+            case RequestEnded(routed):
+                yield message
+                self._end_service(routed, 0, now)
+            case AttemptEnded():
+                slot_ms = now.monotonic_ms - message.started_ms
+                self._end_service(message.routed, slot_ms, now)
+                self._estimates.learn(message, now)
+                yield message
             case CapacityChanged(pool):
                 yield from self._release(pool, now)
             case RunnerChanged(_, pool):
                 yield message
                 yield from self._release(pool, now)
-            case AttemptEnded():
-                slot_ms = now.monotonic_ms - message.started_ms
-                self._policy.record_service(message.routed, slot_ms, now)
+            case TablesInForce():
                 yield message
+                yield from self._refuse_removed_pools(now)
             case TimerDue():
                 yield message
                 yield from self._expire(now)
+                for pool in tuple(self._work_by_pool):
+                    yield from self._release(pool, now)
+
+    def _admit(self, routed: RoutedRequest, now: Moment) -> Iterable[Output]:
+        kind = self._kind(routed.pool)
+        if kind is None:
+            yield from self._refuse_without_pool(routed)
+        elif routed.request_id in self._running:
+            self._keep_unplaced(routed, now)
+        elif routed.deadline_ms <= now.monotonic_ms:
+            yield from self._refuse_late(routed)
+        elif routed.tries:
+            self._policy.put_back(routed, now)
+            yield from self._wait(routed, kind, now)
+        else:
+            yield from self._admit_fresh(routed, kind, now)
+
+    def _admit_fresh(
+        self, routed: RoutedRequest, kind: PoolKind, now: Moment
+    ) -> Iterable[Output]:
+        """Queue a request; if the queue is full, make room or refuse it.
+
+        The waiting request that yields is shed, the new one if none yields,
+        unless work that runs on a lower tier can be suspended for it instead.
+        """
+        if not self._policy.has_room(routed, self._queue_bound):
+            yielding = self._policy.find_yielding(routed, self._queue_bound) or routed
+            victim = self._planner.victim_for(yielding, kind, now)
+            if victim is not None:
+                yield from self._suspend(victim)
+            else:
+                self._remove(yielding.request_id, now)
+                yield from self._shed(yielding, now)
+                if yielding is routed:
+                    return
+        self._policy.enqueue(routed, now)
+        yield from self._wait(routed, kind, now)
+
+    def _wait(
+        self, routed: RoutedRequest, kind: PoolKind, now: Moment
+    ) -> Iterable[Output]:
+        work = self._work(routed.pool)
+        work.add(routed, now)
+        yield from self._release(routed.pool, now)
+        if routed.request_id not in work:
+            return
+        yield WakeAt(routed.deadline_ms)
+        late_ms = latest_start_ms(routed, kind, self._estimates, now)
+        if late_ms > now.monotonic_ms:
+            yield WakeAt(late_ms)
 
     def _release(self, pool: PoolName, now: Moment) -> Iterable[Output]:
+        work = self._work(pool)
+        if not len(work):
+            return
+        if self._capacity.has_slot(pool, now):
+            self._put_back_unplaced(pool, now)
         while self._capacity.has_slot(pool, now):
             routed = self._policy.choose(pool, now)
             if routed is None:
                 return
+            work.discard(routed.request_id)
+            self._running.start(routed, now)
             yield RequestReleased(routed)
+        yield from self._make_slots(pool, work, now)
+
+    def _make_slots(
+        self, pool: PoolName, work: WaitingWork, now: Moment
+    ) -> Iterable[Output]:
+        """Ask for capacity, and suspend lower-tier work where others are late."""
+        tier = work.highest_tier()
+        kind = self._kind(pool)
+        if tier is None or kind is None:
+            return
+        yield from self._capacity_requests.ask(pool, tier, len(work), now)
+        for victim in self._planner.victims(pool, kind, now):
+            yield from self._suspend(victim)
+
+    def _suspend(self, victim: RoutedRequest) -> Iterable[Output]:
+        yield CountEvent("preemptions", {"route": victim.route.name})
+        yield PreemptionWanted(victim.request_id)
+
+    def _keep_unplaced(self, routed: RoutedRequest, now: Moment) -> None:
+        """Hold a released request that fits no free slot until capacity changes."""
+        self._end_service(routed, 0, now)
+        self._unplaced_by_id[routed.request_id] = routed
+        self._work(routed.pool).add(routed, now)
+
+    def _put_back_unplaced(self, pool: PoolName, now: Moment) -> None:
+        for routed in tuple(self._unplaced_by_id.values()):
+            if routed.pool == pool:
+                del self._unplaced_by_id[routed.request_id]
+                self._policy.put_back(routed, now)
+
+    def _end_service(self, routed: RoutedRequest, slot_ms: int, now: Moment) -> None:
+        self._running.end(routed.request_id)
+        self._policy.record_service(routed, slot_ms, now)
+
+    def _remove(self, request_id: RequestId, now: Moment) -> RoutedRequest | None:
+        removed = self._policy.remove(request_id, now)
+        removed = removed or self._unplaced_by_id.pop(request_id, None)
+        if removed is not None:
+            self._work(removed.pool).discard(request_id)
+        return removed
 
     def _expire(self, now: Moment) -> Iterable[Output]:
-        for routed in self._policy.expire(now):
-            yield from refuse(
-                routed,
-                ErrorCode.DEADLINE_PASSED,
-                self.step,
-                "the deadline passed while the request was queued",
-                outcome=(
-                    RunOutcome.NOT_RUN if routed.tries == 0 else RunOutcome.MAY_HAVE_RUN
-                ),
-            )
+        expired = self._policy.expire(now)
+        for routed in tuple(self._unplaced_by_id.values()):
+            if routed.deadline_ms <= now.monotonic_ms:
+                expired.append(self._unplaced_by_id.pop(routed.request_id))
+        for routed in expired:
+            self._work(routed.pool).discard(routed.request_id)
+            yield from self._refuse_late(routed)
+
+    def _refuse_removed_pools(self, now: Moment) -> Iterable[Output]:
+        for pool in [one for one in self._work_by_pool if self._kind(one) is None]:
+            self._put_back_unplaced(pool, now)
+            for routed in self._policy.waiting(pool):
+                self._remove(routed.request_id, now)
+                yield from self._refuse_without_pool(routed)
+            del self._work_by_pool[pool]
+
+    def _refuse_without_pool(self, routed: RoutedRequest) -> Iterable[Output]:
+        return refuse(
+            routed,
+            ErrorCode.NO_RUNNER,
+            self.step,
+            f"pool {routed.pool!r} is no longer in the tables",
+            outcome=_outcome(routed),
+        )
+
+    def _refuse_late(self, routed: RoutedRequest) -> Iterable[Output]:
+        return refuse(
+            routed,
+            ErrorCode.DEADLINE_PASSED,
+            self.step,
+            "the deadline passed while the request was queued",
+            outcome=_outcome(routed),
+        )
+
+    def _shed(self, routed: RoutedRequest, now: Moment) -> Iterable[Output]:
+        yield CountEvent("requests_shed", {"route": routed.route.name})
+        yield from refuse(
+            routed,
+            ErrorCode.QUEUE_FULL,
+            self.step,
+            f"the queue of pool {routed.pool!r} is full",
+            retry_after_ms=self.retry_after_ms(routed, now),
+        )
+
+    def _work(self, pool: PoolName) -> WaitingWork:
+        work = self._work_by_pool.get(pool)
+        if work is None:
+            work = WaitingWork(self._weights, self._estimates)
+            self._work_by_pool[pool] = work
+        return work
+
+    def _kind(self, pool: PoolName) -> PoolKind | None:
+        tables = self._tables.current()
+        published = tables.pools_by_name.get(pool) if tables else None
+        return published.kind if published else None
+
+
+def _outcome(routed: RoutedRequest) -> RunOutcome:
+    return RunOutcome.MAY_HAVE_RUN if routed.tries else RunOutcome.NOT_RUN
