--- a/figshunt/replay/_report.py
+++ b/figshunt/replay/_report.py
@@ -50,6 +50,7 @@
         self._targets_ms_by_route = targets_ms_by_route
         self.figures_by_route: dict[RouteName, ClassFigures] = {}
         self.codes: Counter[str] = Counter()
+        self.spans_ms_by_code: dict[str, tuple[int, int]] = {}
         self.refused_keys: set[str] = set()
         self.tokens_whole = 0
         self.tokens_discarded = 0
@@ -67,8 +68,7 @@
             self._record_whole(figures, outcome)
             return
         code = f"{outcome.result.value}/{outcome.code or 'no code'}"
-        is_known = code in self.codes or len(self.codes) < MOST_CODES
-        self.codes[code if is_known else "other"] += 1
+        self._record_code(code, outcome.request.at_ms)
         is_refused = outcome.result is CallResult.REFUSED and outcome.key
         if is_refused and len(self.refused_keys) < MOST_REFUSED_KEYS:
             self.refused_keys.add(outcome.key)
@@ -119,6 +119,7 @@
                 for route, figures in self.figures_by_route.items()
             },
             "codes": dict(self.codes),
+            "code_spans_ms": self.spans_ms_by_code,
             "duration_ms": round(self.duration_ms),
             "tokens_whole": self.tokens_whole,
             "tokens_generated": runners.tokens_generated if runners else None,
@@ -142,7 +143,11 @@
         for route in sorted(self.figures_by_route):
             yield self._class_line(route, self.figures_by_route[route])
         for code, count in sorted(self.codes.items()):
-            yield f"{count:>6} x {code}"[:80]
+            first_ms, last_ms = self.spans_ms_by_code[code]
+            yield (
+                f"{count:>6} x {code[:38]}, arrived at "
+                f"{first_ms / MS_PER_S:.1f} to {last_ms / MS_PER_S:.1f} s"
+            )
         yield from self._runner_lines()
         totals = self._totals()
         failed = totals[CallResult.FAILED] + totals[CallResult.BROKEN]
@@ -162,6 +167,13 @@
             figures.attained += 1
             figures.tokens_attained += outcome.tokens
 
+    def _record_code(self, code: str, at_ms: int) -> None:
+        if code not in self.codes and len(self.codes) >= MOST_CODES:
+            code = "other"
+        self.codes[code] += 1
+        first_ms, last_ms = self.spans_ms_by_code.get(code, (at_ms, at_ms))
+        self.spans_ms_by_code[code] = (min(first_ms, at_ms), max(last_ms, at_ms))
+
     def _figures(self, name: RouteName) -> ClassFigures:
         if name not in self.figures_by_route:
             target_ms = self._targets_ms_by_route.get(name)
