Start a replay only when every daemon grants claims

Change: the demo and the fleet replay first send a booking with a new key to each daemon until it is answered whole. /readyz stays as it is: a host without claims still serves everything that may be repeated. Callers of a fleet that has just been founded still see claim_unavailable for about two seconds.

--- a/benchmarks/trace_replay.py
+++ b/benchmarks/trace_replay.py
@@ -26,6 +26,7 @@
     TraceRequest,
     read_requests,
     replay_requests,
+    wait_until_served,
 )
 from figshunt.types import RouteName
 from tests.harness import Fleet, ManagedProcess, start_module
@@ -34,6 +35,7 @@
 LOOPBACK = "127.0.0.1"
 MS_PER_S = 1000
 NOTICE_LIMIT_S = 3.0
+SERVED_LIMIT_S = 60.0
 
 
 class Example(Enum):
@@ -97,10 +99,14 @@
             plan = ReplayPlan(
                 [one.caller_url for one in fleet.daemons_by_seat.values()], speed
             )
+            requests = _cut(example, seconds)
+            probe = next(one for one in requests if not one.is_repeatable)
+            async with asyncio.timeout(SERVED_LIMIT_S):
+                await wait_until_served(plan, [probe])
             replaying = asyncio.create_task(
                 replay_requests(
                     plan,
-                    _cut(example, seconds),
+                    requests,
                     {
                         RouteName(one["name"]): one["latency_target_ms"]
                         for one in routes["routes"]
--- a/figshunt/commands/_demo.py
+++ b/figshunt/commands/_demo.py
@@ -8,8 +8,6 @@
 from dataclasses import replace
 from typing import Any
 
-import aiohttp
-
 from figshunt.commands._replay import print_report
 from figshunt.replay import (
     KEY_FORMAT,
@@ -19,6 +17,7 @@
     adomako_monday,
     generate_requests,
     replay_requests,
+    wait_until_served,
 )
 from figshunt.services import Daemon, open_log
 from figshunt.settings import check_settings
@@ -40,7 +39,7 @@
 LAST_MS = 23_000
 SPEED = 2.0
 DEMO_BATCH = BatchProfile(token_ms=5.0, token_ms_per_request=0.5)
-READY_TIMEOUT_S = 10
+READY_TIMEOUT_S = 30
 TIERS_BY_ROUTE = {"booking-chat": 1, "booking": 1, "follow-up": 3, "reminder": 4}
 TARGETS_MS_BY_ROUTE = {
     "booking-chat": 450,
@@ -81,10 +80,13 @@
     daemon = Daemon(checked.settings, SystemClock(), random_source)
     await daemon.start()
     try:
-        await _wait_until_ready(f"http://127.0.0.1:{daemon.admin.port}")
+        plan = ReplayPlan([f"http://127.0.0.1:{daemon.callers.port}"], speed=SPEED)
+        burst = _cut_burst(seed)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            await wait_until_served(plan, _pick_probes(burst))
         return await replay_requests(
-            ReplayPlan([f"http://127.0.0.1:{daemon.callers.port}"], speed=SPEED),
-            _cut_burst(seed),
+            plan,
+            burst,
             {RouteName(name): ms for name, ms in TARGETS_MS_BY_ROUTE.items()},
             [one.url for one in (*engines, *services)],
         )
@@ -102,13 +104,8 @@
     ]
 
 
-async def _wait_until_ready(admin_url: str) -> None:
-    async with asyncio.timeout(READY_TIMEOUT_S), aiohttp.ClientSession() as session:
-        while True:
-            async with session.get(f"{admin_url}/readyz") as response:
-                if response.status == 200:
-                    return
-            await asyncio.sleep(0.05)
+def _pick_probes(requests: Sequence[TraceRequest]) -> list[TraceRequest]:
+    return [next(one for one in requests if not one.is_repeatable)]
 
 
 def _build_settings(configuration_url: str) -> Mapping[str, Any]:
--- a/figshunt/replay/__init__.py
+++ b/figshunt/replay/__init__.py
@@ -10,6 +10,9 @@
     CallOutcome,
     CallResult,
 )
+from figshunt.replay._readiness import (
+    wait_until_served,
+)
 from figshunt.replay._replay import (
     replay_requests,
 )
@@ -95,5 +98,6 @@
     "read_runners",
     "replay_requests",
     "timberline_storm",
+    "wait_until_served",
     "write_trace",
 ]
--- a/figshunt/replay/_report.py
+++ b/figshunt/replay/_report.py
@@ -100,6 +100,12 @@
             and self.false_refusals == 0
         )
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether each caller got its whole answer."""
+        totals = self._totals()
+        return totals[CallResult.WHOLE] == totals.total()
+
     @property
     def wasted_tokens(self) -> int | None:
         """Return tokens generated that are in no whole answer.
