--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 
 from figshunt.claims import (
+    AnswerFilter,
+    AnswerStore,
     ClaimantFilter,
     ClaimRecords,
     EstablishmentFilter,
@@ -14,6 +16,7 @@
     MembershipFilter,
     OutcomeFilter,
     PauseFilter,
+    ReaderFilter,
     RevisionFilter,
     RunnerFilter,
     SuspicionFilter,
@@ -28,7 +31,7 @@
     ScheduleFilter,
     TeamFilter,
 )
-from figshunt.slots import SlotFilter
+from figshunt.slots import SettledCapacity, SlotFilter
 from figshunt.types import Effect, HostName, Message, Moment, SeatNumber
 
 
@@ -46,19 +49,29 @@
         seats: Sequence[SeatNumber],
         random_source: random.Random,
     ) -> None:
-        self.revisions = RevisionFilter()
         self.membership = MembershipFilter(own_seat, seats, random_source)
+        self.revisions = RevisionFilter(self.membership)
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
+        self.reader = ReaderFilter(self.membership, self.revisions)
         self.runners = RunnerFilter(self.revisions, self.membership)
         self.establishment = EstablishmentFilter(own_seat, seats, random_source)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
-            self.revisions, self.runners, self.membership, LeastLoaded(random_source)
+            self.revisions,
+            self.runners,
+            self.membership,
+            LeastLoaded(random_source),
+        )
+        self.schedule = ScheduleFilter(
+            FirstInFirstOut(),
+            SettledCapacity(self.slots, self.revisions.is_settled),
+            self.revisions,
         )
-        self.schedule = ScheduleFilter(FirstInFirstOut(), self.slots, self.revisions)
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
+        claim_records = ClaimRecords()
         filters: list[Filter] = [
             PauseFilter(),
+            self.reader,
             self.revisions,
             self.membership,
             self.outcomes,
@@ -70,9 +83,12 @@
             RouteFilter(self.revisions),
             QuarantineFilter(self.suspicions),
             AdmissionFilter(),
-            ClaimantFilter(self.establishment, ClaimRecords()),
+            ClaimantFilter(self.establishment, claim_records),
             self.schedule,
             self.slots,
+            AnswerFilter(
+                self.establishment, claim_records, AnswerStore(), random_source
+            ),
             self.attempts,
         ]
         self._pipeline = Pipeline(filters)
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -40,6 +40,10 @@
 from figshunt.services._feed import (
     Feed,
 )
+from figshunt.services._host_list_watcher import (
+    HostListWatcher,
+    decode_host_list,
+)
 from figshunt.services._load_watcher import (
     LoadWatcher,
     decode_load_report,
@@ -61,6 +65,10 @@
 from figshunt.services._runner_client import (
     RunnerClient,
 )
+from figshunt.services._table_decoder import (
+    TableDecoder,
+    TransferDecodingFeed,
+)
 from figshunt.services._table_watcher import (
     TableWatcher,
 )
@@ -79,6 +87,7 @@
     "EventStreamReader",
     "Feed",
     "Handshake",
+    "HostListWatcher",
     "KeyValueDestination",
     "LinkCount",
     "LoadWatcher",
@@ -88,7 +97,10 @@
     "Metrics",
     "RunnerClient",
     "ServerSentEvent",
+    "TableDecoder",
     "TableWatcher",
+    "TransferDecodingFeed",
+    "decode_host_list",
     "build_error_body",
     "build_error_response",
     "decode_load_report",
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -75,6 +75,8 @@
         self._streams_by_request: dict[RequestId, AnswerStream] = {}
         self._runner: web.AppRunner | None = None
         self._server: asyncio.Server | None = None
+        self._open_requests = 0
+        self._is_draining = False
         self._idle = asyncio.Event()
         self._idle.set()
         self.port = address.port
@@ -88,6 +90,7 @@
             "*", "/route/{route}/{tail:[\\s\\S]*}", self._guard(self._pass_through)
         )
         app.router.add_route("*", "/{tail:[\\s\\S]*}", self._guard(self._refuse_path))
+        app.on_response_prepare.append(self._announce_close)
         self._runner = web.AppRunner(app, handler_cancellation=True)
         await self._runner.setup()
         self._server = await asyncio.get_running_loop().create_server(
@@ -106,6 +109,15 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def start_drain(self) -> None:
+        """From now on, ask callers to close their connection after its answer."""
+        self._is_draining = True
+
+    async def stop_accepting(self) -> None:
+        """Accept no new connections; open ones are still served."""
+        if self._server is not None:
+            self._server.close()
+
     async def wait_idle(self) -> None:
         """Wait until no request is in progress."""
         await self._idle.wait()
@@ -113,7 +125,7 @@
     @property
     def requests_in_progress(self) -> int:
         """Return how many requests have not been answered in full."""
-        return len(self._streams_by_request)
+        return self._open_requests
 
     def deliver(self, part: AnswerPart) -> None:
         """Hand a part of an answer to the caller's connection."""
@@ -140,6 +152,8 @@
         self, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
     ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
         async def guarded(http_request: web.Request) -> web.StreamResponse:
+            self._open_requests += 1
+            self._idle.clear()
             try:
                 return await handler(http_request)
             except FigshuntError as error:
@@ -164,9 +178,20 @@
                     detail=f"{type(error).__name__}: {error}",
                 )
                 raise
+            finally:
+                self._open_requests -= 1
+                if not self._open_requests:
+                    self._idle.set()
 
         return guarded
 
+    async def _announce_close(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self._is_draining:
+            response.force_close()
+            response.headers["Connection"] = "close"
+
     async def _complete(self, http_request: web.Request) -> web.StreamResponse:
         body = await self._read_body(http_request)
         return await self._serve(http_request, body, decode_completion_body(body))
@@ -203,7 +228,6 @@
         request = self._to_request(http_request, body, decoded)
         stream = AnswerStream(http_request.transport)
         self._streams_by_request[request.request_id] = stream
-        self._idle.clear()
         try:
             self._feed.feed(RequestArrived(request))
             return await self._send_answer(http_request, request, stream)
@@ -212,8 +236,6 @@
             raise
         finally:
             del self._streams_by_request[request.request_id]
-            if not self._streams_by_request:
-                self._idle.set()
 
     def _to_request(
         self, http_request: web.Request, body: bytes, decoded: DecodedBody
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -4,6 +4,10 @@
     AuditEntry,
 )
 from figshunt.types._claim_messages import (
+    AnswerPart,
+    AnswerRequest,
+    AnswerState,
+    AnswerWanted,
     ClaimReply,
     ClaimRequest,
     ClaimVerdict,
@@ -95,6 +99,7 @@
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
+    RevisionQuery,
     TablesAnnounce,
     TablesRequest,
     TablesTransfer,
@@ -160,6 +165,10 @@
 __all__ = [
     "AnswerHead",
     "AskId",
+    "AnswerPart",
+    "AnswerRequest",
+    "AnswerState",
+    "AnswerWanted",
     "AttemptChunk",
     "AttemptEnded",
     "AttemptFailed",
@@ -236,6 +245,7 @@
     "RequestRouted",
     "ReturnedSlots",
     "RevisionNumber",
+    "RevisionQuery",
     "RouteName",
     "RouteOutcome",
     "RoutedRequest",
