Show with check what a new pair of tables changes

Cause: operators edit the tables on a phone and had no view of what a revision would change, nor of a revision number that doesn't rise. The demo pointed the host list at the configuration service, which logged a warning.

--- a/figshunt/commands/_demo.py
+++ b/figshunt/commands/_demo.py
@@ -25,6 +25,7 @@
     BatchProfile,
     ConfigurationService,
     EngineProfile,
+    HostListService,
     ModelEngine,
     PlainProfile,
     PlainService,
@@ -67,15 +68,16 @@
 async def _run(seed: int) -> ReplayReport:
     random_source = random.Random(seed)
     configuration = ConfigurationService()
+    host_list = HostListService(SystemClock())
     profile = EngineProfile(batch=DEMO_BATCH)
     engines = [ModelEngine(profile, random_source) for _ in range(ENGINES)]
     services = [PlainService(PlainProfile(), random_source) for _ in range(SERVICES)]
-    standins = (configuration, *engines, *services)
+    standins = (configuration, host_list, *engines, *services)
     for standin in standins:
         await standin.start()
     for name, document in _build_tables(engines, services).items():
         configuration.publish(name, json.dumps(document))
-    checked = check_settings(_build_settings(configuration.url))
+    checked = check_settings(_build_settings(configuration.url, host_list.url))
     assert checked.settings is not None, checked.faults
     daemon = Daemon(checked.settings, SystemClock(), random_source)
     await daemon.start()
@@ -108,7 +110,7 @@
     return [next(one for one in requests if not one.is_repeatable)]
 
 
-def _build_settings(configuration_url: str) -> Mapping[str, Any]:
+def _build_settings(configuration_url: str, host_list_url: str) -> Mapping[str, Any]:
     loopback = {"ip": "127.0.0.1", "port": 0}
     return {
         "host": "demo",
@@ -120,7 +122,7 @@
         "admin_address": loopback,
         "peer_address": loopback,
         "configuration_url": configuration_url,
-        "host_list_url": configuration_url,
+        "host_list_url": host_list_url,
     }
 
 
--- a/tests/commands/test_commands.py
+++ b/tests/commands/test_commands.py
@@ -33,6 +33,13 @@
             settings = str(EXAMPLE / "settings.json")
             tables = ("--routes", ROUTES, "--pools", POOLS)
             swapped = ("--routes", POOLS, "--pools", ROUTES)
+            newer = []
+            for path in (ROUTES, POOLS):
+                text = Path(path).read_text(encoding="utf-8")
+                text = text.replace('"revision": 1', '"revision": 2')
+                newer.append(Path(folder) / Path(path).name)
+                newer[-1].write_text(text.replace("450", "500"), encoding="utf-8")
+            revised = ("--routes", str(newer[0]), "--pools", str(newer[1]))
             aimed = ("replay", "--target", "http://127.0.0.1:9", "--routes")
             cases: tuple[tuple[tuple[str, ...], int, str], ...] = (
                 (("check", settings, *tables), 0, "0 faults"),
@@ -40,6 +47,9 @@
                 (("check", *swapped), 1, "routes:.routes: expected a list"),
                 (("check", str(wrong) + ".missing"), 2, "can't read"),
                 (("check", "--routes", ROUTES), 2, "belong together"),
+                (("check", *revised, "--against", ROUTES, POOLS), 0, "450 -> 500"),
+                (("check", *tables, "--against", ROUTES, POOLS), 1, "more than 1"),
+                (("check", *tables, "--against", ROUTES), 2, "takes two tables"),
                 ((*aimed, POOLS, "--", TRACE), 2, "routes:.routes: expected"),
                 ((*aimed, ROUTES, "--", ROUTES), 2, "can't replay"),
                 ((*aimed, ROUTES, "--speed", "0", "--", TRACE), 2, "speed above 0"),
