--- a/benchmarks/slot_lending.py
+++ b/benchmarks/slot_lending.py
@@ -4,6 +4,7 @@
 sockets: ``python -m benchmarks.slot_lending [seed]``.
 """
 
+import random
 import statistics
 import sys
 
@@ -18,13 +19,13 @@
 MEAN_RUN_MS = 1_975
 
 
-def arrive(cell: Cell, hosts: int) -> None:
-    """Let one request arrive and schedule the next."""
-    is_hot = cell.random.random() < HOT_SHARE or hosts == 1
-    seat = 0 if is_hot else cell.random.randrange(1, hosts)
-    cell.hosts[seat].arrive()
+def arrive(cell: Cell, source: random.Random) -> None:
+    """Let one request arrive and schedule the next; the same in all variants."""
+    is_hot = source.random() < HOT_SHARE
+    seat = 0 if is_hot else source.randrange(1, 5)
+    cell.hosts[seat % cell.seats].arrive()
     per_ms = LOAD * RUNNERS * LIMIT / MEAN_RUN_MS
-    cell.after(1 + cell.random.expovariate(per_ms), arrive, cell, hosts)
+    cell.after(0.5 + source.expovariate(per_ms), arrive, cell, source)
 
 
 def measure(name: str, seed: int, hosts: int, lends: bool) -> None:
@@ -33,7 +34,7 @@
     cell.lends = lends
     for runner in cell.runners.values():
         runner.completed = 1_000
-    arrive(cell, hosts)
+    arrive(cell, random.Random(seed))
     cell.run(WARM_UP_MS)
     for host in cell.hosts:
         host.waits_ms.clear()
--- a/figshunt/slots/_leases.py
+++ b/figshunt/slots/_leases.py
@@ -14,12 +14,14 @@
 # A predecessor without a majority uses and lends slots of cold runners for
 # MAJORITY_LOST_MS more; what it lent last starts within START_WINDOW_MS.
 SETTLE_MS = MAJORITY_LOST_MS + START_WINDOW_MS + SKEW_MS
-IDLE_RETURN_MS = 500
+IDLE_RETURN_MS = 200
 RETURN_BATCH_MS = 20
 ASK_TIMEOUT_MS = 500
-# How long an owner remembers what it couldn't lend; less than the start
-# window, which counts from the request.
-WISH_MS = 1_500
+# How long an owner remembers what it couldn't lend: less than the start
+# window, which counts from the request. A borrower asks again sooner, unless
+# the peer had nothing at all several times.
+WISH_MS = 1_900
+ASK_AGAIN_MS = 500
 
 
 def longest_run_ms(tables: Tables, pool: PoolName) -> int:
--- a/figshunt/slots/_slot_borrower.py
+++ b/figshunt/slots/_slot_borrower.py
@@ -4,9 +4,10 @@
 
 from figshunt.control import SeatsView
 from figshunt.pipeline import Output
-from figshunt.slots._borrowing import BorrowedSlots, BorrowingBook
+from figshunt.slots._borrowing import Ask, BorrowedSlots, BorrowingBook
 from figshunt.slots._demand import Demand
 from figshunt.slots._leases import (
+    ASK_AGAIN_MS,
     ASK_TIMEOUT_MS,
     MAX_LEASE_MS,
     WISH_MS,
@@ -48,6 +49,7 @@
         self._demand = demand
         self._seats = seats
         self._not_before_ms: dict[tuple[PoolName, SeatNumber], int] = {}
+        self._empty_replies: dict[tuple[PoolName, SeatNumber], int] = {}
         self._first_peer = 0
 
     def ask(self, pool: PoolName, session: int, now: Moment) -> Iterable[Output]:
@@ -120,12 +122,18 @@
         if ask is None:
             return None
         if sum(one.count for one in message.slots) < ask.wanted:
-            until_ms = ask.sent_ms + WISH_MS
-            self._not_before_ms[ask.pool, seat] = until_ms
+            self._wait_to_ask(ask, seat, not message.slots)
         for one in message.slots:
             self._index.refresh(one.runner_id, now)
         return ask.pool
 
+    def _wait_to_ask(self, ask: Ask, seat: SeatNumber, is_empty: bool) -> None:
+        key = (ask.pool, seat)
+        empty_replies = self._empty_replies.get(key, 0)
+        self._empty_replies[key] = empty_replies + 1 if is_empty else 0
+        wait_ms = WISH_MS if empty_replies > 1 else ASK_AGAIN_MS
+        self._not_before_ms[key] = ask.sent_ms + wait_ms
+
     def watch_idle(self, loan: BorrowedSlots, now: Moment) -> WakeAt:
         """Return when to look at the idle slots of a loan again."""
         standing = self._index.standing(loan.runner_id, now)
