Make slot decisions independent of the order of hash tables

Cause: returned and expired loans went through sets of strings, so the order in which runners were looked at, and with it the random choice among equals, differed between processes with the same seed. Change: lists and dicts in order of arrival.

--- a/figshunt/slots/_lending.py
+++ b/figshunt/slots/_lending.py
@@ -62,9 +62,9 @@
 
     def take_back(
         self, seat: SeatNumber, returns: Sequence[ReturnedSlots]
-    ) -> set[RunnerId]:
+    ) -> list[RunnerId]:
         """Take returned slots back; return the runners that got some."""
-        runner_ids = set()
+        runner_ids = []
         for one in returns:
             loan = self._loans_by_number.get(one.loan)
             if loan is None or loan.seat != seat:
@@ -73,19 +73,19 @@
             if returned > loan.returned:
                 self._lent_by_runner[loan.runner_id] -= returned - loan.returned
                 loan.returned = returned
-                runner_ids.add(loan.runner_id)
+                runner_ids.append(loan.runner_id)
             if loan.returned == loan.count:
                 del self._loans_by_number[one.loan]
         return runner_ids
 
-    def expire(self, now_ms: int) -> set[RunnerId]:
+    def expire(self, now_ms: int) -> list[RunnerId]:
         """Take back what is over; return the runners concerned."""
-        runner_ids = set()
+        runner_ids = []
         for number, loan in tuple(self._loans_by_number.items()):
             if loan.over_ms <= now_ms:
                 self._lent_by_runner[loan.runner_id] -= loan.count - loan.returned
                 del self._loans_by_number[number]
-                runner_ids.add(loan.runner_id)
+                runner_ids.append(loan.runner_id)
         return runner_ids
 
     def next_over_ms(self) -> int | None:
--- a/figshunt/slots/_slot_filter.py
+++ b/figshunt/slots/_slot_filter.py
@@ -267,7 +267,7 @@
     def _refresh_all(self, now: Moment) -> Iterable[Output]:
         for runner_id in self._index.runners():
             self._index.refresh(runner_id, now)
-        yield from self._more_capacity(set(self._index.pools()), now)
+        yield from self._more_capacity(tuple(self._index.pools()), now)
 
     def _more_capacity(
         self, pools: Iterable[PoolName], now: Moment
--- a/figshunt/slots/_slot_lender.py
+++ b/figshunt/slots/_slot_lender.py
@@ -62,12 +62,12 @@
 
     def take_return(
         self, seat: SeatNumber, message: SlotReturn, now: Moment
-    ) -> set[PoolName]:
+    ) -> list[PoolName]:
         """Take slots back; return the pools that have more now."""
         runner_ids = self._book.take_back(seat, message.loans)
         return self._refresh(runner_ids, now)
 
-    def expire(self, now: Moment) -> set[PoolName]:
+    def expire(self, now: Moment) -> list[PoolName]:
         """Take back what is over; return the pools that have more now."""
         return self._refresh(self._book.expire(now.monotonic_ms), now)
 
@@ -143,14 +143,14 @@
         spare_ms = wish.lease_ms - self._index.longest_run_ms(wish.pool)
         return max(START_WINDOW_MS, spare_ms)
 
-    def _refresh(self, runner_ids: Iterable[RunnerId], now: Moment) -> set[PoolName]:
-        pools = set()
+    def _refresh(self, runner_ids: Iterable[RunnerId], now: Moment) -> list[PoolName]:
+        pools: dict[PoolName, None] = {}
         for runner_id in runner_ids:
             slots = self._index.get(runner_id)
             if slots is not None:
                 self._index.refresh(slots.runner_id, now)
-                pools.add(slots.pool)
-        return pools
+                pools[slots.pool] = None
+        return list(pools)
 
 
 def _answers(output: Output, seat: SeatNumber, request: SlotRequest) -> bool:
