--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -3,6 +3,15 @@
 import random
 from collections.abc import Sequence
 
+from figshunt.claims import (
+    AnswerFilter,
+    AnswerStore,
+    ClaimantFilter,
+    ClaimRecords,
+    EstablishmentFilter,
+    GrantLedger,
+    VoterFilter,
+)
 from figshunt.control import (
     MembershipFilter,
     OutcomeFilter,
@@ -43,12 +52,14 @@
         self.membership = MembershipFilter(own_seat, seats, random_source)
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
         self.runners = RunnerFilter(self.revisions, self.membership)
+        self.establishment = EstablishmentFilter(own_seat, seats, random_source)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
             self.revisions, self.runners, self.membership, LeastLoaded(random_source)
         )
         self.schedule = ScheduleFilter(FirstInFirstOut(), self.slots, self.revisions)
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
+        claim_records = ClaimRecords()
         filters: list[Filter] = [
             PauseFilter(),
             self.revisions,
@@ -56,12 +67,18 @@
             self.outcomes,
             self.runners,
             self.suspicions,
+            self.establishment,
+            VoterFilter(self.establishment, GrantLedger()),
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
             QuarantineFilter(self.suspicions),
             AdmissionFilter(),
+            ClaimantFilter(self.establishment, claim_records),
             self.schedule,
             self.slots,
+            AnswerFilter(
+                self.establishment, claim_records, AnswerStore(), random_source
+            ),
             self.attempts,
         ]
         self._pipeline = Pipeline(filters)
