Take the demand of a pool as a whole; look at runners only when due

Cause: the scheduler tells the highest tier and the number of all that wait in one message, but entries were kept by tier and added up when the tier changed. Each timer looked at every runner. Change: one entry for each pool, replaced by the next message. The runner filter holds its wake times in one heap. The cost benchmark also measures a load report and a timer.

--- a/benchmarks/slot_cost.py
+++ b/benchmarks/slot_cost.py
@@ -2,15 +2,17 @@
 
 One decision is ``has_slot``, the release of a request and the end of its
 attempt, through the pipeline of the tests; the baseline in the same run is the
-choice of a runner alone, which looks at every runner with a free slot.
+choice of a runner alone, which looks at every runner with a free slot. Also the
+cost of one load report and of one timer.
 ``python -m benchmarks.slot_cost``.
 """
 
+import itertools
 import random
 import time
 
 from figshunt.policy import LeastLoaded, RunnerCandidate
-from figshunt.types import AttemptEnded, RunnerId
+from figshunt.types import AttemptEnded, RunnerId, TimerDue
 from tests.builders import build_load
 from tests.slots.cell import POOL
 from tests.slots.one_host import OneHost
@@ -38,6 +40,11 @@
             )
         )
 
+    reports = itertools.cycle(
+        build_load(RunnerId(f"engines-{number + 1}")) for number in range(runners)
+    )
+    report_us = _time_us(lambda: host.feed(next(reports)))
+    timer_us = _time_us(lambda: host.feed(TimerDue()))
     candidates = [
         RunnerCandidate(RunnerId(f"engines-{number}"), number % 16, 0, 16)
         for number in range(runners)
@@ -48,7 +55,8 @@
     print(
         f"runners={runners:4} has_slot_full_us={full_us:.2f}"
         f" has_slot_free_us={free_us:.2f} start_and_end_us={_time_us(decide):.1f}"
-        f" choose_alone_us={choose_us:.1f}"
+        f" choose_alone_us={choose_us:.1f} report_us={report_us:.1f}"
+        f" timer_us={timer_us:.1f}"
     )
 
 
--- a/figshunt/control/_leaving.py
+++ b/figshunt/control/_leaving.py
@@ -39,12 +39,15 @@
         if not until_ms_by_seat:
             del self._until_ms_by_runner[runner_id]
 
-    def expire(self, now_ms: int) -> None:
-        """Drop notices that no peer has repeated in time."""
+    def expire(self, now_ms: int) -> list[RunnerId]:
+        """Drop notices that no peer has repeated; return the runners concerned."""
+        expired = []
         for runner_id, until_ms_by_seat in tuple(self._until_ms_by_runner.items()):
             for seat, until_ms in tuple(until_ms_by_seat.items()):
                 if until_ms <= now_ms:
                     self.set_noticed(runner_id, seat, None)
+                    expired.append(runner_id)
+        return expired
 
     def is_leaving(self, runner_id: RunnerId) -> bool:
         """Return whether the host list or a peer says that it is leaving."""
--- a/figshunt/control/_runner_filter.py
+++ b/figshunt/control/_runner_filter.py
@@ -1,5 +1,6 @@
 """Keeps what is known of each runner."""
 
+import heapq
 from collections.abc import Iterable
 from dataclasses import replace
 
@@ -7,7 +8,7 @@
 from figshunt.control._runner_record import REPORT_FRESH_MS, RunnerRecord
 from figshunt.control._token_time import TokenTimeLevel
 from figshunt.control._views import RunnerStanding, SeatsView, TablesView
-from figshunt.pipeline import Output, WakeQueue
+from figshunt.pipeline import Output
 from figshunt.tables import Pool, Tables
 from figshunt.types import (
     ClockJumped,
@@ -81,7 +82,8 @@
         self._away: set[RunnerId] = set()
         self._first_hand_leaving: set[RunnerId] = set()
         self._noticed_ms_by_id: dict[RunnerId, int] = {}
-        self._wakes_by_id: dict[RunnerId, WakeQueue] = {}
+        self._due: list[tuple[int, RunnerId]] = []
+        self._held_due: set[tuple[int, RunnerId]] = set()
         self._repeat_notices_ms = 0
 
     def phase(self, runner_id: RunnerId, now: Moment) -> RunnerPhase:
@@ -201,7 +203,6 @@
                 del self._records_by_id[runner_id]
                 self._token_times_by_id.pop(runner_id, None)
                 self._noticed_ms_by_id.pop(runner_id, None)
-                self._wakes_by_id.pop(runner_id, None)
                 self._away.discard(runner_id)
                 self._first_hand_leaving.discard(runner_id)
         for runner_id in tables.runners_by_id:
@@ -256,15 +257,17 @@
             self._records_by_id[runner_id] = record.verify(verify_from_ms)
 
     def _check_times(self, now: Moment) -> Iterable[Output]:
-        self._leaving.expire(now.monotonic_ms)
-        yield from self._update_away(now)
+        for runner_id in self._leaving.expire(now.monotonic_ms):
+            if runner_id in self._records_by_id:
+                yield from self._update_away(now, runner_id)
         if self._first_hand_leaving and self._repeat_notices_ms <= now.monotonic_ms:
             for runner_id in sorted(self._first_hand_leaving):
                 yield from self._tell(self._notice(runner_id, None))
             yield self._schedule_repeat(now)
-        for runner_id, wakes in tuple(self._wakes_by_id.items()):
-            if wakes.take_due(now.monotonic_ms):
-                yield from self._changed(runner_id, now)
+        while self._due and self._due[0][0] <= now.monotonic_ms:
+            due = heapq.heappop(self._due)
+            self._held_due.discard(due)
+            yield from self._changed(due[1], now)
 
     def _update_away(
         self, now: Moment, only: RunnerId | None = None
@@ -298,8 +301,10 @@
             due_ms = record.next_change_ms(now.monotonic_ms)
             if due_ms is None:
                 return
-            self._wakes_by_id.setdefault(runner_id, WakeQueue()).add(due_ms)
-            yield WakeAt(due_ms)
+            if (due_ms, runner_id) not in self._held_due:
+                self._held_due.add((due_ms, runner_id))
+                heapq.heappush(self._due, (due_ms, runner_id))
+                yield WakeAt(due_ms)
 
     def _schedule_repeat(self, now: Moment) -> WakeAt:
         self._repeat_notices_ms = now.monotonic_ms + NOTICE_REPEAT_MS
--- a/figshunt/slots/_slot_borrower.py
+++ b/figshunt/slots/_slot_borrower.py
@@ -59,7 +59,7 @@
         if tier is None:
             return
         pending = self._book.pending(pool, now_ms)
-        missing = self._demand.waiting(pool, LOWEST_TIER, now_ms)
+        missing = self._demand.waiting(pool, now_ms)
         missing -= sum(pending.values())
         peers = [
             seat
--- a/figshunt/slots/_slot_filter.py
+++ b/figshunt/slots/_slot_filter.py
@@ -113,7 +113,7 @@
             case AttemptEnded():
                 yield from self._end(message, now)
             case CapacityWanted(pool, tier, waiting):
-                self._demand.set(pool, tier, waiting, now.monotonic_ms)
+                self._demand.replace(pool, tier, waiting, now.monotonic_ms)
                 if not self._lender.is_stopping:
                     yield from self._borrower.ask(pool, self._session, now)
             case RunnerChanged(runner_id, pool):
@@ -160,7 +160,7 @@
             lease_ends_ms = min(lease_ends_ms, loan.ends_ms)
         attempt_id = AttemptId(f"{routed.request_id}.{routed.tries + 1}")
         self._uses_by_attempt[attempt_id] = SlotUse(slots, loan)
-        self._demand.released(routed.pool, routed.tier)
+        self._demand.release(routed.pool)
         self._index.refresh(slots.runner_id, now)
         yield AttemptPlanned(attempt_id, slots.runner_id, routed, lease_ends_ms)
 
--- a/figshunt/slots/_slot_lender.py
+++ b/figshunt/slots/_slot_lender.py
@@ -78,7 +78,7 @@
         for wish in self._wishes.open(pool, now.monotonic_ms):
             runners = [one for one in self._index.free(pool, now) if one.own_free > 0]
             free = sum(one.own_free for one in runners)
-            free -= self._demand.waiting(pool, wish.tier, now.monotonic_ms)
+            free -= self._demand.waiting_before(pool, wish.tier, now.monotonic_ms)
             if free <= 0:
                 continue
             share = free if self.is_stopping else (free + 1) // 2
--- a/figshunt/types/_request_messages.py
+++ b/figshunt/types/_request_messages.py
@@ -138,7 +138,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CapacityWanted(Message):
-    """Requests of this tier wait in the pool and no slot is free here."""
+    """Requests wait in the pool, the highest of this tier, and no slot is free."""
 
     pool: PoolName
     tier: Tier
--- a/tests/slots/test_slot_filter.py
+++ b/tests/slots/test_slot_filter.py
@@ -120,6 +120,7 @@
         wanted = [(one.wanted, one.lease_ms) for one in host.want(8)]
         self.assertEqual(wanted, [(2, 6_000)] * 4)
         self.assertEqual(host.want(8), [])
+        self.assertEqual(host.want(8, tier=1), [])
         self.assertEqual(len(OneHost().want(8)), 0)
 
     def test_which_loans_count(self) -> None:
