--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from figshunt.replay import TraceRequest
+from figshunt.settings import DaemonSettings, check_settings
 from figshunt.tables import Tables, check_tables
 from figshunt.types import (
     Fingerprint,
@@ -211,3 +212,11 @@
         "output_tokens": 3,
     }
     return TraceRequest(**(values | changes))
+
+
+def build_settings(configuration_url: str, **changes: Any) -> DaemonSettings:
+    """Return checked settings of a daemon without peers."""
+    urls = {"configuration_url": configuration_url, "host_list_url": configuration_url}
+    checked = check_settings(build_settings_document(**urls, **changes))
+    assert checked.settings is not None, checked.faults
+    return checked.settings
