Call no refusal of a keyed request "not run" before its claim

Cause: quarantine and the caller listener refused keyed requests as "not run", though another host may have run the key before.

Change: the quarantine filter says "not run" only on idempotent routes; the listener says "may have run" in its own refusals of requests with a key.

With either change taken back, test_refusal_before_the_claim_is_not_called_not_run and test_malformed_request_with_a_key_is_not_called_not_run failed.

Conclusion: no path before the claim says "not run" of a keyed request.

--- a/figshunt/request/_quarantine_filter.py
+++ b/figshunt/request/_quarantine_filter.py
@@ -133,4 +133,10 @@
 
 
 def _outcome(routed: RoutedRequest) -> RunOutcome:
-    return RunOutcome.NOT_RUN if routed.tries == 0 else RunOutcome.MAY_HAVE_RUN
+    """Return what is known before a key is claimed.
+
+    Another host may have run an earlier request with the same key.
+    """
+    if routed.tries == 0 and routed.route.idempotent:
+        return RunOutcome.NOT_RUN
+    return RunOutcome.MAY_HAVE_RUN
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -39,6 +39,7 @@
 
 MOST_WAITING_BYTES = 1024 * 1024
 EVENT_STREAM = "text/event-stream"
+KEY_HEADER = "Idempotency-Key"
 
 
 class CallerListener(Service):
@@ -119,6 +120,9 @@
             try:
                 return await handler(http_request)
             except FigshuntError as error:
+                if KEY_HEADER in http_request.headers:
+                    # An earlier request with the same key may have run.
+                    error.outcome = RunOutcome.MAY_HAVE_RUN
                 self._log.write(
                     "request_refused",
                     "warning",
@@ -174,7 +178,7 @@
         self, http_request: web.Request, body: bytes, decoded: DecodedBody
     ) -> Request:
         path = _runner_path(http_request)
-        key = http_request.headers.get("Idempotency-Key")
+        key = http_request.headers.get(KEY_HEADER)
         return Request(
             request_id=RequestId(uuid.uuid4().hex),
             route=decoded.route,
--- a/tests/claims/test_core_claims.py
+++ b/tests/claims/test_core_claims.py
@@ -4,8 +4,9 @@
 import unittest
 
 from benchmarks.claim_cell import build_key
+from figshunt.control import Suspicion
 from figshunt.core import Core
-from figshunt.request import refuse
+from figshunt.request import QuarantineFilter, refuse
 from figshunt.types import (
     AnswerHead,
     AttemptChunk,
@@ -18,9 +19,11 @@
     HostName,
     ManualClock,
     Message,
+    Moment,
     RequestArrived,
     RequestId,
     RequestKey,
+    RequestRouted,
     RoutedRequest,
     RunOutcome,
     SeatNumber,
@@ -44,6 +47,16 @@
 POOLS = [build_pool("registry", kind="plain"), build_pool()]
 
 
+class EverythingQuarantined:
+    """Stands for the suspicion filter."""
+
+    def suspicion(self, fingerprint: Fingerprint, now: Moment) -> Suspicion:
+        return Suspicion.QUARANTINED
+
+    def may_retry(self, fingerprint: Fingerprint) -> bool:
+        return False
+
+
 class CoreClaimsTest(unittest.TestCase):
     """Arrivals with and without keys."""
 
@@ -108,6 +121,7 @@
         unknown = self.arrive(1, key, caller_key="nobody")
         assert isinstance(unknown, FailAnswer)
         self.assertEqual(unknown.outcome, RunOutcome.MAY_HAVE_RUN)
+        quarantined = QuarantineFilter(EverythingQuarantined())
         routes = build_tables(routes=ROUTES, pools=POOLS).routes_by_name
         for route, step, outcome in (
             ("booking", Step.ADMISSION, RunOutcome.MAY_HAVE_RUN),
@@ -118,6 +132,12 @@
             request = build_request(self.clock.now(), route=route, key=key)
             (found,) = (one for name, one in routes.items() if name == route)
             routed = RoutedRequest(request, TeamName("team-a"), found, 0)
+            refused = quarantined.process(RequestRouted(routed), self.clock.now())
+            failure = next(iter(refused))
+            assert isinstance(failure, FailAnswer)
+            with self.subTest(route=route, filter="quarantine"):
+                is_keyed = not found.idempotent
+                self.assertEqual(failure.outcome is RunOutcome.MAY_HAVE_RUN, is_keyed)
             failure, _ = refuse(routed, ErrorCode.QUEUE_FULL, step, "full")
             assert isinstance(failure, FailAnswer)
             with self.subTest(route=route, step=step):
--- a/tests/integration/test_claims.py
+++ b/tests/integration/test_claims.py
@@ -18,6 +18,7 @@
 from tests.harness import Fleet
 
 HEADERS = {"Authorization": f"Bearer {CALLER_KEY}"}
+KEY = {"Idempotency-Key": str(uuid6.uuid7())}
 BOOKING_TIMEOUT_S = 60
 RETRY_S = 0.1
 SEATS = 5
@@ -86,6 +87,15 @@
         )
         self.assertEqual(self.runs(cut_off), 0)
 
+    async def test_malformed_request_with_a_key_is_not_called_not_run(self) -> None:
+        """Guards against "not run" for a key whose repeat arrived damaged."""
+        url = f"{self.fleet.daemons_by_seat[0].caller_url}/v1/completions"
+        async with aiohttp.ClientSession() as session:
+            for key, outcome in (({}, "not_run"), (KEY, "may_have_run")):
+                async with session.post(url, headers=HEADERS | key) as response:
+                    self.assertEqual(response.status, 400)
+                    self.assertEqual(response.headers["X-Run-Outcome"], outcome)
+
     async def test_simultaneous_requests_run_once(self) -> None:
         """Guards against two hosts that both win a key."""
         await self.book_fresh(0)
