--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -124,6 +124,18 @@
     RequestReleased,
     RequestRouted,
 )
+from figshunt.types._runner_messages import (
+    RunnerNotice,
+)
+from figshunt.types._slot_messages import (
+    AskId,
+    LoanedSlots,
+    ReturnedSlots,
+    SlotLoan,
+    SlotOffer,
+    SlotRequest,
+    SlotReturn,
+)
 from figshunt.types._states import (
     AttemptFailure,
     CancelReason,
@@ -151,6 +163,7 @@
 
 __all__ = [
     "AnswerHead",
+    "AskId",
     "AnswerPart",
     "AnswerRequest",
     "AnswerState",
@@ -204,6 +217,7 @@
     "ListedHost",
     "LoadReport",
     "LoadReported",
+    "LoanedSlots",
     "LogEvent",
     "ManualClock",
     "Message",
@@ -228,6 +242,7 @@
     "RequestKey",
     "RequestReleased",
     "RequestRouted",
+    "ReturnedSlots",
     "RevisionNumber",
     "RouteName",
     "RouteOutcome",
@@ -235,6 +250,7 @@
     "RunOutcome",
     "RunnerChanged",
     "RunnerId",
+    "RunnerNotice",
     "RunnerPhase",
     "RunnerUnreachable",
     "SeatIncarnation",
@@ -243,6 +259,10 @@
     "SendPeer",
     "SendState",
     "SetReady",
+    "SlotLoan",
+    "SlotOffer",
+    "SlotRequest",
+    "SlotReturn",
     "StartAnswer",
     "StartAttempt",
     "StartIdentity",
