--- a/figshunt/commands/_demo.py
+++ b/figshunt/commands/_demo.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 
+from figshunt.claims import GRANTED_AHEAD_MS
 from figshunt.commands._replay import print_report
 from figshunt.replay import (
     KEY_FORMAT,
@@ -82,6 +83,8 @@
     await daemon.start()
     try:
         await _wait_until_ready(f"http://127.0.0.1:{daemon.admin.port}")
+        # A daemon that founds a cell refuses the keys issued until then.
+        await asyncio.sleep(GRANTED_AHEAD_MS / 1000)
         return await replay_requests(
             ReplayPlan([f"http://127.0.0.1:{daemon.callers.port}"], speed=SPEED),
             _cut_burst(seed),
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -11,12 +11,20 @@
 from figshunt.services._caller_listener import (
     CallerListener,
 )
+from figshunt.services._caller_protocol import (
+    CallerProtocol,
+)
 from figshunt.services._core_view import (
     CoreView,
 )
 from figshunt.services._daemon import (
     Daemon,
 )
+from figshunt.services._error_response import (
+    build_error_body,
+    build_error_response,
+    to_error,
+)
 from figshunt.services._event_log import (
     EventLog,
     KeyValueDestination,
@@ -24,12 +32,18 @@
     open_log,
 )
 from figshunt.services._event_stream import (
+    EventRun,
     EventStreamReader,
     ServerSentEvent,
+    join_events,
 )
 from figshunt.services._feed import (
     Feed,
 )
+from figshunt.services._host_list_watcher import (
+    HostListWatcher,
+    decode_host_list,
+)
 from figshunt.services._load_watcher import (
     LoadWatcher,
     decode_load_report,
@@ -51,6 +65,10 @@
 from figshunt.services._runner_client import (
     RunnerClient,
 )
+from figshunt.services._table_decoder import (
+    TableDecoder,
+    TransferDecodingFeed,
+)
 from figshunt.services._table_watcher import (
     TableWatcher,
 )
@@ -61,12 +79,15 @@
     "AnswerPart",
     "AnswerStream",
     "CallerListener",
+    "CallerProtocol",
     "CoreView",
     "Daemon",
     "EventLog",
+    "EventRun",
     "EventStreamReader",
     "Feed",
     "Handshake",
+    "HostListWatcher",
     "KeyValueDestination",
     "LinkCount",
     "LoadWatcher",
@@ -76,8 +97,15 @@
     "Metrics",
     "RunnerClient",
     "ServerSentEvent",
+    "TableDecoder",
     "TableWatcher",
+    "TransferDecodingFeed",
+    "decode_host_list",
+    "build_error_body",
+    "build_error_response",
     "decode_load_report",
     "format_value",
+    "join_events",
     "open_log",
+    "to_error",
 ]
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -99,6 +99,7 @@
 from figshunt.types._peer_messages import (
     Heartbeat,
     PeerMessage,
+    RevisionQuery,
     TablesAnnounce,
     TablesRequest,
     TablesTransfer,
@@ -244,6 +245,7 @@
     "RequestRouted",
     "ReturnedSlots",
     "RevisionNumber",
+    "RevisionQuery",
     "RouteName",
     "RouteOutcome",
     "RoutedRequest",
