--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -51,6 +51,7 @@
 # A smaller write to an idle connection can't block, so it needs no timer.
 MOST_UNTIMED_BYTES = 16 * 1024
 EVENT_STREAM = "text/event-stream"
+KEY_HEADER = "Idempotency-Key"
 
 
 class CallerListener(Service):
@@ -157,6 +158,10 @@
             try:
                 return await handler(http_request)
             except FigshuntError as error:
+                has_key = KEY_HEADER in http_request.headers
+                if has_key and error.code is not ErrorCode.KEY_INVALID:
+                    # An earlier request with the same key may have run.
+                    error.outcome = RunOutcome.MAY_HAVE_RUN
                 self._log.write(
                     "request_refused",
                     "warning",
@@ -249,7 +254,7 @@
             request_id=RequestId(uuid.uuid4().hex),
             route=decoded.route,
             caller_key=decode_bearer_key(headers.get("Authorization", "")),
-            key=decode_request_key(headers.get("Idempotency-Key")),
+            key=decode_request_key(headers.get(KEY_HEADER)),
             method=http_request.method,
             path=path,
             content_type=decode_content_type(headers.get("Content-Type")),
