--- a/figshunt/control/_pause_filter.py
+++ b/figshunt/control/_pause_filter.py
@@ -3,7 +3,15 @@
 from collections.abc import Iterable
 
 from figshunt.pipeline import Output
-from figshunt.types import ClockJumped, Message, Moment, Step, TimerDue, WakeAt
+from figshunt.types import (
+    ClockJumped,
+    LogEvent,
+    Message,
+    Moment,
+    Step,
+    TimerDue,
+    WakeAt,
+)
 
 TURN_MS = 250
 LONGEST_GAP_MS = 1_000
@@ -37,6 +45,7 @@
                 now.wall_ms - last_seen.wall_ms,
             )
             if gap_ms > LONGEST_GAP_MS:
+                yield LogEvent("clock_jumped", self.step, {"gap_ms": gap_ms})
                 yield ClockJumped(gap_ms)
         if is_timer:
             yield WakeAt(now.monotonic_ms + TURN_MS)
--- a/figshunt/control/_revision_filter.py
+++ b/figshunt/control/_revision_filter.py
@@ -43,7 +43,7 @@
 
 # Operators publish the two documents one after the other.
 PAIR_GRACE_MS = 5_000
-REQUEST_INTERVAL_MS = 1_000
+REQUEST_INTERVAL_MS = 500
 REFUSED_TRANSFER_INTERVAL_MS = 30_000
 NO_REVISION = RevisionNumber(0)
 
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -38,6 +38,8 @@
 )
 
 MOST_WAITING_BYTES = 1024 * 1024
+# Ends what a drain left over; a drain waits for all requests before that.
+FLUSH_LIMIT_S = 1.0
 EVENT_STREAM = "text/event-stream"
 
 
@@ -82,6 +84,7 @@
             app,
             handler_cancellation=True,
             access_log=None,
+            shutdown_timeout=FLUSH_LIMIT_S,
             keepalive_timeout=self._limits.keepalive_timeout_ms / 1000,
             max_line_size=self._limits.header_bytes,
             max_field_size=self._limits.header_bytes,
--- a/figshunt/services/_peer_dialler.py
+++ b/figshunt/services/_peer_dialler.py
@@ -36,8 +36,8 @@
 CLOSE_TIMEOUT_S = 0.5
 # A half-open connection is closed and dialled again well before the kernel's
 # own retransmission timeout, which can be minutes after a partition healed.
-PING_INTERVAL_S = 1.0
-PING_TIMEOUT_S = 3.0
+PING_INTERVAL_S = 2.0
+PING_TIMEOUT_S = 2.0
 FIRST_BACKOFF_MS = 50
 LONGEST_BACKOFF_MS = 1_000
 FAILURE_LOG_INTERVAL_MS = 10_000
--- a/figshunt/tables/_difference.py
+++ b/figshunt/tables/_difference.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
@@ -24,16 +25,33 @@
             f" {len(after.pools_by_name)} pools, {len(after.runners_by_id)} runners,"
             f" {len(after.teams_by_key_sha256)} teams",
         )
-    lines = list(_compare_tables(before, after))
-    if len(lines) > MOST_LINES:
-        rest = len(lines) - MOST_LINES + 1
-        return (*lines[: MOST_LINES - 1], f"and {rest} more changes")
-    return tuple(lines)
+    changes = list(_compare_tables(before, after))
+    if len(changes) <= MOST_LINES:
+        return tuple(change.describe() for change in changes)
+    lines = [change.describe() for change in changes[: MOST_LINES - 1]]
+    return (*lines, f"and {len(changes) - len(lines)} more changes")
 
 
-def _compare_tables(before: Tables, after: Tables) -> Iterator[str]:
+@dataclass(frozen=True, slots=True)
+class _Change:
+    """One thing that differs; ``None`` stands for a side without it."""
+
+    kind: str
+    name: str
+    before: Any
+    after: Any
+
+    def describe(self) -> str:
+        if self.before is None:
+            return f"{self.kind} {self.name}: added"
+        if self.after is None:
+            return f"{self.kind} {self.name}: removed"
+        return f"{self.kind} {self.name}: {_describe_change(self.before, self.after)}"
+
+
+def _compare_tables(before: Tables, after: Tables) -> Iterator[_Change]:
     if before.generation != after.generation:
-        yield f"generation: {before.generation} -> {after.generation}"
+        yield _Change("generation", "of hosts", before.generation, after.generation)
     yield from _compare(
         "data centre",
         before.data_centre_states_by_name,
@@ -51,15 +69,13 @@
 
 def _compare(
     kind: str, before: Mapping[Any, Any], after: Mapping[Any, Any]
-) -> Iterator[str]:
+) -> Iterator[_Change]:
     for name, value in after.items():
-        if name not in before:
-            yield f"{kind} {name}: added"
-        elif before[name] != value:
-            yield f"{kind} {name}: {_describe_change(before[name], value)}"
-    for name in before:
+        if before.get(name) != value:
+            yield _Change(kind, name, before.get(name), value)
+    for name, value in before.items():
         if name not in after:
-            yield f"{kind} {name}: removed"
+            yield _Change(kind, name, value, None)
 
 
 def _describe_change(before: Any, after: Any) -> str:
--- a/tests/control/test_membership.py
+++ b/tests/control/test_membership.py
@@ -18,6 +18,7 @@
     HostState,
     IncarnationNumber,
     ListedHost,
+    LogEvent,
     ManualClock,
     Message,
     Moment,
@@ -194,7 +195,11 @@
                 list(pause.process(TimerDue(), start))
                 later = Moment(10_000 + monotonic_ms, 1_000_000 + wall_ms)
                 connected = PeerConnected(SeatNumber(1))
-                outputs = list(pause.process(connected, later))
+                outputs = [
+                    one
+                    for one in pause.process(connected, later)
+                    if not isinstance(one, LogEvent)
+                ]
                 jump = [] if gap_ms is None else [ClockJumped(gap_ms)]
                 self.assertEqual(outputs, [*jump, connected])
 
--- a/tests/control/test_revision.py
+++ b/tests/control/test_revision.py
@@ -199,7 +199,11 @@
         cell = start_cell()
         daemon = cell.daemons[SEAT_0]
         daemon.feed(StopRequested())
+        cell.pause(SEAT_0)
         cell.run(5_000)
+        cell.resume(SEAT_0)
+        cell.run(5_000)
+        self.assertTrue(daemon.revisions.is_settled())
         self.assertFalse(daemon.is_ready)
 
     def test_lone_daemon_says_how_old_its_knowledge_is(self) -> None:
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -21,6 +21,8 @@
     SendState,
     StartAnswer,
     StartAttempt,
+    TableServiceRead,
+    TimerDue,
 )
 from tests.builders import build_arrival, build_load, build_tables_offered
 
@@ -76,6 +78,16 @@
         late = self.feed(AttemptChunk(start.attempt_id, b"late", 1, 1))
         self.assertFalse([one for one in late if isinstance(one, SendAnswer)])
 
+    def test_no_new_work_after_a_pause_until_the_tables_are_settled(self) -> None:
+        """Guards against work sent by tables from before a data centre left."""
+        self.feed(TimerDue())
+        self.clock.advance(1_500)
+        effects = self.feed(build_load())
+        effects += self.feed(build_arrival(self.clock.now()))
+        self.assertFalse([one for one in effects if isinstance(one, StartAttempt)])
+        effects = self.feed(TableServiceRead(False))
+        self.assertTrue([one for one in effects if isinstance(one, StartAttempt)])
+
     def test_unknown_route_is_refused(self) -> None:
         effects = self.feed(build_arrival(self.clock.now(), route="nowhere"))
         (failure,) = effects
