--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 
 from figshunt.claims import (
+    AnswerFilter,
+    AnswerStore,
     ClaimantFilter,
     ClaimRecords,
     EstablishmentFilter,
@@ -51,7 +53,7 @@
         self.revisions = RevisionFilter(self.membership)
         self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
         self.reader = ReaderFilter(self.membership, self.revisions)
-        self.runners = RunnerFilter(self.revisions)
+        self.runners = RunnerFilter(self.revisions, self.membership)
         self.establishment = EstablishmentFilter(own_seat, seats, random_source)
         self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
@@ -66,6 +68,7 @@
             self.revisions,
         )
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
+        claim_records = ClaimRecords()
         filters: list[Filter] = [
             PauseFilter(),
             self.reader,
@@ -80,9 +83,12 @@
             RouteFilter(self.revisions),
             QuarantineFilter(self.suspicions),
             AdmissionFilter(),
-            ClaimantFilter(self.establishment, ClaimRecords()),
+            ClaimantFilter(self.establishment, claim_records),
             self.schedule,
             self.slots,
+            AnswerFilter(
+                self.establishment, claim_records, AnswerStore(), random_source
+            ),
             self.attempts,
         ]
         self._pipeline = Pipeline(filters)
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -11,12 +11,20 @@
 from figshunt.services._caller_listener import (
     CallerListener,
 )
+from figshunt.services._caller_protocol import (
+    CallerProtocol,
+)
 from figshunt.services._core_view import (
     CoreView,
 )
 from figshunt.services._daemon import (
     Daemon,
 )
+from figshunt.services._error_response import (
+    build_error_body,
+    build_error_response,
+    to_error,
+)
 from figshunt.services._event_log import (
     EventLog,
     KeyValueDestination,
@@ -24,8 +32,10 @@
     open_log,
 )
 from figshunt.services._event_stream import (
+    EventRun,
     EventStreamReader,
     ServerSentEvent,
+    join_events,
 )
 from figshunt.services._feed import (
     Feed,
@@ -69,9 +79,11 @@
     "AnswerPart",
     "AnswerStream",
     "CallerListener",
+    "CallerProtocol",
     "CoreView",
     "Daemon",
     "EventLog",
+    "EventRun",
     "EventStreamReader",
     "Feed",
     "Handshake",
@@ -89,7 +101,11 @@
     "TableWatcher",
     "TransferDecodingFeed",
     "decode_host_list",
+    "build_error_body",
+    "build_error_response",
     "decode_load_report",
     "format_value",
+    "join_events",
     "open_log",
+    "to_error",
 ]
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -4,6 +4,10 @@
     AuditEntry,
 )
 from figshunt.types._claim_messages import (
+    AnswerPart,
+    AnswerRequest,
+    AnswerState,
+    AnswerWanted,
     ClaimReply,
     ClaimRequest,
     ClaimVerdict,
@@ -121,6 +125,18 @@
     RequestReleased,
     RequestRouted,
 )
+from figshunt.types._runner_messages import (
+    RunnerNotice,
+)
+from figshunt.types._slot_messages import (
+    AskId,
+    LoanedSlots,
+    ReturnedSlots,
+    SlotLoan,
+    SlotOffer,
+    SlotRequest,
+    SlotReturn,
+)
 from figshunt.types._states import (
     AttemptFailure,
     CancelReason,
@@ -148,6 +164,11 @@
 
 __all__ = [
     "AnswerHead",
+    "AskId",
+    "AnswerPart",
+    "AnswerRequest",
+    "AnswerState",
+    "AnswerWanted",
     "AttemptChunk",
     "AttemptEnded",
     "AttemptFailed",
@@ -197,6 +218,7 @@
     "ListedHost",
     "LoadReport",
     "LoadReported",
+    "LoanedSlots",
     "LogEvent",
     "ManualClock",
     "Message",
@@ -221,6 +243,7 @@
     "RequestKey",
     "RequestReleased",
     "RequestRouted",
+    "ReturnedSlots",
     "RevisionNumber",
     "RevisionQuery",
     "RouteName",
@@ -229,6 +252,7 @@
     "RunOutcome",
     "RunnerChanged",
     "RunnerId",
+    "RunnerNotice",
     "RunnerPhase",
     "RunnerUnreachable",
     "SeatIncarnation",
@@ -237,6 +261,10 @@
     "SendPeer",
     "SendState",
     "SetReady",
+    "SlotLoan",
+    "SlotOffer",
+    "SlotRequest",
+    "SlotReturn",
     "StartAnswer",
     "StartAttempt",
     "StartIdentity",
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -21,6 +21,7 @@
     ADMISSION = "admission"
     SCHEDULE = "schedule"
     SLOT = "slot"
+    ANSWER = "answer"
     ATTEMPT = "attempt"
     CALLER_LISTENER = "caller_listener"
     ADMIN_LISTENER = "admin_listener"
@@ -80,6 +81,7 @@
     REPORTS_LOST = "reports_lost"
     START_CHANGED = "start_changed"
     TOKEN_TIME_JUMP = "token_time_jump"
+    TOLD_AGAIN = "told_again"
 
 
 class AttemptFailure(Enum):
