--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -46,6 +46,8 @@
 )
 
 MOST_WAITING_BYTES = 1024 * 1024
+# Ends what a drain left over; a drain waits for all requests before that.
+FLUSH_LIMIT_S = 1.0
 MOST_SHOWN_PATH = 80
 WRITE_TIMEOUT_S = 30.0
 # A smaller write to an idle connection can't block, so it needs no timer.
@@ -92,7 +94,9 @@
         )
         app.router.add_route("*", "/{tail:[\\s\\S]*}", self._guard(self._refuse_path))
         app.on_response_prepare.append(self._announce_close)
-        self._runner = web.AppRunner(app, handler_cancellation=True)
+        self._runner = web.AppRunner(
+            app, handler_cancellation=True, shutdown_timeout=FLUSH_LIMIT_S
+        )
         await self._runner.setup()
         self._server = await asyncio.get_running_loop().create_server(
             self._build_protocol,
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -47,8 +47,9 @@
     WatchTables,
 )
 
-# Added to the longest deadline: requests end by it on their own.
-DRAIN_MARGIN_MS = 10_000
+# Added to the longest deadline, by which requests end: a caller that reads slowly
+# may take up to the write timeout of 30 s more.
+DRAIN_MARGIN_MS = 40_000
 
 
 class Daemon(Service):
