--- a/figshunt/claims/_establishment_filter.py
+++ b/figshunt/claims/_establishment_filter.py
@@ -6,6 +6,7 @@
 
 from figshunt.claims._founding import Founding
 from figshunt.claims._join_round import JoinRound
+from figshunt.claims._key_time import GRANTED_AHEAD_MS
 from figshunt.claims._known_incarnations import KnownIncarnations
 from figshunt.pipeline import Output
 from figshunt.types import (
@@ -77,6 +78,7 @@
         self._generation: GenerationNumber | None = None
         self._incarnation: Incarnation | None = None
         self._established_wall_ms: int | None = None
+        self._grants_after_wall_ms = 0
         self._known = KnownIncarnations()
         self._join_round = JoinRound()
         self._founding = Founding(own_seat, self._seats)
@@ -120,6 +122,15 @@
         """Return the latest known occupant of each seat; not to be changed."""
         return self._known
 
+    def grants_keys(self, now: Moment) -> bool:
+        """Return whether the cell grants keys that are issued now.
+
+        A seat that joined finds voters that were established before it; after
+        founding, every voter abstains for a while.
+        """
+        is_established = self._state is EstablishmentState.ESTABLISHED
+        return is_established and now.wall_ms > self._grants_after_wall_ms
+
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
         match message:
@@ -269,6 +280,7 @@
         if self._founding.is_unanimous():
             assert self._founding.members is not None
             self._known.merge(self._founding.members)
+            self._grants_after_wall_ms = now.wall_ms + GRANTED_AHEAD_MS
             yield from self._establish(now, "founded")
             yield from self._send_vote(self._others)
             yield from self._notice_superseded()
--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -26,6 +26,9 @@
 from figshunt.control._reader_filter import (
     ReaderFilter,
 )
+from figshunt.control._readiness_filter import (
+    ReadinessFilter,
+)
 from figshunt.control._revision_filter import (
     RevisionFilter,
 )
@@ -51,6 +54,7 @@
     TokenTimeLevel,
 )
 from figshunt.control._views import (
+    KeyGrantsView,
     RunnerStanding,
     RunnersView,
     SeatsView,
@@ -59,12 +63,14 @@
 
 __all__ = [
     "AuditTrail",
+    "KeyGrantsView",
     "LeavingNotices",
     "MembershipFilter",
     "OutcomeFilter",
     "PauseFilter",
     "PeerOutcome",
     "ReaderFilter",
+    "ReadinessFilter",
     "RevisionFilter",
     "RevisionStatus",
     "RunnerFilter",
--- a/figshunt/control/_revision_filter.py
+++ b/figshunt/control/_revision_filter.py
@@ -26,7 +26,6 @@
     RevisionQuery,
     SeatNumber,
     SendPeer,
-    SetReady,
     Step,
     StopRequested,
     TablesAnnounce,
@@ -36,6 +35,7 @@
     TableSourceKind,
     TablesRefused,
     TablesRequest,
+    TablesSettled,
     TablesTransfer,
     TimerDue,
     WakeAt,
@@ -157,7 +157,6 @@
                 yield from self._ask_again(now)
             case StopRequested():
                 self._is_stopping = True
-                yield SetReady(False)
         yield from self._settle(now)
         yield message
 
@@ -319,6 +318,6 @@
         self._settling = None
         if not self._is_ready and not self._is_stopping:
             self._is_ready = True
-            yield SetReady(True)
+            yield TablesSettled()
         for pool in self._merged.pools_by_name:
             yield Feedback(CapacityChanged(pool))
--- a/figshunt/control/_views.py
+++ b/figshunt/control/_views.py
@@ -59,6 +59,13 @@
         """Return the last report of the runner since it was last lost."""
 
 
+class KeyGrantsView(Protocol):
+    """Whether requests with an idempotency key can be run."""
+
+    def grants_keys(self, now: Moment) -> bool:
+        """Return whether this seat's cell grants keys that are issued now."""
+
+
 class SeatsView(Protocol):
     """Which seats of the cell this daemon hears."""
 
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -41,6 +41,7 @@
     TablesInForce,
     TablesOffered,
     TablesRefused,
+    TablesSettled,
     TimerDue,
 )
 from figshunt.types._effects import (
@@ -284,6 +285,7 @@
     "TablesOffered",
     "TablesRefused",
     "TablesRequest",
+    "TablesSettled",
     "TablesTransfer",
     "TeamName",
     "Tier",
--- a/figshunt/types/_control_messages.py
+++ b/figshunt/types/_control_messages.py
@@ -59,6 +59,14 @@
     tables: "Tables"
 
 
+@dataclass(frozen=True, slots=True)
+class TablesSettled(Message):
+    """The tables in force are the newest that this daemon can learn of now.
+
+    Emitted once, at the end of the start.
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class ListedHost:
     """One entry of the platform's host list."""
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -8,6 +8,7 @@
 
     PAUSE = "pause"
     OUTCOME = "outcome"
+    READINESS = "readiness"
     REVISION = "revision"
     MEMBERSHIP = "membership"
     RUNNER = "runner"
--- a/tests/harness/_virtual_cell.py
+++ b/tests/harness/_virtual_cell.py
@@ -10,6 +10,7 @@
     MembershipFilter,
     PauseFilter,
     ReaderFilter,
+    ReadinessFilter,
     RevisionFilter,
 )
 from figshunt.pipeline import Pipeline
@@ -21,6 +22,7 @@
     IncarnationNumber,
     ManualClock,
     Message,
+    Moment,
     PeerConnected,
     PeerLost,
     PeerReceived,
@@ -41,6 +43,13 @@
 READ_MS = 100
 
 
+class GrantingCell:
+    """A cell that always grants keys."""
+
+    def grants_keys(self, now: Moment) -> bool:
+        return True
+
+
 class VirtualDaemon:
     """One occupant of a seat, with what its filters asked for."""
 
@@ -52,7 +61,13 @@
         self.revisions = RevisionFilter(self.membership)
         self.reader = ReaderFilter(self.membership, self.revisions)
         self._pipeline = Pipeline(
-            [PauseFilter(), self.reader, self.revisions, self.membership]
+            [
+                PauseFilter(),
+                self.reader,
+                self.revisions,
+                self.membership,
+                ReadinessFilter(GrantingCell()),
+            ]
         )
         self.is_alive = True
         self.is_ready = False
