Show in the status whether a host votes on keys

Cause: /readyz does not wait until a restarted host has joined its cell, so a rolling restart that follows it alone can leave fewer than three established seats, which only a raised generation mends.

The test of five processes waits for it after a restart.

Conclusion: /readyz itself is unchanged, so that other traffic doesn't wait for a majority.

--- a/figshunt/services/_core_view.py
+++ b/figshunt/services/_core_view.py
@@ -38,6 +38,7 @@
             "revision": tables.revision if tables else None,
             "tables": _describe_revision(core.revisions.status(now)),
             "generation": tables.generation if tables else None,
+            "claims": core.establishment.state.value,
             "seats_heard": [
                 seat
                 for seat in core.membership.seats
--- a/tests/integration/test_claims.py
+++ b/tests/integration/test_claims.py
@@ -84,6 +84,9 @@
         await self.fleet.start_daemon(0)
         await self.fleet.wait_ready(0)
         second = await self.book_fresh(0)
+        async with asyncio.timeout(BOOKING_TIMEOUT_S):
+            while (await self.fleet.status(0))["claims"] != "established":
+                await asyncio.sleep(RETRY_S)
         self.assertEqual((await self.book(0, key))[0], 409)
         for seat in range(SEATS):
             await self.book_again(seat, second)
