Give a trial of suspected content a runner of its own

Cause: trials were placed like other work, so the second crash of a poisoned request took innocents with it. Change: the slot filter places a trial on the idlest runner and uses and lends none of that runner's slots until the trial has ended; a request is marked as a trial only while its content is suspected. Other hosts may still use their own slots of the runner.

--- a/figshunt/request/_quarantine_filter.py
+++ b/figshunt/request/_quarantine_filter.py
@@ -77,7 +77,7 @@
         fingerprint = routed.request.fingerprint
         suspicion = self._suspicions.suspicion(fingerprint, now)
         if suspicion is Suspicion.CLEAR:
-            yield message
+            yield replace(message, routed=replace(routed, alone=False))
         elif suspicion is Suspicion.QUARANTINED or not self._suspicions.may_retry(
             fingerprint
         ):
--- a/figshunt/slots/_runner_slots.py
+++ b/figshunt/slots/_runner_slots.py
@@ -24,13 +24,15 @@
 
     ``running`` counts own attempts on owned slots, ``own_free`` the owned
     slots that may be used or lent, ``candidate`` stands for the runner while
-    it has any free slot here, owned or borrowed.
+    it has any free slot here, owned or borrowed. While ``trials`` of suspected
+    content run, the runner gets no other work from here.
     """
 
     runner_id: RunnerId
     pool: PoolName
     place: int
     running: int = 0
+    trials: int = 0
     standing: RunnerStanding | None = None
     work: PredecessorWork = field(default_factory=PredecessorWork)
     own_free: int = 0
@@ -158,7 +160,7 @@
                 checked_until_ms = min(checked_until_ms, loan.start_until_ms)
         slots.checked_until_ms = checked_until_ms
         free = self._free_by_pool[slots.pool]
-        if slots.own_free + borrowed <= 0:
+        if slots.own_free + borrowed <= 0 or slots.trials:
             slots.candidate = None
             free.pop(runner_id, None)
             return
@@ -188,7 +190,7 @@
     def _own_free(
         self, slots: RunnerSlots, standing: RunnerStanding, now: Moment
     ) -> int:
-        if standing.limit == 0:
+        if standing.limit == 0 or slots.trials:
             return 0
         usable = self._share.usable(
             self._owned(slots, standing.limit),
--- a/figshunt/slots/_slot_filter.py
+++ b/figshunt/slots/_slot_filter.py
@@ -1,11 +1,11 @@
 """Gives each released request a slot of a runner."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from figshunt.control import RunnersView, SeatsView, TablesView
 from figshunt.pipeline import Feedback, Output
-from figshunt.policy import RunnerChooser
+from figshunt.policy import RunnerCandidate, RunnerChooser
 from figshunt.slots._borrowing import BorrowedSlots, BorrowingBook
 from figshunt.slots._demand import Demand
 from figshunt.slots._leases import ASK_TIMEOUT_MS
@@ -33,6 +33,7 @@
     RequestReleased,
     RoutedRequest,
     RunnerChanged,
+    RunnerId,
     SeatNumber,
     SendState,
     SlotLoan,
@@ -147,7 +148,7 @@
         if not candidates:
             yield Feedback(RequestAdmitted(routed))
             return
-        slots = free[self._chooser.choose(routed, candidates)]
+        slots = free[self._choose_runner(routed, candidates)]
         lease_ends_ms = min(
             routed.deadline_ms, now.monotonic_ms + routed.route.max_run_ms
         )
@@ -159,11 +160,25 @@
             loan.in_use += 1
             lease_ends_ms = min(lease_ends_ms, loan.ends_ms)
         attempt_id = AttemptId(f"{routed.request_id}.{routed.tries + 1}")
+        slots.trials += routed.alone
         self._uses_by_attempt[attempt_id] = SlotUse(slots, loan)
         self._demand.release(routed.pool)
         self._index.refresh(slots.runner_id, now)
         yield AttemptPlanned(attempt_id, slots.runner_id, routed, lease_ends_ms)
 
+    def _choose_runner(
+        self, routed: RoutedRequest, candidates: Sequence[RunnerCandidate]
+    ) -> RunnerId:
+        """Choose a runner; for a trial of suspected content, the idlest one.
+
+        If the trial crashes the runner, as little other work as possible is
+        lost with it.
+        """
+        if not routed.alone:
+            return self._chooser.choose(routed, candidates)
+        idlest = min(candidates, key=lambda one: max(one.running, one.reported))
+        return idlest.runner_id
+
     def _find_loan(self, slots: RunnerSlots, now: Moment) -> BorrowedSlots:
         standing = self._index.standing(slots.runner_id, now)
         return min(
@@ -181,6 +196,7 @@
         if use is None:
             return
         runner_id = use.slots.runner_id
+        use.slots.trials -= ended.routed.alone
         if use.loan is None:
             use.slots.running -= 1
         else:
--- a/tests/request/test_quarantine_filter.py
+++ b/tests/request/test_quarantine_filter.py
@@ -126,6 +126,24 @@
         self.assertEqual(set(world.failed), {"request-99"})
         self.assertEqual(world.failed["request-99"].outcome, RunOutcome.MAY_HAVE_RUN)
 
+    def test_a_trial_shares_its_runner_with_nothing(self) -> None:
+        """Guards against innocents that are lost with the second runner."""
+        world = CrashingRunners()
+        poison = Fingerprint(POISON)
+        world.feed(build_arrival(world.clock.now(), 99, fingerprint=poison))
+        (attempt,) = world.in_flight.values()
+        world.crash(attempt.runner_id)
+        for number in range(40):
+            world.feed(build_arrival(world.clock.now(), number, stream=False))
+        (trial,) = (
+            one for one in world.in_flight.values() if one.request.fingerprint == POISON
+        )
+        shared = [
+            one for one in world.in_flight.values() if one.runner_id == trial.runner_id
+        ]
+        self.assertEqual(shared, [trial])
+        self.assertGreater(len(world.in_flight), 1)
+
     def test_the_same_content_is_refused_under_a_new_key(self) -> None:
         world = CrashingRunners()
         for number in (1, 2):
