--- a/figshunt/policy/_team_queues.py
+++ b/figshunt/policy/_team_queues.py
@@ -28,6 +28,8 @@
 class TeamQueues:
     """Serves teams in turn, each with slot time in proportion to its weight.
 
+    Of a team, requests that can still meet their latency target go first.
+
     A request is charged with its expected slot time when it is taken, and
     with the difference when the true time is known. A quantum is the largest
     recent charge, so that a team of weight 1 is served in each round. A team
@@ -70,7 +72,7 @@
         visits = 0
         while self._queues_by_team:
             team, queue = next(iter(self._queues_by_team.items()))
-            first = queue.waiting.first()
+            first = queue.waiting.first_in_time(now.monotonic_ms)
             assert first is not None
             cost_ms = self._estimates.run_ms(first, now)
             self._quantum_ms = max(self._quantum_ms, cost_ms)
@@ -133,7 +135,7 @@
         """Give every team the quanta of the rounds in which none is served."""
         rounds = math.inf
         for team, queue in self._queues_by_team.items():
-            first = queue.waiting.first()
+            first = queue.waiting.first_in_time(now.monotonic_ms)
             assert first is not None
             missing_ms = self._estimates.run_ms(first, now) - queue.balance_ms
             quantum_ms = self._quantum_ms * self._weights.weight(team)
--- a/tests/policy/test_policies.py
+++ b/tests/policy/test_policies.py
@@ -323,6 +323,18 @@
         policy.choose(POOL, START)
         self.assertLess(runs.calls, 300)
 
+    def test_requests_in_time_go_before_late_ones(self) -> None:
+        """Guards against an overload in which every request misses its target."""
+        policy = build_fair()
+        for number, arrived_ms in enumerate((0, 100, 400, 500)):
+            policy.enqueue(build_routed(START.plus(arrived_ms), number), START)
+        order = []
+        while (routed := policy.choose(POOL, START.plus(600))) is not None:
+            order.append(routed.request_id)
+            policy.record_service(routed, 0, START)
+        expected = [f"request-{number}" for number in (2, 3, 0, 1)]
+        self.assertEqual(order, expected)
+
     def test_full_queue_takes_a_place_from_the_longest_team(self) -> None:
         """Guards against one team filling the queue of everyone."""
         policy = build_fair()
