Keep the expected run time of running work

Cause: each refusal at a full queue looked up the estimate of every running request, twice.

Change: the expected slot time is noted when a request is released.

--- a/figshunt/request/_running_work.py
+++ b/figshunt/request/_running_work.py
@@ -16,13 +16,15 @@
 
 @dataclass(slots=True)
 class RunningRequest:
-    """A released request; ``asked_ms`` is when it was asked to yield its slot.
+    """A released request and the slot time that was expected of it then.
 
-    It ends at that same time if it yields; one that runs on can't be suspended.
+    ``asked_ms`` is when it was asked to yield its slot. It ends at that same
+    time if it yields; one that runs on can't be suspended.
     """
 
     routed: RoutedRequest
     started_ms: int
+    expected_ms: int
     asked_ms: int | None = None
 
 
@@ -39,7 +41,8 @@
 
     def start(self, routed: RoutedRequest, now: Moment) -> None:
         """Add a request that was released."""
-        running = RunningRequest(routed, now.monotonic_ms)
+        expected_ms = self._estimates.run_ms(routed, now)
+        running = RunningRequest(routed, now.monotonic_ms, expected_ms)
         self._running_by_pool.setdefault(routed.pool, {})[routed.request_id] = running
         self._pools_by_id[routed.request_id] = routed.pool
 
@@ -62,8 +65,8 @@
 
     def left_ms(self, running: RunningRequest, now: Moment) -> int:
         """Return the slot time that a running request is expected to need still."""
-        expected_ms = self._estimates.run_ms(running.routed, now)
-        return max(0, expected_ms - (now.monotonic_ms - running.started_ms))
+        elapsed_ms = now.monotonic_ms - running.started_ms
+        return max(0, running.expected_ms - elapsed_ms)
 
     def left_in_tiers_ms(self, pool: PoolName, lowest: Tier, now: Moment) -> int:
         """Return the expected rest of all running work down to a tier."""
