--- a/benchmarks/virtual_fleet.py
+++ b/benchmarks/virtual_fleet.py
@@ -21,6 +21,7 @@
     CapacityWanted,
     EndAnswer,
     FailAnswer,
+    HostName,
     ManualClock,
     Message,
     Moment,
@@ -93,7 +94,13 @@
 
     def __post_init__(self) -> None:
         seat = SeatNumber(0)
-        self.core = Core(seat, (seat,), random.Random(self.seed), self.build_policy)
+        self.core = Core(
+            HostName("host-0"),
+            seat,
+            (seat,),
+            random.Random(self.seed),
+            self.build_policy,
+        )
         self._process = self.core.schedule.process
         self.core.schedule.process = self._record  # type: ignore[method-assign]
         self._events: list[tuple[int, int, Callable[[], None]]] = []
--- a/figshunt/core/_core.py
+++ b/figshunt/core/_core.py
@@ -3,10 +3,23 @@
 import random
 from collections.abc import Sequence
 
+from figshunt.claims import (
+    AnswerFilter,
+    AnswerStore,
+    ClaimantFilter,
+    ClaimRecords,
+    EstablishmentFilter,
+    GrantLedger,
+    VoterFilter,
+)
 from figshunt.control import (
     MembershipFilter,
+    OutcomeFilter,
+    PauseFilter,
+    ReaderFilter,
     RevisionFilter,
     RunnerFilter,
+    SuspicionFilter,
 )
 from figshunt.pipeline import Filter, Pipeline
 from figshunt.policy import (
@@ -19,13 +32,14 @@
 from figshunt.request import (
     AdmissionFilter,
     AttemptFilter,
+    QuarantineFilter,
     RouteFilter,
     ScheduleFilter,
     TableTeams,
     TeamFilter,
 )
-from figshunt.slots import SlotFilter
-from figshunt.types import Effect, Message, Moment, SeatNumber
+from figshunt.slots import SettledCapacity, SlotFilter
+from figshunt.types import Effect, HostName, Message, Moment, SeatNumber
 
 
 class Core:
@@ -37,32 +51,56 @@
 
     def __init__(
         self,
+        host: HostName,
         own_seat: SeatNumber,
         seats: Sequence[SeatNumber],
         random_source: random.Random,
         build_policy: PolicyBuilder = TieredFair,
     ) -> None:
-        self.revisions = RevisionFilter()
-        self.membership = MembershipFilter(own_seat, seats)
-        self.runners = RunnerFilter(self.revisions)
+        self.membership = MembershipFilter(own_seat, seats, random_source)
+        self.revisions = RevisionFilter(self.membership)
+        self.outcomes = OutcomeFilter(host, self.membership, self.revisions)
+        self.reader = ReaderFilter(self.membership, self.revisions)
+        self.runners = RunnerFilter(self.revisions, self.membership)
+        self.establishment = EstablishmentFilter(own_seat, seats, random_source)
+        self.suspicions = SuspicionFilter(self.membership)
         self.slots = SlotFilter(
-            self.revisions, self.runners, self.membership, LeastLoaded(random_source)
+            self.revisions,
+            self.runners,
+            self.membership,
+            LeastLoaded(random_source),
         )
         teams = TableTeams(self.revisions)
         estimates = ServiceEstimates()
         self.schedule = ScheduleFilter(
-            build_policy(teams, estimates), self.slots, self.revisions, teams, estimates
+            build_policy(teams, estimates),
+            SettledCapacity(self.slots, self.revisions.is_settled),
+            self.revisions,
+            teams,
+            estimates,
         )
         self.attempts = AttemptFilter(self.revisions, RetryBudget())
+        claim_records = ClaimRecords()
         filters: list[Filter] = [
+            PauseFilter(),
+            self.reader,
             self.revisions,
             self.membership,
+            self.outcomes,
             self.runners,
+            self.suspicions,
+            self.establishment,
+            VoterFilter(self.establishment, GrantLedger()),
             TeamFilter(self.revisions),
             RouteFilter(self.revisions),
+            QuarantineFilter(self.suspicions),
             AdmissionFilter(teams, self.membership, self.schedule, estimates),
+            ClaimantFilter(self.establishment, claim_records),
             self.schedule,
             self.slots,
+            AnswerFilter(
+                self.establishment, claim_records, AnswerStore(), random_source
+            ),
             self.attempts,
         ]
         self._pipeline = Pipeline(filters)
--- a/figshunt/request/__init__.py
+++ b/figshunt/request/__init__.py
@@ -7,6 +7,9 @@
     Attempt,
     AttemptFilter,
 )
+from figshunt.request._quarantine_filter import (
+    QuarantineFilter,
+)
 from figshunt.request._queue_view import (
     QueueView,
 )
@@ -31,6 +34,7 @@
     "AdmissionFilter",
     "Attempt",
     "AttemptFilter",
+    "QuarantineFilter",
     "QueueView",
     "RouteFilter",
     "ScheduleFilter",
--- /dev/null
+++ b/figshunt/services/_core_view.py
@@ -0,0 +1,77 @@
+"""What the administration listener shows of a core."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict
+from typing import Any
+
+from figshunt.control import RevisionStatus
+from figshunt.core import Core
+from figshunt.report import FleetReport, build_report
+from figshunt.types import AuditEntry, Clock
+
+
+class CoreView:
+    """Reads the core's views; meets ``AdminSource``."""
+
+    def __init__(self, core: Core, clock: Clock) -> None:
+        self._core = core
+        self._clock = clock
+
+    def report(self) -> FleetReport:
+        """Return the report as of now."""
+        core = self._core
+        return build_report(
+            core.outcomes,
+            core.revisions,
+            core.runners,
+            core.membership,
+            self._clock.now(),
+        )
+
+    def status(self) -> Mapping[str, Any]:
+        """Return the daemon's state as plain values."""
+        core = self._core
+        now = self._clock.now()
+        tables = core.revisions.current()
+        return {
+            "seat": core.membership.own_seat,
+            "revision": tables.revision if tables else None,
+            "tables": _describe_revision(core.revisions.status(now)),
+            "generation": tables.generation if tables else None,
+            "seats_heard": [
+                seat
+                for seat in core.membership.seats
+                if core.membership.is_heard(seat, now)
+            ],
+            "hears_majority": core.membership.hears_majority(now),
+            "runners": {
+                runner_id: {
+                    "phase": core.runners.phase(runner_id, now).value,
+                    "limit": core.runners.limit(runner_id, now),
+                }
+                for runner_id in (tables.runners_by_id if tables else ())
+            },
+        }
+
+    def audit(self) -> Sequence[Mapping[str, Any]]:
+        """Return the audit trail, the newest entry last."""
+        status = self._core.revisions.status(self._clock.now())
+        return [_describe_entry(entry) for entry in status.audit]
+
+
+def _describe_entry(entry: AuditEntry) -> Mapping[str, Any]:
+    return asdict(entry) | {"source": entry.source.value}
+
+
+def _describe_revision(status: RevisionStatus) -> Mapping[str, Any]:
+    in_force = status.in_force
+    return {
+        "digest": status.digest,
+        "source": in_force.source.value if in_force else None,
+        "source_peer": in_force.peer if in_force else None,
+        "in_force_ms": in_force.in_force_ms if in_force else None,
+        "last_read_age_ms": status.last_read_age_ms,
+        "is_alone": status.is_alone,
+        "is_settled": status.is_settled,
+        "highest_peer_revision": status.highest_peer_revision,
+    }
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -7,6 +7,7 @@
     """Filter or service in which an event or error arose."""
 
     PAUSE = "pause"
+    OUTCOME = "outcome"
     REVISION = "revision"
     MEMBERSHIP = "membership"
     RUNNER = "runner"
@@ -20,6 +21,7 @@
     ADMISSION = "admission"
     SCHEDULE = "schedule"
     SLOT = "slot"
+    ANSWER = "answer"
     ATTEMPT = "attempt"
     CALLER_LISTENER = "caller_listener"
     ADMIN_LISTENER = "admin_listener"
@@ -79,6 +81,7 @@
     REPORTS_LOST = "reports_lost"
     START_CHANGED = "start_changed"
     TOKEN_TIME_JUMP = "token_time_jump"
+    TOLD_AGAIN = "told_again"
 
 
 class AttemptFailure(Enum):
@@ -107,6 +110,7 @@
     DEADLINE = "deadline"
     PREEMPTED = "preempted"
     LEASE_ENDED = "lease_ended"
+    PROTOCOL = "protocol"
 
 
 class TableSourceKind(Enum):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,9 +1,12 @@
 """Builders of test data: valid values that a test changes where it matters."""
 
 import hashlib
+import json
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from figshunt.replay import TraceRequest
+from figshunt.settings import DaemonSettings, check_settings
 from figshunt.tables import Tables, check_tables
 from figshunt.types import (
     Fingerprint,
@@ -39,23 +42,31 @@
     return route | changes
 
 
+def build_runner(runner_id: str, url: str, **changes: Any) -> dict[str, Any]:
+    """Return a runner as it stands in the pools document."""
+    return {"id": runner_id, "url": url, "data_centre": "accra-1"} | changes
+
+
 def build_pool(
-    name: str = "engines", runners: int = 1, **changes: Any
+    name: str = "engines",
+    runners: int | Sequence[Mapping[str, Any]] = 1,
+    **changes: Any,
 ) -> dict[str, Any]:
-    """Return a pool with so many runners as it stands in the pools document."""
+    """Return a pool as it stands in the pools document.
+
+    :param runners: the runners, or how many to make up.
+    """
+    if isinstance(runners, int):
+        runners = [
+            build_runner(f"{name}-{number}", f"http://127.0.0.1:{9000 + number}")
+            for number in range(1, runners + 1)
+        ]
     pool = {
         "name": name,
         "kind": "engine",
         "limit": 16,
         "cold_limit": 2,
-        "runners": [
-            {
-                "id": f"{name}-{number}",
-                "url": f"http://127.0.0.1:{9000 + number}",
-                "data_centre": "accra-1",
-            }
-            for number in range(1, runners + 1)
-        ],
+        "runners": list(runners),
     }
     return pool | changes
 
@@ -165,3 +176,55 @@
         "age_ms": 0,
     }
     return LoadReported(RunnerId(runner), LoadReport(**(values | changes)))
+
+
+def build_settings_document(**changes: Any) -> dict[str, Any]:
+    """Return the settings of a daemon without peers, on ports chosen at bind."""
+    loopback = {"ip": "127.0.0.1", "port": 0}
+    document = {
+        "host": "host-0",
+        "data_centre": "accra-1",
+        "seat": 0,
+        "peers": [],
+        "peer_secret": "peer-secret-of-the-tests",
+        "caller_address": loopback,
+        "admin_address": loopback,
+        "peer_address": loopback,
+        "configuration_url": "http://127.0.0.1:1",
+        "host_list_url": "http://127.0.0.1:1",
+    }
+    return document | changes
+
+
+def build_completion_body(
+    route: str = "chat", tokens: int = 4, prompt: str = "Hello", **changes: Any
+) -> bytes:
+    """Return the body of a streamed chat completion."""
+    fields: dict[str, Any] = {
+        "model": route,
+        "stream": True,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    return json.dumps(fields | changes).encode()
+
+
+def build_trace_request(route: str = "chat", **changes: Any) -> TraceRequest:
+    """Return a line of a trace, of a short stream unless changed."""
+    values: dict[str, Any] = {
+        "at_ms": 0,
+        "route": RouteName(route),
+        "team": TeamName("team-a"),
+        "name": f"{route}-1",
+        "prompt_tokens": 10,
+        "output_tokens": 3,
+    }
+    return TraceRequest(**(values | changes))
+
+
+def build_settings(configuration_url: str, **changes: Any) -> DaemonSettings:
+    """Return checked settings of a daemon without peers."""
+    urls = {"configuration_url": configuration_url, "host_list_url": configuration_url}
+    checked = check_settings(build_settings_document(**urls, **changes))
+    assert checked.settings is not None, checked.faults
+    return checked.settings
--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -0,0 +1,35 @@
+"""Real processes and a fault-injecting proxy for integration tests."""
+
+from tests.harness._balancer import (
+    Balancer,
+)
+from tests.harness._fault_proxy import (
+    FaultProxy,
+    ProxyMode,
+)
+from tests.harness._fleet import (
+    DaemonHandle,
+    Fleet,
+    seeded,
+)
+from tests.harness._processes import (
+    ManagedProcess,
+    start_module,
+)
+from tests.harness._virtual_cell import (
+    VirtualCell,
+    VirtualDaemon,
+)
+
+__all__ = [
+    "Balancer",
+    "DaemonHandle",
+    "FaultProxy",
+    "Fleet",
+    "ManagedProcess",
+    "ProxyMode",
+    "VirtualCell",
+    "VirtualDaemon",
+    "seeded",
+    "start_module",
+]
