--- a/figshunt/request/__init__.py
+++ b/figshunt/request/__init__.py
@@ -7,13 +7,6 @@
     Attempt,
     AttemptFilter,
 )
-from figshunt.request._capacity_requests import (
-    CapacityRequests,
-)
-from figshunt.request._preemption import (
-    PreemptionPlanner,
-    latest_start_ms,
-)
 from figshunt.request._quarantine_filter import (
     QuarantineFilter,
 )
@@ -27,11 +20,6 @@
 from figshunt.request._route_filter import (
     RouteFilter,
 )
-from figshunt.request._running_work import (
-    RunningRequest,
-    RunningWork,
-    wasted_ms,
-)
 from figshunt.request._schedule_filter import (
     ScheduleFilter,
 )
@@ -46,18 +34,12 @@
     "AdmissionFilter",
     "Attempt",
     "AttemptFilter",
-    "CapacityRequests",
-    "PreemptionPlanner",
     "QuarantineFilter",
     "QueueView",
     "RouteFilter",
-    "RunningRequest",
-    "RunningWork",
     "ScheduleFilter",
     "TableTeams",
     "TeamFilter",
-    "latest_start_ms",
     "refuse",
     "refuse_unrouted",
-    "wasted_ms",
 ]
