Suspend work only where its slot can be used again

Cause: suspension did not know whether the freed slot could be used; work on a leaving or cold runner, or while the tables were not settled, was suspended without gain. Change: CapacityView.frees_slot says whether other work may use a running request's slot; the preemption planner passes over the rest.

--- a/figshunt/request/_preemption.py
+++ b/figshunt/request/_preemption.py
@@ -4,6 +4,7 @@
 
 from figshunt.policy import RunEstimates, SchedulingPolicy
 from figshunt.request._running_work import RunningRequest, RunningWork, wasted_ms
+from figshunt.slots import CapacityView
 from figshunt.types import Moment, PoolKind, PoolName, RoutedRequest
 
 # Part of the latency target that is kept for errors of the estimates.
@@ -30,9 +31,14 @@
     """Chooses victims: never of an equal or higher tier, only idempotent work."""
 
     def __init__(
-        self, policy: SchedulingPolicy, running: RunningWork, estimates: RunEstimates
+        self,
+        policy: SchedulingPolicy,
+        running: RunningWork,
+        estimates: RunEstimates,
+        capacity: CapacityView,
     ) -> None:
         self._policy = policy
+        self._capacity = capacity
         self._running = running
         self._estimates = estimates
 
@@ -82,8 +88,9 @@
             if one.asked_ms is None
             # Work that began at this moment can't end one handling of a
             # message in a loop of suspensions and releases.
-            and one.started_ms < now.monotonic_ms
-            and one.routed.route.idempotent
+            and one.started_ms < now.monotonic_ms and one.routed.route.idempotent
+            # The slot of a runner that leaves or turned cold frees nothing.
+            and self._capacity.frees_slot(one.routed.request_id, now)
             and self._policy.may_suspend(one.routed, routed, now)
         ]
         return min(
--- a/figshunt/request/_schedule_filter.py
+++ b/figshunt/request/_schedule_filter.py
@@ -82,7 +82,7 @@
         self._estimates = estimates
         self._queue_bound = queue_bound
         self._running = RunningWork(estimates)
-        self._planner = PreemptionPlanner(policy, self._running, estimates)
+        self._planner = PreemptionPlanner(policy, self._running, estimates, capacity)
         self._capacity_requests = CapacityRequests()
         self._work_by_pool: dict[PoolName, WaitingWork] = {}
         self._unplaced_by_id: dict[RequestId, RoutedRequest] = {}
--- a/figshunt/slots/_runner_slots.py
+++ b/figshunt/slots/_runner_slots.py
@@ -173,6 +173,13 @@
         )
         free[runner_id] = slots
 
+    def reuses(self, slots: RunnerSlots, now: Moment) -> bool:
+        """Return whether an owned slot of the runner is free if its work ends."""
+        standing = self.standing(slots.runner_id, now)
+        lent = self._lending.lent(slots.runner_id)
+        usable = self._usable(slots, standing, now)
+        return not slots.trials and slots.running + lent <= usable
+
     def lends_cold(self, slots: RunnerSlots, count: int, now: Moment) -> bool:
         """Return whether so many more are within the seat's cold share."""
         left_over = slots.work.bound
@@ -190,9 +197,15 @@
     def _own_free(
         self, slots: RunnerSlots, standing: RunnerStanding, now: Moment
     ) -> int:
-        if standing.limit == 0 or slots.trials:
+        if slots.trials:
+            return 0
+        lent = self._lending.lent(slots.runner_id)
+        return max(0, self._usable(slots, standing, now) - slots.running - lent)
+
+    def _usable(self, slots: RunnerSlots, standing: RunnerStanding, now: Moment) -> int:
+        if standing.limit == 0:
             return 0
-        usable = self._share.usable(
+        return self._share.usable(
             self._owned(slots, standing.limit),
             slots.running,
             standing,
@@ -200,5 +213,3 @@
             self.longest_run_ms(slots.pool),
             now,
         )
-        lent = self._lending.lent(slots.runner_id)
-        return max(0, usable - slots.running - lent)
--- a/figshunt/slots/_settled_capacity.py
+++ b/figshunt/slots/_settled_capacity.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from figshunt.slots._views import CapacityView
-from figshunt.types import Moment, PoolName
+from figshunt.types import Moment, PoolName, RequestId
 
 
 class SettledCapacity:
@@ -20,3 +20,7 @@
     def has_slot(self, pool: PoolName, now: Moment) -> bool:
         """Return whether some runner of the pool has a free slot here."""
         return self._is_settled() and self._capacity.has_slot(pool, now)
+
+    def frees_slot(self, request_id: RequestId, now: Moment) -> bool:
+        """Return whether other work may use a running request's slot if it ends."""
+        return self._is_settled() and self._capacity.frees_slot(request_id, now)
--- a/figshunt/slots/_slot_filter.py
+++ b/figshunt/slots/_slot_filter.py
@@ -30,6 +30,7 @@
     PeerReceived,
     PoolName,
     RequestAdmitted,
+    RequestId,
     RequestReleased,
     RoutedRequest,
     RunnerChanged,
@@ -93,6 +94,7 @@
         self._lender = SlotLender(self._index, lending, self._demand, seats)
         self._borrower = SlotBorrower(self._index, self._borrowing, self._demand, seats)
         self._uses_by_attempt: dict[AttemptId, SlotUse] = {}
+        self._uses_by_request: dict[RequestId, SlotUse] = {}
         self._session = 0
         self._heard_majority = False
         self._was_quiet = True
@@ -101,6 +103,16 @@
         """Return whether some runner of the pool has a free slot here."""
         return self._index.has_free(pool, now)
 
+    def frees_slot(self, request_id: RequestId, now: Moment) -> bool:
+        """Return whether other work may use a running request's slot if it ends."""
+        use = self._uses_by_request.get(request_id)
+        if use is None:
+            return False
+        if use.loan is None:
+            return self._index.reuses(use.slots, now)
+        standing = self._index.standing(use.slots.runner_id, now)
+        return use.loan.is_usable(standing, now.monotonic_ms)
+
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
         if self._session == 0:
@@ -161,7 +173,9 @@
             lease_ends_ms = min(lease_ends_ms, loan.ends_ms)
         attempt_id = AttemptId(f"{routed.request_id}.{routed.tries + 1}")
         slots.trials += routed.alone
-        self._uses_by_attempt[attempt_id] = SlotUse(slots, loan)
+        use = SlotUse(slots, loan)
+        self._uses_by_attempt[attempt_id] = use
+        self._uses_by_request[routed.request_id] = use
         self._demand.release(routed.pool)
         self._index.refresh(slots.runner_id, now)
         yield AttemptPlanned(attempt_id, slots.runner_id, routed, lease_ends_ms)
@@ -195,6 +209,7 @@
         use = self._uses_by_attempt.pop(ended.attempt_id, None)
         if use is None:
             return
+        self._uses_by_request.pop(ended.routed.request_id, None)
         runner_id = use.slots.runner_id
         use.slots.trials -= ended.routed.alone
         if use.loan is None:
--- a/figshunt/slots/_views.py
+++ b/figshunt/slots/_views.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from figshunt.types import Moment, PoolName
+from figshunt.types import Moment, PoolName, RequestId
 
 
 class CapacityView(Protocol):
@@ -10,3 +10,6 @@
 
     def has_slot(self, pool: PoolName, now: Moment) -> bool:
         """Return whether some runner of the pool has a free slot here."""
+
+    def frees_slot(self, request_id: RequestId, now: Moment) -> bool:
+        """Return whether other work may use a running request's slot if it ends."""
--- a/tests/core/test_core.py
+++ b/tests/core/test_core.py
@@ -10,6 +10,7 @@
     AttemptFailed,
     AttemptFailure,
     AttemptFinished,
+    CancelAttempt,
     EndAnswer,
     ErrorCode,
     FailAnswer,
@@ -24,7 +25,13 @@
     TableServiceRead,
     TimerDue,
 )
-from tests.builders import build_arrival, build_load, build_tables_offered
+from tests.builders import (
+    build_arrival,
+    build_load,
+    build_pool,
+    build_route,
+    build_tables_offered,
+)
 
 
 class CoreTest(unittest.TestCase):
@@ -93,3 +100,19 @@
         (failure,) = effects
         assert isinstance(failure, FailAnswer)
         self.assertEqual(failure.code, ErrorCode.UNKNOWN_ROUTE)
+
+    def test_work_on_a_leaving_runner_is_not_suspended(self) -> None:
+        """Guards against suspending work although its slot stays unused."""
+        letter = build_route("letter", tier=4)
+        chat = build_route("chat", tier=1, latency_target_ms=1)
+        pool = build_pool(limit=1, cold_limit=1)
+        for leaving in (False, True):
+            with self.subTest(leaving=leaving):
+                self.setUp()
+                self.feed(build_tables_offered(2, routes=[letter, chat], pools=[pool]))
+                self.feed(build_arrival(self.clock.now(), 1, route="letter"))
+                self.clock.advance(100)
+                self.feed(build_load(leaving=leaving))
+                effects = self.feed(build_arrival(self.clock.now(), 2, route="chat"))
+                cancels = [one for one in effects if isinstance(one, CancelAttempt)]
+                self.assertEqual(len(cancels), 0 if leaving else 1)
--- a/tests/request/test_schedule_filter.py
+++ b/tests/request/test_schedule_filter.py
@@ -46,11 +46,15 @@
 
     def __init__(self, free: int) -> None:
         self.free = free
+        self.reusable = True
         self.tables = build_tables()
 
     def has_slot(self, pool: PoolName, now: Moment) -> bool:
         return self.free > 0
 
+    def frees_slot(self, request_id: RequestId, now: Moment) -> bool:
+        return self.reusable
+
     def current(self) -> Tables:
         return self.tables
 
@@ -274,6 +278,14 @@
                 expected = [PreemptionWanted(victim.request_id)]
                 self.assertEqual(wanted, expected if is_suspended else [])
 
+    def test_suspends_nothing_whose_slot_stays_taken(self) -> None:
+        """Guards against wasted work on a runner that leaves or turned cold."""
+        self.run_low()
+        self.behind.seen.clear()
+        self.slots.reusable = False
+        self.admit(name="high", tier=1, latency_target_ms=20)
+        self.assertEqual(self.seen(PreemptionWanted), [])
+
     def test_suspends_when_waiting_any_longer_is_late(self) -> None:
         """Guards against an expected end of running work that doesn't come."""
         victim = self.run_low()
