--- a/figshunt/control/_suspicion_filter.py
+++ b/figshunt/control/_suspicion_filter.py
@@ -31,6 +31,9 @@
 MOST_ENTRIES = 1_024
 EXPIRY_MS = 600_000
 CRASHES_TO_QUARANTINE = 2
+# Reports from before a crash may still arrive after the loss was noticed here
+# or told by a peer; they must not pass for a runner that is still running.
+CUT_OFF_AFTER_MS = 1_000
 UNKNOWN_START = StartIdentity("")
 
 
@@ -70,10 +73,11 @@
 
     A lost connection makes the content a suspect at once. It counts as a
     crash only when the runner refuses connections or comes back with another
-    start identity; when it comes back with the same one, the connection was
-    cut and the suspicion is dropped. Holds at most ``MOST_ENTRIES``
-    fingerprints; the oldest are evicted, which lets such content crash one
-    more runner than the bound.
+    start identity; when it still has the same one a second later, the
+    connection was cut and the suspicion is dropped. Peers are told of losses
+    at once and settle them by the reports that they receive themselves. Holds
+    at most ``MOST_ENTRIES`` fingerprints; the oldest are evicted, which lets
+    such content crash one more runner than the bound.
     """
 
     step = Step.SUSPICION
@@ -130,7 +134,7 @@
                 yield LogEvent(
                     "suspicion_cleared", self.step, {"fingerprint": fingerprint}
                 )
-                yield from self._tell(SuspicionNotice(fingerprint, (), True))
+                yield from self._tell(SuspicionNotice(fingerprint, (), (), True))
         elif ended.failure is AttemptFailure.CONNECTION_LOST:
             start = self._starts_by_runner.get(ended.runner_id, UNKNOWN_START)
             loss = Crash(ended.runner_id, start)
@@ -141,6 +145,7 @@
                 self.step,
                 {"fingerprint": fingerprint, "runner": ended.runner_id},
             )
+            yield from self._tell(self._notice(fingerprint))
 
     def _runner_reported(
         self, runner_id: RunnerId, start: StartIdentity, now: Moment
@@ -160,8 +165,12 @@
             }
             if not open_losses:
                 continue
-            cut_off = {loss for loss in open_losses if loss.start == new_start}
-            crashed = open_losses - cut_off
+            same_start = {loss for loss in open_losses if loss.start == new_start}
+            crashed = open_losses - same_start
+            is_old = now.monotonic_ms - entry.changed_ms >= CUT_OFF_AFTER_MS
+            cut_off = same_start if is_old else frozenset()
+            if not crashed and not cut_off:
+                continue
             settled = replace(
                 entry,
                 losses=entry.losses - cut_off,
@@ -181,11 +190,13 @@
             return
         entry = self._entry(notice.fingerprint, now)
         crashes = entry.crashes | frozenset(notice.crashes)
-        if crashes == entry.crashes:
+        losses = entry.losses | crashes | frozenset(notice.losses)
+        if (losses, crashes) == (entry.losses, entry.crashes):
             return
-        merged = replace(entry, losses=entry.losses | crashes, crashes=crashes)
+        merged = replace(entry, losses=losses, crashes=crashes)
         self._hold(notice.fingerprint, merged, now)
-        yield from self._log_crashes(notice.fingerprint, merged)
+        if crashes != entry.crashes:
+            yield from self._log_crashes(notice.fingerprint, merged)
 
     def _log_crashes(
         self, fingerprint: Fingerprint, entry: SuspicionEntry
@@ -215,7 +226,9 @@
 
     def _notice(self, fingerprint: Fingerprint) -> SuspicionNotice:
         entry = self._entries_by_fingerprint[fingerprint]
-        return SuspicionNotice(fingerprint, tuple(entry.crashes), False)
+        return SuspicionNotice(
+            fingerprint, tuple(entry.losses), tuple(entry.crashes), False
+        )
 
     def _tell(self, notice: SuspicionNotice) -> Iterable[Output]:
         for seat in self._seats.seats:
--- a/figshunt/types/_suspicion_messages.py
+++ b/figshunt/types/_suspicion_messages.py
@@ -16,12 +16,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SuspicionNotice(PeerMessage):
-    """Crashes during which this content was running.
+    """Runners lost while this content was running.
 
-    Receivers form the union of the crashes, so repeats and reordering do no
-    harm. ``cleared`` says that the content has since run to its end.
+    ``crashes`` are those of the ``losses`` that are known to have crashed.
+    Receivers form the unions, so repeats and reordering do no harm.
+    ``cleared`` says that the content has since run to its end.
     """
 
     fingerprint: Fingerprint
+    losses: tuple[Crash, ...]
     crashes: tuple[Crash, ...]
     cleared: bool
