--- a/figshunt/report/_build.py
+++ b/figshunt/report/_build.py
@@ -15,10 +15,12 @@
     seats: SeatsView,
     now: Moment,
     revision_age_ms: int | None = None,
+    grants_keys: bool = True,
 ) -> FleetReport:
     """Return what this daemon knows of the fleet now.
 
-    :param revision_age_ms: time since the tables in force were last confirmed.
+    :param revision_age_ms: time since the configuration service was last read.
+    :param grants_keys: whether requests with an idempotency key can be run.
     """
     own = outcomes.own_notice(now)
     peers = outcomes.peer_outcomes()
@@ -58,7 +60,7 @@
             )
             if state is DataCentreState.OUT
         ),
-        warnings=_find_unknowns(tuple(hosts), tables),
+        warnings=_find_unknowns(tuple(hosts), tables, grants_keys),
     )
 
 
@@ -79,9 +81,11 @@
 
 
 def _find_unknowns(
-    hosts: tuple[HostLine, ...], tables: Tables | None
+    hosts: tuple[HostLine, ...], tables: Tables | None, grants_keys: bool
 ) -> tuple[str, ...]:
     unknowns = []
+    if not grants_keys:
+        unknowns.append("keyed requests are refused here")
     if tables is None:
         unknowns.append("no tables in force yet")
     for host in hosts:
--- a/figshunt/services/_core_view.py
+++ b/figshunt/services/_core_view.py
@@ -20,12 +20,15 @@
     def report(self) -> FleetReport:
         """Return the report as of now."""
         core = self._core
+        now = self._clock.now()
         return build_report(
             core.outcomes,
             core.revisions,
             core.runners,
             core.membership,
-            self._clock.now(),
+            now,
+            core.revisions.status(now).last_read_age_ms,
+            core.establishment.grants_keys(now),
         )
 
     def status(self) -> Mapping[str, Any]:
--- a/tests/report/test_report.py
+++ b/tests/report/test_report.py
@@ -54,7 +54,7 @@
         return build_report(
             self.outcomes,
             self.revisions,
-            RunnerFilter(self.revisions),
+            RunnerFilter(self.revisions, self.membership),
             self.membership,
             self.clock.now(),
         )
@@ -87,6 +87,17 @@
     def test_says_what_it_does_not_know(self) -> None:
         self.assertIn("seat 2: never heard", self.report().warnings)
 
+    def test_says_that_keyed_requests_are_refused(self) -> None:
+        report = build_report(
+            self.outcomes,
+            self.revisions,
+            RunnerFilter(self.revisions, self.membership),
+            self.membership,
+            self.clock.now(),
+            grants_keys=False,
+        )
+        self.assertIn("keyed requests are refused here", format_text(report))
+
     def test_text_fits_a_phone(self) -> None:
         routes = {"routes": [build_route(LONG_NAME)]}
         self.feed(build_tables_offered(2, **routes))
