Wait for the send queues by event when peer links close

Cause: the read-through found a poll every 10 ms; nothing should poll. Change: SendQueue.wait_empty and PeerDialler.wait_sent replace the loop. Measured: test_peer_links: 11 passed.

--- a/figshunt/services/_peer_dialler.py
+++ b/figshunt/services/_peer_dialler.py
@@ -96,10 +96,9 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    @property
-    def waiting(self) -> int:
-        """Return how many messages wait to be sent."""
-        return len(self._queue)
+    async def wait_sent(self) -> None:
+        """Wait until no message waits to be sent."""
+        await self._queue.wait_empty()
 
     def send(self, message: PeerMessage) -> None:
         """Queue a message for the peer."""
--- a/figshunt/services/_peer_links.py
+++ b/figshunt/services/_peer_links.py
@@ -44,7 +44,6 @@
 MOST_HELLO_BYTES = 4 * 1024
 ERROR_LOG_INTERVAL_MS = 200
 FLUSH_LIMIT_S = 0.5
-FLUSH_POLL_S = 0.01
 CLOSE_PROTOCOL_ERROR = 1002
 CLOSE_TRY_AGAIN_LATER = 1013
 # Protocol error, unsupported data, bad encoding, message too large.
@@ -127,8 +126,8 @@
     async def _flush(self) -> None:
         try:
             async with asyncio.timeout(FLUSH_LIMIT_S):
-                while any(one.waiting for one in self._diallers_by_seat.values()):
-                    await asyncio.sleep(FLUSH_POLL_S)
+                for dialler in self._diallers_by_seat.values():
+                    await dialler.wait_sent()
         except TimeoutError:
             pass
 
--- a/figshunt/services/_send_queue.py
+++ b/figshunt/services/_send_queue.py
@@ -16,6 +16,8 @@
         self._most_bytes = most_bytes
         self._messages: deque[bytes] = deque()
         self._arrived = asyncio.Event()
+        self._emptied = asyncio.Event()
+        self._emptied.set()
         self.waiting_bytes = 0
         self.dropped = 0
 
@@ -35,6 +37,7 @@
         ):
             self._take()
             self.dropped += 1
+        self._emptied.clear()
         self._arrived.set()
 
     async def get(self) -> bytes:
@@ -44,13 +47,20 @@
             await self._arrived.wait()
         return self._take()
 
+    async def wait_empty(self) -> None:
+        """Wait until the last message was taken or forgotten."""
+        await self._emptied.wait()
+
     def clear(self) -> None:
         """Forget all messages that wait; they count as dropped."""
         self.dropped += len(self._messages)
         self._messages.clear()
         self.waiting_bytes = 0
+        self._emptied.set()
 
     def _take(self) -> bytes:
         data = self._messages.popleft()
         self.waiting_bytes -= len(data)
+        if not self._messages:
+            self._emptied.set()
         return data
