--- a/figshunt/services/_metrics.py
+++ b/figshunt/services/_metrics.py
@@ -1,11 +1,8 @@
 """Prometheus metrics of one daemon."""
 
-from collections.abc import Callable
-
 from prometheus_client import (
     CollectorRegistry,
     Counter,
-    Gauge,
     Histogram,
     ProcessCollector,
     generate_latest,
@@ -62,10 +59,6 @@
             registry=self._registry,
         )
 
-    def add_gauge(self, name: str, help_text: str, read: Callable[[], float]) -> None:
-        """Add a gauge that is read when metrics are collected."""
-        Gauge(f"figshunt_{name}", help_text, registry=self._registry).set_function(read)
-
     def count(self, effect: CountEvent) -> None:
         """Add to a counter."""
         counter = self._counters.get(effect.counter)
--- a/figshunt/types/_request.py
+++ b/figshunt/types/_request.py
@@ -58,7 +58,6 @@
     deadline_ms: int
     resume_offset: int = 0
     tries: int = 0
-    queued_ms: int = 0
     alone: bool = False
     preemptions: int = 0
     first_token_ms: int | None = None
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -16,6 +16,7 @@
     "slots",
     "request",
     "core",
+    "report",
 )
 FORBIDDEN = frozenset(
     {"aiohttp", "asyncio", "cbor2", "eliot", "json", "json5", "mode", "websockets"}
