--- a/figshunt/codec/__init__.py
+++ b/figshunt/codec/__init__.py
@@ -24,8 +24,11 @@
     decode_peer_message,
     encode_peer_message,
 )
+from figshunt.codec._status_codec import decode_status, encode_status
 
 __all__ = [
+    "decode_status",
+    "encode_status",
     "DecodedBody",
     "UnknownKind",
     "decode_bearer_key",
--- /dev/null
+++ b/figshunt/commands/_gateway.py
@@ -0,0 +1,61 @@
+"""``figshunt gateway``: run one entry host on the users' platform."""
+
+import asyncio
+import random
+import signal
+import sys
+from pathlib import Path
+
+from figshunt.gateway import BootClock, GatewayDaemon, GatewaySettings, LineOutput
+from figshunt.platform import (
+    READINESS_PATH,
+    PlatformCallCodec,
+    PlatformItemCodec,
+    PlatformStoreClient,
+    read_platform_settings,
+    settings_path,
+)
+from figshunt.services import open_log
+from figshunt.types import FigshuntError
+
+EXIT_SETTINGS_INVALID = 2
+STANDARD_OUTPUT = 1
+
+
+def gateway(*, settings: Path | None = None) -> int:
+    """Run one entry host on the platform until SIGTERM asks for a shutdown.
+
+    Exit status: 0 after a graceful shutdown, 2 if the settings are invalid.
+
+    :param settings: the platform's settings file; by default the one that the
+        environment names.
+    """
+    output = LineOutput(STANDARD_OUTPUT)
+    try:
+        decoded = read_platform_settings(settings or settings_path())
+    except FigshuntError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS_INVALID
+    open_log(decoded.log_level, output)
+    asyncio.run(_run(decoded, output))
+    return 0
+
+
+async def _run(settings: GatewaySettings, output: LineOutput) -> None:
+    loop = asyncio.get_running_loop()
+    output.attach(loop)
+    daemon = GatewayDaemon(
+        settings,
+        PlatformCallCodec(),
+        PlatformItemCodec(),
+        PlatformStoreClient(settings.store),
+        READINESS_PATH,
+        BootClock(),
+        random.Random(),
+    )
+    stop_asked = asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, stop_asked.set)
+    await daemon.start()
+    await stop_asked.wait()
+    await daemon.drain()
+    await daemon.stop()
--- /dev/null
+++ b/figshunt/directory/__init__.py
@@ -0,0 +1,52 @@
+"""Published routes, pools, teams and runners, and the state that they form."""
+
+from figshunt.directory._directory_filter import (
+    RELIST_GRACE_MS,
+    DirectoryFilter,
+    DirectoryView,
+)
+from figshunt.directory._messages import (
+    ConfigurationPublished,
+    ConfigurationUnreadable,
+    DirectoryMessage,
+    EvacuationPublished,
+    RunnerListed,
+    RunnersById,
+    RunnerUnlisted,
+    SourceStateChanged,
+)
+from figshunt.directory._model import (
+    Configuration,
+    EngineLimits,
+    PoolShare,
+    PublishedPool,
+    PublishedRoute,
+    PublishedRunner,
+    PublishedTeam,
+    Repeatability,
+)
+from figshunt.directory._replica import Item, ItemReplica
+
+__all__ = [
+    "RELIST_GRACE_MS",
+    "Configuration",
+    "ConfigurationPublished",
+    "ConfigurationUnreadable",
+    "DirectoryFilter",
+    "DirectoryMessage",
+    "DirectoryView",
+    "EngineLimits",
+    "EvacuationPublished",
+    "Item",
+    "ItemReplica",
+    "PoolShare",
+    "PublishedPool",
+    "PublishedRoute",
+    "PublishedRunner",
+    "PublishedTeam",
+    "Repeatability",
+    "RunnerListed",
+    "RunnersById",
+    "RunnerUnlisted",
+    "SourceStateChanged",
+]
--- /dev/null
+++ b/figshunt/directory/_directory_filter.py
@@ -0,0 +1,220 @@
+"""Owns the published state that is in force on this host."""
+
+from collections.abc import Iterable, Mapping
+from typing import Protocol
+
+from figshunt.directory._messages import (
+    ConfigurationPublished,
+    ConfigurationUnreadable,
+    EvacuationPublished,
+    RunnerListed,
+    RunnerUnlisted,
+    SourceStateChanged,
+)
+from figshunt.directory._model import (
+    Configuration,
+    PublishedPool,
+    PublishedRoute,
+    PublishedRunner,
+)
+from figshunt.pipeline import Output
+from figshunt.types import (
+    DataCentreName,
+    LogEvent,
+    LogValue,
+    Message,
+    Moment,
+    PoolName,
+    RunnerId,
+    Step,
+    TimerDue,
+    WakeAt,
+)
+
+# Runners whose entries lapsed during an outage of the store list themselves
+# again within about this time of its return (the platform's statement).
+RELIST_GRACE_MS = 2_000
+
+
+class DirectoryView(Protocol):
+    """Read access to the published state."""
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, if one was read."""
+
+    @property
+    def is_current(self) -> bool:
+        """Return whether the published state can be read at present."""
+
+    def match(self, host: str, path: str) -> PublishedRoute | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+
+    def pool(self, name: PoolName) -> PublishedPool | None:
+        """Return a pool of the configuration in force."""
+
+    def runners(self, pool: PoolName) -> Mapping[RunnerId, PublishedRunner]:
+        """Return the runners of a pool that may get new work."""
+
+
+class DirectoryFilter:
+    """Puts published items in force; an older one never replaces a newer one.
+
+    A runner that is leaving or whose data centre is out stays known, so that
+    its runs go on, but isn't offered for new work.
+    """
+
+    step = Step.DIRECTORY
+    accepts: tuple[type[Message], ...] = (
+        ConfigurationPublished,
+        ConfigurationUnreadable,
+        EvacuationPublished,
+        RunnerListed,
+        RunnerUnlisted,
+        SourceStateChanged,
+        TimerDue,
+    )
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.is_current = False
+        self._routes_by_host: dict[str, list[PublishedRoute]] = {}
+        self._runners_by_id: dict[RunnerId, PublishedRunner] = {}
+        self._usable_by_pool: dict[PoolName, dict[RunnerId, PublishedRunner]] = {}
+        self._out: set[DataCentreName] = set()
+        self._lapses_ms_by_id: dict[RunnerId, int] = {}
+
+    def match(self, host: str, path: str) -> PublishedRoute | None:
+        """Return the route of ``host`` with the longest prefix of ``path``."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def pool(self, name: PoolName) -> PublishedPool | None:
+        """Return a pool of the configuration in force."""
+        if self.configuration is None:
+            return None
+        return self.configuration.pools_by_name.get(name)
+
+    def runners(self, pool: PoolName) -> Mapping[RunnerId, PublishedRunner]:
+        """Return the runners of a pool that may get new work."""
+        return self._usable_by_pool.get(pool, {})
+
+    def process(self, message: Message, now: Moment) -> Iterable[Output]:
+        """Handle one message."""
+        match message:
+            case ConfigurationPublished():
+                yield from self._take_configuration(message)
+            case ConfigurationUnreadable(revision, detail):
+                yield LogEvent(
+                    "configuration_unreadable",
+                    self.step,
+                    {"revision": revision, "detail": detail},
+                )
+            case EvacuationPublished(revision, data_centre, is_out):
+                (self._out.add if is_out else self._out.discard)(data_centre)
+                yield LogEvent(
+                    "data_centre_out" if is_out else "data_centre_in",
+                    self.step,
+                    {"data_centre": data_centre, "revision": revision},
+                )
+            case RunnerListed(revision, runner_id, runner):
+                yield from self._list_runner(revision, runner_id, runner)
+            case RunnerUnlisted():
+                yield from self._unlist_runner(message, now)
+            case SourceStateChanged(is_current, detail):
+                self.is_current = is_current
+                yield LogEvent(
+                    "directory_source",
+                    self.step,
+                    {"is_current": is_current, "detail": detail},
+                )
+            case TimerDue():
+                yield from self._remove_lapsed(now)
+                yield message
+                return
+        self._rebuild_usable()
+        yield message
+
+    def _take_configuration(self, message: ConfigurationPublished) -> Iterable[Output]:
+        held = self.configuration
+        offered = message.configuration
+        fields: dict[str, LogValue] = {
+            "version": offered.version,
+            "revision": message.revision,
+        }
+        if held is not None and offered.version < held.version:
+            fields["in_force"] = held.version
+            yield LogEvent("configuration_older", self.step, fields)
+            return
+        self.configuration = offered
+        self._routes_by_host = {}
+        for route in sorted(offered.routes, key=lambda one: -len(one.path_prefix)):
+            self._routes_by_host.setdefault(route.host, []).append(route)
+        fields["routes"] = len(offered.routes)
+        fields["keys"] = len(offered.teams_by_key_sha256)
+        yield LogEvent("configuration_in_force", self.step, fields)
+
+    def _list_runner(
+        self, revision: int, runner_id: RunnerId, runner: PublishedRunner | None
+    ) -> Iterable[Output]:
+        self._lapses_ms_by_id.pop(runner_id, None)
+        if runner is None:
+            self._runners_by_id.pop(runner_id, None)
+            yield LogEvent(
+                "runner_entry_unreadable",
+                self.step,
+                {"runner": runner_id, "revision": revision},
+            )
+            return
+        held = self._runners_by_id.get(runner_id)
+        self._runners_by_id[runner_id] = runner
+        if held is None or held != runner:
+            fields: dict[str, LogValue] = {
+                "runner": runner_id,
+                "revision": revision,
+                "pool": runner.pool,
+                "address": runner.address,
+                "leaving": runner.is_leaving,
+                "cold_left_ms": runner.cold_left_ms,
+                "started_wall_ms": runner.started_wall_ms,
+            }
+            yield LogEvent("runner_listed", self.step, fields)
+
+    def _unlist_runner(self, message: RunnerUnlisted, now: Moment) -> Iterable[Output]:
+        if message.runner_id not in self._runners_by_id:
+            return
+        fields: dict[str, LogValue] = {
+            "runner": message.runner_id,
+            "revision": message.revision,
+        }
+        if message.after_outage:
+            due_ms = now.monotonic_ms + RELIST_GRACE_MS
+            self._lapses_ms_by_id.setdefault(message.runner_id, due_ms)
+            yield LogEvent("runner_lapsed", self.step, fields)
+            yield WakeAt(due_ms)
+            return
+        self._lapses_ms_by_id.pop(message.runner_id, None)
+        del self._runners_by_id[message.runner_id]
+        yield LogEvent("runner_unlisted", self.step, fields)
+
+    def _remove_lapsed(self, now: Moment) -> Iterable[Output]:
+        due = [
+            runner_id
+            for runner_id, due_ms in self._lapses_ms_by_id.items()
+            if due_ms <= now.monotonic_ms
+        ]
+        for runner_id in due:
+            del self._lapses_ms_by_id[runner_id]
+            self._runners_by_id.pop(runner_id, None)
+            yield LogEvent("runner_gone", self.step, {"runner": runner_id})
+        if due:
+            self._rebuild_usable()
+
+    def _rebuild_usable(self) -> None:
+        usable: dict[PoolName, dict[RunnerId, PublishedRunner]] = {}
+        for runner_id, runner in self._runners_by_id.items():
+            if not runner.is_leaving and runner.data_centre not in self._out:
+                usable.setdefault(runner.pool, {})[runner_id] = runner
+        self._usable_by_pool = usable
--- /dev/null
+++ b/figshunt/dispatch/_core.py
@@ -0,0 +1,50 @@
+"""Assembles the filters of an entry host that shares no state."""
+
+import random
+
+from figshunt.directory import DirectoryFilter
+from figshunt.dispatch._cold_limit import SharedBounds
+from figshunt.dispatch._crash_filter import CrashFilter
+from figshunt.dispatch._peer_filter import PeerFilter
+from figshunt.dispatch._placement_filter import PlacementFilter
+from figshunt.dispatch._route_filter import RouteFilter
+from figshunt.dispatch._send_filter import SendFilter
+from figshunt.dispatch._team_filter import TeamFilter
+from figshunt.pipeline import Pipeline
+from figshunt.types import DataCentreName, Effect, Message, Moment
+
+
+class DispatchCore:
+    """The decisions of one entry host: a function of messages and time.
+
+    Nothing in it waits for another host, so that a host serves on its own as
+    soon as it has read what is published.
+    """
+
+    def __init__(
+        self,
+        data_centre: DataCentreName,
+        bounds: SharedBounds,
+        random_source: random.Random,
+    ) -> None:
+        self.directory = DirectoryFilter()
+        self.peers = PeerFilter()
+        self.placement = PlacementFilter(
+            self.directory, self.peers, data_centre, bounds, random_source
+        )
+        self.sends = SendFilter(self.peers, bounds)
+        self._pipeline = Pipeline(
+            [
+                self.directory,
+                self.peers,
+                RouteFilter(self.directory),
+                TeamFilter(self.directory, random_source),
+                CrashFilter(),
+                self.placement,
+                self.sends,
+            ]
+        )
+
+    def handle(self, message: Message, now: Moment) -> list[Effect]:
+        """Process one message and return the effects in order."""
+        return self._pipeline.handle(message, now)
--- /dev/null
+++ b/figshunt/dispatch/_prefix_memory.py
@@ -0,0 +1,45 @@
+"""What parts of prompts a runner is believed to hold."""
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from figshunt.dispatch._call import PartId, PromptPart
+
+# Part of the runner's memory that is taken to hold parts of past prompts; the
+# rest is used by requests that run.
+CACHE_SHARE = 0.6
+
+
+class PrefixMemory:
+    """The parts that were read last, up to the size of the runner's memory.
+
+    A part counts only if all parts before it are held too, since engines
+    cache prompts from their beginning.
+    """
+
+    def __init__(self, kv_tokens: int) -> None:
+        self._most_tokens = int(kv_tokens * CACHE_SHARE)
+        self._tokens_by_part: OrderedDict[PartId, int] = OrderedDict()
+        self._held_tokens = 0
+
+    def held_tokens(self, parts: Sequence[PromptPart]) -> int:
+        """Return how many leading tokens of a prompt need not be read."""
+        held = 0
+        for part in parts:
+            if part.part_id not in self._tokens_by_part:
+                break
+            held += part.tokens
+        return held
+
+    def remember(self, parts: Sequence[PromptPart]) -> None:
+        """Count the parts as just used; the least recently used ones yield.
+
+        Of one prompt the leading parts yield last, as more prompts share them.
+        """
+        for part in reversed(parts):
+            known = self._tokens_by_part.pop(part.part_id, 0)
+            self._tokens_by_part[part.part_id] = part.tokens
+            self._held_tokens += part.tokens - known
+        while self._held_tokens > self._most_tokens and self._tokens_by_part:
+            _, tokens = self._tokens_by_part.popitem(last=False)
+            self._held_tokens -= tokens
--- /dev/null
+++ b/figshunt/dispatch/_route_filter.py
@@ -0,0 +1,45 @@
+"""Finds the route of a call by host and path."""
+
+from collections.abc import Iterable
+
+from figshunt.directory import DirectoryView
+from figshunt.dispatch._messages import CallArrived, CallMatched
+from figshunt.dispatch._refusal import refuse_call
+from figshunt.pipeline import Output
+from figshunt.types import ErrorCode, Message, Moment, RunOutcome, Step
+
+# A host that has just started reads the store within this time when it can.
+NOT_READY_RETRY_MS = 300
+
+
+class RouteFilter:
+    """Gives a call the route with the longest prefix of its path.
+
+    A route that isn't known is refused for good only while the published
+    state can be read; otherwise the route may have been added since.
+    """
+
+    step = Step.ROUTE
+    accepts: tuple[type[Message], ...] = (CallArrived,)
+
+    def __init__(self, directory: DirectoryView) -> None:
+        self._directory = directory
+
+    def process(self, message: Message, now: Moment) -> Iterable[Output]:
+        """Handle one message."""
+        assert isinstance(message, CallArrived)
+        call = message.call
+        route = self._directory.match(call.host, call.path)
+        if route is not None:
+            yield CallMatched(call, route)
+            return
+        configuration = self._directory.configuration
+        is_known = configuration is not None and self._directory.is_current
+        yield from refuse_call(
+            call.call_id,
+            ErrorCode.UNKNOWN_ROUTE if is_known else ErrorCode.NOT_READY,
+            self.step,
+            RunOutcome.NOT_RUN,
+            retry_after_ms=None if is_known else NOT_READY_RETRY_MS,
+            version=configuration.version if configuration else None,
+        )
--- /dev/null
+++ b/figshunt/dispatch/_runner_cost.py
@@ -0,0 +1,172 @@
+"""What it is expected to cost to send a request to a runner."""
+
+from dataclasses import dataclass
+from hashlib import blake2b
+from math import exp
+
+from figshunt.directory import EngineLimits, PublishedRunner
+from figshunt.dispatch._call import RoutedCall
+from figshunt.dispatch._runner_model import (
+    PRIOR_FIRST_MS,
+    PRIOR_STEP_MS,
+    READ_CHUNK_TOKENS,
+    RunnerModel,
+)
+from figshunt.types import DataCentreName
+
+# All costs are in parts of the value of one answer in time of the middle
+# urgency, 1; the most urgent class counts twice that.
+MOST_URGENT_VALUE = 2.0
+
+# Part of its value that an answer loses by being late.
+LATE_LOSS = 0.7
+
+# How sharply an estimate near a target turns into lateness, as a part of the
+# target, and the part of a gap target that is kept free for transport.
+ESTIMATE_SPREAD = 0.15
+GAP_HEADROOM = 0.3
+
+# Reading a thousand shared tokens once more: engine time that others need.
+REREAD_COST_PER_TOKEN = 0.15 / 1_000
+
+# A stream with a tight gap target beside a runner that always reads: the part
+# of its value that it loses before it ends.
+READING_RISK = 0.8
+
+# Deterministic preference, alike on all hosts, that separates tight streams
+# from long prompts where nothing else does.
+ROLE_PREFERENCE = 0.15
+
+# Another data centre: bytes between data centres are priced by the platform.
+CROSSING_COST = 0.01
+CROSSING_COST_PER_BYTE = 0.02 / 18_000
+
+FAILURE_COST = 1.5
+OCCUPANCY_COST = 0.1
+MOST_LOSING_STREAMS = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """What is expected if a call goes to a runner."""
+
+    cost: float
+    read_tokens: int
+    first_ms: int
+
+
+def estimate_engine(
+    routed: RoutedCall,
+    runner: PublishedRunner,
+    model: RunnerModel,
+    engine: EngineLimits,
+    own_data_centre: DataCentreName,
+    now_ms: int,
+) -> Estimate:
+    """Estimate a call at a model engine.
+
+    The cost adds up: the call's own first event late, the gaps of streams
+    that the engine delays while it reads this prompt, the call's own gaps if
+    the engine reads a lot, shared tokens that are read again, failures,
+    bytes between data centres.
+    """
+    prompt = routed.call.prompt
+    input_tokens = prompt.input_tokens if prompt else 0
+    held = model.prefixes.held_tokens(prompt.parts) if prompt else 0
+    read_tokens = max(0, input_tokens - held)
+    backlog_ms = model.backlog_ms(now_ms)
+    own_ms = model.read_ms(read_tokens)
+    waited_ms = now_ms - routed.call.received.monotonic_ms
+    first_ms = backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
+    value = value_of_urgency(routed.urgency)
+    cost = value * LATE_LOSS * _lateness(first_ms + waited_ms, routed.route.target_ms)
+    cost += _delay_cost(model, engine, backlog_ms, own_ms, now_ms)
+    gap_ms = routed.route.gap_target_ms
+    if gap_ms is not None:
+        stall_ms = _stall_ms(model, engine, backlog_ms + own_ms)
+        at_risk = _lateness(stall_ms, int(gap_ms * (1 - GAP_HEADROOM)))
+        tightness = _tightness(model, engine, gap_ms)
+        share = min(1.0, model.reading_share(now_ms))
+        cost += value * LATE_LOSS * (at_risk + READING_RISK * tightness * share)
+        cost += ROLE_PREFERENCE * abs(_role_rank(runner.runner_id) - (1 - tightness))
+    shared = sum(part.tokens for part in prompt.parts[:-1]) if prompt else 0
+    cost += REREAD_COST_PER_TOKEN * max(0, shared - held)
+    cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
+    cost += OCCUPANCY_COST * len(model.running) / max(1, runner.slots)
+    return Estimate(cost, read_tokens, int(first_ms))
+
+
+def estimate_plain(
+    routed: RoutedCall,
+    runner: PublishedRunner,
+    model: RunnerModel,
+    own_data_centre: DataCentreName,
+    now_ms: int,
+) -> Estimate:
+    """Estimate a call at a plain service: its load, failures and place."""
+    occupancy = len(model.running) / max(1, runner.slots)
+    cost = occupancy + _common_cost(routed, runner, model, own_data_centre, now_ms)
+    return Estimate(cost + max(0.0, model.slowness - 1.0) * 0.2, 0, 0)
+
+
+def value_of_urgency(urgency: int) -> float:
+    """Return what an answer in time of this urgency counts."""
+    return 2 * MOST_URGENT_VALUE / (2 + max(0, urgency))
+
+
+def _common_cost(
+    routed: RoutedCall,
+    runner: PublishedRunner,
+    model: RunnerModel,
+    own_data_centre: DataCentreName,
+    now_ms: int,
+) -> float:
+    cost = FAILURE_COST * model.failure_share(now_ms)
+    if runner.data_centre != own_data_centre:
+        cost += CROSSING_COST + CROSSING_COST_PER_BYTE * len(routed.call.body)
+    return cost
+
+
+def _lateness(expected_ms: float, target_ms: int) -> float:
+    """Return how probable it is that the target is missed, from 0 to 1."""
+    exponent = (expected_ms - target_ms) / max(1.0, target_ms * ESTIMATE_SPREAD)
+    if exponent > 20:
+        return 1.0
+    return 1 / (1 + exp(-exponent)) if exponent > -20 else 0.0
+
+
+def _stall_ms(model: RunnerModel, engine: EngineLimits, reading_ms: float) -> float:
+    """Return the longest gap between two events while that long is read."""
+    most_ms = engine.event_tokens * model.read_ms(READ_CHUNK_TOKENS)
+    steps_ms = engine.event_tokens * PRIOR_STEP_MS * model.slowness
+    return min(reading_ms, most_ms) + steps_ms
+
+
+def _tightness(model: RunnerModel, engine: EngineLimits, gap_ms: int) -> float:
+    """Return how probable it is that constant reading breaks the gap target."""
+    target_ms = int(gap_ms * (1 - GAP_HEADROOM))
+    return _lateness(_stall_ms(model, engine, float("inf")), target_ms)
+
+
+def _delay_cost(
+    model: RunnerModel,
+    engine: EngineLimits,
+    backlog_ms: float,
+    own_ms: float,
+    now_ms: int,
+) -> float:
+    cost = 0.0
+    before_ms = _stall_ms(model, engine, backlog_ms)
+    after_ms = _stall_ms(model, engine, backlog_ms + own_ms)
+    for gap_ms, share in model.streams_by_gap_ms.items():
+        target_ms = int(gap_ms * (1 - GAP_HEADROOM))
+        added = _lateness(after_ms, target_ms) - _lateness(before_ms, target_ms)
+        streams = min(MOST_LOSING_STREAMS, share.count(now_ms))
+        cost += MOST_URGENT_VALUE * LATE_LOSS * added * streams
+    return cost
+
+
+def _role_rank(runner_id: str) -> float:
+    """Return a number from 0 to 1 that is the same on all hosts."""
+    digest = blake2b(runner_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest) / 0xFFFFFFFF
--- /dev/null
+++ b/figshunt/dispatch/_runner_model.py
@@ -0,0 +1,135 @@
+"""How long a runner will take, from what all hosts have sent to it."""
+
+from dataclasses import dataclass, field
+from math import exp
+
+from figshunt.dispatch._prefix_memory import PrefixMemory
+from figshunt.types import AttemptId
+
+# Prompt tokens that an engine reads in one ms and the time to the first token
+# of an empty prompt; priors, corrected for each runner by what is observed.
+PRIOR_READ_TOKENS_PER_MS = 40.0
+PRIOR_FIRST_MS = 35.0
+
+# Time of one step of an engine that reads no prompt; a prior.
+PRIOR_STEP_MS = 6.0
+
+# Engines read long prompts in pieces of about this size, one with each step,
+# so this bounds the delay that reading adds to one step.
+READ_CHUNK_TOKENS = 2048
+
+# Weight of a new observation in the averages.
+OBSERVATION_WEIGHT = 0.15
+FAILURE_WEIGHT = 0.2
+
+# After this time half of an observed failure share or slowness is forgotten,
+# so that a runner that is avoided gets work again.
+FORGET_HALF_MS = 3_000
+
+# The share of time spent reading is averaged over about this time.
+READING_WINDOW_MS = 4_000
+
+SLOWNESS_BOUNDS = (0.5, 12.0)
+
+
+@dataclass(slots=True)
+class StreamShare:
+    """Streams of one gap target that this host believes to run."""
+
+    ends_ms: list[int] = field(default_factory=list)
+
+    def count(self, now_ms: int) -> int:
+        """Return how many still run, forgetting the others."""
+        self.ends_ms = [end for end in self.ends_ms if end > now_ms]
+        return len(self.ends_ms)
+
+
+class RunnerModel:
+    """One host's picture of one runner.
+
+    Reading is a queue that is worked off at a constant rate: each request,
+    of this host or a peer, adds the tokens it makes the runner read.
+    """
+
+    def __init__(self, kv_tokens: int) -> None:
+        self.prefixes = PrefixMemory(kv_tokens)
+        self.running: set[AttemptId] = set()
+        self.streams_by_gap_ms: dict[int, StreamShare] = {}
+        self.slowness = 1.0
+        self.cold_until_ms = 0
+        self.excluded_until_ms = 0
+        self.exclusions = 0
+        self._reads_until_ms = 0.0
+        self._reading_share = 0.0
+        self._failure_share = 0.0
+        self._seen_ms = 0
+
+    def read_ms(self, tokens: int) -> float:
+        """Return how long the runner takes to read ``tokens``."""
+        return tokens / PRIOR_READ_TOKENS_PER_MS * self.slowness
+
+    def backlog_ms(self, now_ms: int) -> float:
+        """Return how long the runner still reads what it was sent."""
+        return max(0.0, self._reads_until_ms - now_ms)
+
+    def reading_share(self, now_ms: int) -> float:
+        """Return the recent share of time spent reading prompts."""
+        self._age(now_ms)
+        return self._reading_share
+
+    def failure_share(self, now_ms: int) -> float:
+        """Return the recent share of requests that the runner failed."""
+        self._age(now_ms)
+        return self._failure_share
+
+    def add(
+        self, read_tokens: int, gap_target_ms: int, expected_ms: int, now_ms: int
+    ) -> None:
+        """Count a request that this host or a peer sends."""
+        self._age(now_ms)
+        reading_ms = self.read_ms(read_tokens)
+        self._reads_until_ms = max(self._reads_until_ms, float(now_ms)) + reading_ms
+        self._reading_share += reading_ms / READING_WINDOW_MS
+        if gap_target_ms:
+            share = self.streams_by_gap_ms.setdefault(gap_target_ms, StreamShare())
+            share.ends_ms.append(now_ms + expected_ms)
+
+    def observe_first(self, waited_ms: int, expected_ms: float) -> None:
+        """Correct the slowness by the time that a first event took."""
+        ratio = self.slowness * waited_ms / max(expected_ms, 1.0)
+        weight = OBSERVATION_WEIGHT
+        low, high = SLOWNESS_BOUNDS
+        mixed = (1 - weight) * self.slowness + weight * ratio
+        self.slowness = min(high, max(low, mixed))
+
+    def observe_result(self, failed: bool, now_ms: int) -> None:
+        """Correct the failure share by the end of one send."""
+        self._age(now_ms)
+        target = 1.0 if failed else 0.0
+        self._failure_share += FAILURE_WEIGHT * (target - self._failure_share)
+        if not failed:
+            self.exclusions = 0
+
+    def exclude(self, until_ms: int) -> None:
+        """Send nothing to the runner until then, unless there is no other."""
+        self.excluded_until_ms = max(self.excluded_until_ms, until_ms)
+        self.exclusions += 1
+
+    def restart(self, cold_until_ms: int, kv_tokens: int) -> None:
+        """Forget what belonged to the runner's former process."""
+        self.prefixes = PrefixMemory(kv_tokens)
+        self.streams_by_gap_ms = {}
+        self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
+        self.slowness = 1.0
+        self._reads_until_ms = 0.0
+        self._failure_share = 0.0
+
+    def _age(self, now_ms: int) -> None:
+        passed_ms = now_ms - self._seen_ms
+        if passed_ms <= 0:
+            return
+        self._seen_ms = now_ms
+        kept = 0.5 ** (passed_ms / FORGET_HALF_MS)
+        self._failure_share *= kept
+        self.slowness = 1.0 + (self.slowness - 1.0) * kept**0.25
+        self._reading_share *= exp(-passed_ms / READING_WINDOW_MS)
--- /dev/null
+++ b/figshunt/gateway/__init__.py
@@ -0,0 +1,37 @@
+"""Services of an entry host that reads a platform's published state."""
+
+from figshunt.gateway._clock import BootClock
+from figshunt.gateway._daemon import GatewayDaemon
+from figshunt.gateway._directory_reader import (
+    DirectoryReader,
+    HistoryLostError,
+    ItemSource,
+    Listing,
+    PublishedItems,
+    SourceError,
+)
+from figshunt.gateway._front_listener import FrontListener
+from figshunt.gateway._line_output import LineOutput
+from figshunt.gateway._peer_link import PeerLink
+from figshunt.gateway._runner_caller import RunnerCaller
+from figshunt.gateway._settings import Address, GatewaySettings
+from figshunt.gateway._wire import CallCodec, ItemCodec
+
+__all__ = [
+    "Address",
+    "BootClock",
+    "CallCodec",
+    "DirectoryReader",
+    "FrontListener",
+    "GatewayDaemon",
+    "GatewaySettings",
+    "HistoryLostError",
+    "ItemCodec",
+    "ItemSource",
+    "LineOutput",
+    "Listing",
+    "PeerLink",
+    "PublishedItems",
+    "RunnerCaller",
+    "SourceError",
+]
--- /dev/null
+++ b/figshunt/gateway/_daemon.py
@@ -0,0 +1,224 @@
+"""One entry host: feeds the core and carries out its effects."""
+
+import asyncio
+import random
+from typing import Any
+
+from mode import Service
+
+from figshunt.dispatch import (
+    AnswerBegin,
+    AnswerBreak,
+    AnswerEnd,
+    AnswerError,
+    AnswerEvent,
+    AnswerWhole,
+    CancelSend,
+    DispatchCore,
+    HostStatus,
+    SendCall,
+    TellPeers,
+)
+from figshunt.gateway._directory_reader import (
+    DirectoryReader,
+    ItemSource,
+    PublishedItems,
+)
+from figshunt.gateway._front_listener import FrontListener
+from figshunt.gateway._peer_link import PeerLink
+from figshunt.gateway._runner_caller import RunnerCaller
+from figshunt.gateway._settings import GatewaySettings
+from figshunt.gateway._side_listeners import MetricsListener, ReadinessListener
+from figshunt.gateway._wire import CallCodec, ItemCodec
+from figshunt.pipeline import WakeQueue
+from figshunt.services import EventLog, Metrics
+from figshunt.types import (
+    Clock,
+    CountEvent,
+    Effect,
+    LogEvent,
+    Message,
+    ObserveDuration,
+    TimerDue,
+    WakeAt,
+)
+
+# The platform notices within two or three of its questions, one a second, that
+# a host isn't ready any more; until then callers still open connections.
+STOP_ACCEPTING_MS = 3_000
+
+# Left of the grace period for closing what is still open.
+STOP_MARGIN_MS = 400
+
+# Filters look at their own deadlines at least this often.
+TURN_MS = 200
+
+
+class GatewayDaemon(Service):
+    """The services of one entry host around a :class:`DispatchCore`."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        call_codec: CallCodec,
+        item_codec: ItemCodec,
+        source: ItemSource,
+        readiness_path: str,
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._clock = clock
+        self._log = EventLog({"host": settings.host})
+        self._incarnation = clock.now().wall_ms
+        self._is_draining = False
+        self._metrics = Metrics()
+        self.core = DispatchCore(settings.data_centre, settings.bounds, random_source)
+        self.items = PublishedItems(item_codec, self)
+        self.reader = DirectoryReader(
+            source, self.items, self, clock, self._log, random_source
+        )
+        self.front = FrontListener(settings.front, call_codec, self, clock, self._log)
+        self.runners = RunnerCaller(call_codec, self)
+        self.peers = PeerLink(
+            settings.front.ip,
+            settings.peer_port,
+            settings.seeds,
+            self._build_status,
+            self,
+            clock,
+            self._log,
+            random_source,
+        )
+        self.readiness = ReadinessListener(
+            settings.readiness, readiness_path, self.is_ready
+        )
+        self.metrics = MetricsListener(settings.metrics, self._metrics.exposition)
+        self._timer: asyncio.TimerHandle | None = None
+        self._wake_queue = WakeQueue()
+
+    def on_init_dependencies(self) -> list[Service]:
+        """Return the services in the order in which they start."""
+        return [
+            self.runners,
+            self.front,
+            self.peers,
+            self.metrics,
+            self.reader,
+            self.readiness,
+        ]
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent here."""
+        directory = self.core.directory
+        return not self._is_draining and directory.configuration is not None
+
+    async def on_started(self) -> None:
+        """Log the start and wake the core for the first time."""
+        self._log.write(
+            "daemon_started",
+            incarnation=self._incarnation,
+            data_centre=self._settings.data_centre,
+        )
+        self._turn()
+
+    async def on_stop(self) -> None:
+        """Cancel the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._log.write("daemon_stopped")
+
+    async def drain(self) -> None:
+        """Shut down gracefully within the grace period.
+
+        Callers' new connections are accepted until the platform has noticed
+        that this host isn't ready; then only what is in progress goes on.
+        """
+        self._is_draining = True
+        self._log.write("drain_started", grace_ms=self._settings.stop_grace_ms)
+        self.peers.send_now()
+        self.front.start_drain()
+        await asyncio.sleep(STOP_ACCEPTING_MS / 1000)
+        self.front.stop_accepting()
+        left_ms = self._settings.stop_grace_ms - STOP_ACCEPTING_MS - STOP_MARGIN_MS
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                await self.front.wait_idle()
+        except TimeoutError:
+            self._log.write(
+                "drain_incomplete", "warning", sends=self.core.sends.in_flight
+            )
+        self._log.write("drain_finished")
+
+    def feed(self, message: Message) -> None:
+        """Process one message now and carry out its effects."""
+        for effect in self.core.handle(message, self._clock.now()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case (
+                AnswerEvent()
+                | AnswerWhole()
+                | AnswerBegin()
+                | AnswerEnd()
+                | AnswerError()
+                | AnswerBreak()
+            ):
+                self.front.deliver(effect)
+            case SendCall():
+                self.runners.start_send(effect)
+            case CancelSend():
+                self.runners.cancel_send(effect)
+            case TellPeers():
+                self.peers.tell(effect)
+            case WakeAt(monotonic_ms):
+                self._wake_at(monotonic_ms)
+            case CountEvent():
+                self._metrics.count(effect)
+            case ObserveDuration():
+                self._metrics.observe(effect)
+            case LogEvent(event, step, fields):
+                values: dict[str, Any] = dict(fields)
+                self._log.write(event, step=step.value, **values)
+
+    def _build_status(self) -> HostStatus:
+        configuration = self.core.directory.configuration
+        return HostStatus(
+            host=self._settings.host,
+            incarnation=self._incarnation,
+            address=self._settings.front.ip,
+            version=configuration.version if configuration else 0,
+            revision=self.items.replica.revision,
+            is_current=self.reader.is_reading,
+            is_leaving=self._is_draining,
+        )
+
+    def _turn(self) -> None:
+        self.feed(TimerDue())
+        self._wake_at(self._clock.now().monotonic_ms + TURN_MS)
+
+    def _wake_at(self, monotonic_ms: int) -> None:
+        self._wake_queue.add(monotonic_ms)
+        if self._wake_queue.next_ms() == monotonic_ms:
+            self._set_timer()
+
+    def _set_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        due_ms = self._wake_queue.next_ms()
+        if due_ms is not None:
+            wait_ms = max(1, due_ms - self._clock.now().monotonic_ms)
+            self._timer = asyncio.get_running_loop().call_later(
+                wait_ms / 1000, self._timer_due
+            )
+
+    def _timer_due(self) -> None:
+        now_ms = self._clock.now().monotonic_ms
+        if self._wake_queue.take_due(now_ms):
+            self.feed(TimerDue())
+        if self._wake_queue.next_ms() is None:
+            self._wake_queue.add(now_ms + TURN_MS)
+        self._set_timer()
--- /dev/null
+++ b/figshunt/gateway/_front_listener.py
@@ -0,0 +1,219 @@
+"""Accepts callers over HTTP and streams answers back to them."""
+
+import asyncio
+from typing import Any
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+from mode import Service
+from yarl import URL
+
+from figshunt.dispatch import (
+    AnswerBegin,
+    AnswerBreak,
+    AnswerEnd,
+    AnswerError,
+    AnswerEvent,
+    AnswerPart,
+    AnswerWhole,
+    Call,
+    CallAbandoned,
+    CallArrived,
+    ReplyHead,
+)
+from figshunt.gateway._answer_queue import AnswerQueue
+from figshunt.gateway._settings import Address
+from figshunt.gateway._wire import CallCodec
+from figshunt.services import EventLog, Feed
+from figshunt.types import Clock, RequestId, Step
+
+MOST_HEAD_BYTES = 64 * 1024
+MOST_BODY_BYTES = 8 * 1024 * 1024
+
+# Callers reuse connections that were idle for less than the published limit,
+# which is 15 s on known deployments; they are closed well after that.
+IDLE_TIMEOUT_S = 60.0
+
+BACKLOG = 1024
+
+
+class FrontListener(Service):
+    """Turns HTTP requests into calls and answer parts into HTTP answers."""
+
+    def __init__(
+        self,
+        address: Address,
+        codec: CallCodec,
+        feed: Feed,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        super().__init__()
+        self._address = address
+        self._codec = codec
+        self._feed = feed
+        self._clock = clock
+        self._log = log
+        self._queues: dict[RequestId, tuple[AnswerQueue, web.BaseRequest]] = {}
+        self._server: asyncio.Server | None = None
+        self._http: web.Server | None = None
+        self._is_draining = False
+        self._busy = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        assert self._server is not None
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    async def on_start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._http = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            request_factory=self._make_request,
+            access_log=None,
+            auto_decompress=False,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            max_line_size=MOST_HEAD_BYTES,
+            max_field_size=MOST_HEAD_BYTES,
+        )
+        self._server = await loop.create_server(
+            self._http, self._address.ip, self._address.port, backlog=BACKLOG
+        )
+
+    async def on_stop(self) -> None:
+        """Close the listener and all connections."""
+        if self._server is not None:
+            self._server.close()
+        if self._http is not None:
+            await self._http.shutdown(0)
+
+    def start_drain(self) -> None:
+        """Close each connection after its next answer."""
+        self._is_draining = True
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections, and close those without a request."""
+        if self._server is not None:
+            self._server.close()
+        if self._http is not None:
+            self._http.pre_shutdown()
+
+    async def wait_idle(self) -> None:
+        """Wait until no request is in progress."""
+        await self._idle.wait()
+
+    def deliver(self, part: AnswerPart) -> None:
+        """Pass a part of an answer on to its caller."""
+        entry = self._queues.get(part.call_id)
+        if entry is None:
+            return
+        queue, request = entry
+        if not queue.put(part) and request.transport is not None:
+            self._log.write(
+                "caller_too_slow",
+                "warning",
+                step=Step.FRONT_LISTENER.value,
+                request=part.call_id,
+            )
+            request.transport.abort()
+
+    def _make_request(
+        self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=MOST_BODY_BYTES,
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        received = self._clock.now()
+        self._busy += 1
+        self._idle.clear()
+        try:
+            target = request.raw_path
+            if not _is_plain_target(target):
+                return web.Response(status=400)
+            try:
+                body = await request.read()
+            except web.HTTPRequestEntityTooLarge:
+                return web.Response(status=413)
+            except (web.RequestPayloadError, HttpProcessingError):
+                return web.Response(status=400)
+            call = self._codec.decode_call(
+                request.method, target, request.headers.items(), body, received
+            )
+            return await self._serve(request, call)
+        finally:
+            self._busy -= 1
+            if not self._busy:
+                self._idle.set()
+
+    async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
+        queue = AnswerQueue()
+        self._queues[call.call_id] = (queue, request)
+        try:
+            self._feed.feed(CallArrived(call))
+            return await self._send_answer(request, call, queue)
+        except BaseException:
+            self._feed.feed(CallAbandoned(call.call_id))
+            raise
+        finally:
+            del self._queues[call.call_id]
+
+    async def _send_answer(
+        self, request: web.BaseRequest, call: Call, queue: AnswerQueue
+    ) -> web.StreamResponse:
+        response: web.StreamResponse | None = None
+        while True:
+            match await queue.get():
+                case AnswerWhole(_, head, body):
+                    whole = web.Response(status=head.status, body=body)
+                    self._fill(whole, head)
+                    return whole
+                case AnswerError(_, _, status, retry_after_ms):
+                    headers = self._codec.encode_refusal(call, retry_after_ms)
+                    error = web.Response(status=status, headers=headers)
+                    if self._is_draining:
+                        error.force_close()
+                    return error
+                case AnswerBegin(_, head):
+                    response = web.StreamResponse(status=head.status)
+                    self._fill(response, head)
+                    await response.prepare(request)
+                case AnswerEvent(_, data):
+                    assert response is not None
+                    await response.write(data)
+                case AnswerEnd():
+                    assert response is not None
+                    await response.write_eof()
+                    return response
+                case AnswerBreak():
+                    # A chunked answer without its end can't look whole.
+                    assert response is not None
+                    if request.transport is not None:
+                        request.transport.close()
+                    return response
+
+    def _fill(self, response: web.StreamResponse, head: ReplyHead) -> None:
+        for name, value in head.headers:
+            response.headers.add(name, value)
+        if self._is_draining:
+            response.force_close()
+
+
+def _is_plain_target(target: str) -> bool:
+    """Return whether the runner gets exactly this target from the client library."""
+    if not target.startswith("/") or not target.isascii():
+        return False
+    return URL(f"http://h{target}", encoded=True).raw_path_qs == target
--- /dev/null
+++ b/figshunt/platform/__init__.py
@@ -0,0 +1,21 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
+
+from figshunt.platform._calls import PlatformCallCodec
+from figshunt.platform._items import PlatformItemCodec
+from figshunt.platform._readiness import READINESS_PATH
+from figshunt.platform._settings import (
+    METRICS_PORT,
+    read_platform_settings,
+    settings_path,
+)
+from figshunt.platform._store_client import PlatformStoreClient
+
+__all__ = [
+    "METRICS_PORT",
+    "READINESS_PATH",
+    "PlatformCallCodec",
+    "PlatformItemCodec",
+    "PlatformStoreClient",
+    "read_platform_settings",
+    "settings_path",
+]
--- /dev/null
+++ b/figshunt/platform/_calls.py
@@ -0,0 +1,200 @@
+"""Requests and answers as callers and runners send them."""
+
+import uuid
+from collections.abc import Iterable
+
+import xxhash
+
+from figshunt.dispatch import (
+    Call,
+    PartId,
+    Prompt,
+    PromptPart,
+    ReplyHead,
+    ReplyVerdict,
+    RunnerLoad,
+    SendCall,
+)
+from figshunt.platform._names import (
+    AUTHORIZATION,
+    CONNECTION_HEADERS,
+    EVENT_STREAM,
+    EXPECTED_RUNNER,
+    KEY_SCHEME,
+    LAST_EVENT_ID,
+    LEAST_URGENT,
+    LOAD,
+    NOT_RUN,
+    OUTPUT_ESTIMATE,
+    OWN_REQUEST_HEADERS,
+    PRIORITY,
+    PROMPT_PARTS,
+    RECEIPT,
+    REQUEST_ID,
+    RETRY_AFTER,
+    TEAM,
+    TIME_LEFT_MS,
+    TOKENS,
+    WRONG_RUNNER_STATUS,
+)
+from figshunt.types import Fingerprint, Moment, RequestId
+
+HeaderPairs = Iterable[tuple[str, str]]
+
+_NOT_FORWARDED = (
+    OWN_REQUEST_HEADERS
+    | CONNECTION_HEADERS
+    | {AUTHORIZATION.lower(), TIME_LEFT_MS.lower(), LAST_EVENT_ID.lower()}
+)
+
+
+class PlatformCallCodec:
+    """Meets :class:`figshunt.gateway.CallCodec` for the platform's headers."""
+
+    def decode_call(
+        self,
+        method: str,
+        target: str,
+        headers: HeaderPairs,
+        body: bytes,
+        received: Moment,
+    ) -> Call:
+        """Return a caller's request; values that can't be read count as absent."""
+        pairs = tuple(headers)
+        by_name = {name.lower(): value for name, value in pairs}
+        caller_key = _decode_key(by_name.get(AUTHORIZATION.lower(), ""))
+        return Call(
+            call_id=RequestId(
+                by_name.get(REQUEST_ID.lower(), "") + "/" + uuid.uuid4().hex[:8]
+            ),
+            host=by_name.get("host", ""),
+            method=method,
+            target=target,
+            caller_key=caller_key,
+            headers=tuple(
+                (name, value)
+                for name, value in pairs
+                if name.lower() not in _NOT_FORWARDED
+            ),
+            body=body,
+            received=received,
+            patience_ms=_decode_number(by_name.get(TIME_LEFT_MS.lower())),
+            prompt=_decode_prompt(by_name),
+            resume_after=_decode_number(by_name.get(LAST_EVENT_ID.lower())),
+            fingerprint=_fingerprint(method, target, caller_key, body),
+        )
+
+    def encode_send(self, send: SendCall) -> list[tuple[str, str]]:
+        """Return the caller's headers with those that the system sets."""
+        headers = [*send.call.headers, (EXPECTED_RUNNER, send.runner_id)]
+        headers.append((TIME_LEFT_MS, str(send.patience_ms)))
+        if send.team is not None:
+            headers.append((TEAM, send.team))
+        if send.call.prompt is not None:
+            headers.append((PRIORITY, str(min(LEAST_URGENT, max(0, send.priority)))))
+        if send.resume_after is not None:
+            headers.append((LAST_EVENT_ID, str(send.resume_after)))
+        return headers
+
+    def decode_head(
+        self, send: SendCall, status: int, headers: HeaderPairs
+    ) -> ReplyHead:
+        """Return a runner's status line and headers in the core's terms."""
+        pairs = tuple(headers)
+        by_name = {name.lower(): value for name, value in pairs}
+        own_id = dict((n.lower(), v) for n, v in send.call.headers).get(
+            REQUEST_ID.lower()
+        )
+        is_success = 200 <= status < 300
+        content_type = by_name.get("content-type", "")
+        return ReplyHead(
+            status=status,
+            headers=tuple(
+                (name, value)
+                for name, value in pairs
+                if name.lower() not in CONNECTION_HEADERS
+            ),
+            verdict=_decode_verdict(status, by_name),
+            has_receipt=RECEIPT.lower() in by_name,
+            is_ours=by_name.get(REQUEST_ID.lower()) == own_id,
+            is_stream=is_success and content_type.startswith(EVENT_STREAM),
+            load=_decode_load(by_name.get(LOAD.lower())),
+            retry_after_ms=_decode_seconds(by_name.get(RETRY_AFTER.lower())),
+        )
+
+    def encode_refusal(self, call: Call, retry_after_ms: int | None) -> dict[str, str]:
+        """Return the headers of an error that this host answers with."""
+        by_name = {name.lower(): value for name, value in call.headers}
+        headers = {}
+        if REQUEST_ID.lower() in by_name:
+            headers[REQUEST_ID] = by_name[REQUEST_ID.lower()]
+        if retry_after_ms is not None:
+            headers[RETRY_AFTER] = f"{retry_after_ms / 1000:.3f}"
+        return headers
+
+
+def _decode_key(authorization: str) -> str | None:
+    scheme, _, key = authorization.partition(" ")
+    return key.strip() or None if scheme.lower() == KEY_SCHEME else None
+
+
+def _decode_number(text: str | None) -> int | None:
+    return int(text) if text and text.isascii() and text.isdigit() else None
+
+
+def _decode_seconds(text: str | None) -> int | None:
+    try:
+        return int(float(text or "") * 1000)
+    except (ValueError, OverflowError):
+        return None
+
+
+def _decode_prompt(by_name: dict[str, str]) -> Prompt | None:
+    counts = by_name.get(TOKENS.lower(), "").split(",")
+    numbers = [_decode_number(count.strip()) for count in counts]
+    if len(numbers) < 2 or numbers[0] is None or numbers[1] is None:
+        return None
+    return Prompt(
+        input_tokens=numbers[0],
+        most_output_tokens=numbers[1],
+        parts=_decode_parts(by_name.get(PROMPT_PARTS.lower(), "")),
+        expected_output_tokens=_decode_number(by_name.get(OUTPUT_ESTIMATE.lower())),
+    )
+
+
+def _decode_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for pair in text.split(","):
+        part_id, _, tokens = pair.strip().partition(":")
+        count = _decode_number(tokens)
+        if not part_id or count is None:
+            break
+        parts.append(PromptPart(PartId(part_id), count))
+    return tuple(parts)
+
+
+def _decode_verdict(status: int, by_name: dict[str, str]) -> ReplyVerdict:
+    if status == WRONG_RUNNER_STATUS:
+        return ReplyVerdict.WRONG_RUNNER
+    if NOT_RUN.lower() in by_name:
+        return ReplyVerdict.REFUSED
+    return ReplyVerdict.ANSWERED if 200 <= status < 300 else ReplyVerdict.FAILED
+
+
+def _decode_load(text: str | None) -> RunnerLoad | None:
+    numbers = [_decode_number(one.strip()) for one in (text or "").split(",")]
+    if len(numbers) != 3 or None in numbers:
+        return None
+    running, waiting, slots = (number or 0 for number in numbers)
+    return RunnerLoad(running, waiting, slots)
+
+
+def _fingerprint(
+    method: str, target: str, caller_key: str | None, body: bytes
+) -> Fingerprint:
+    digest = xxhash.xxh3_128()
+    for part in (method, target, caller_key or ""):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(body)
+    return Fingerprint(digest.hexdigest())
--- /dev/null
+++ b/figshunt/platform/_readiness.py
@@ -0,0 +1,3 @@
+"""Where the platform asks whether a daemon may get callers."""
+
+READINESS_PATH = "/readiness"
--- a/figshunt/policy/_retry_budget.py
+++ b/figshunt/policy/_retry_budget.py
@@ -16,7 +16,7 @@
     """Allows retries up to a share of the first tries in a sliding window.
 
     :param share: retries allowed for each first try.
-    :param least: retries always allowed in one window.
+    :param least: retries always allowed in one window; may be changed later.
     :param window_ms: length of the window.
     """
 
@@ -27,7 +27,7 @@
         window_ms: int = WINDOW_MS,
     ) -> None:
         self._share = share
-        self._least = least
+        self.least = least
         self._window_ms = window_ms
         self._first_tries_ms: deque[int] = deque()
         self._retries_ms: deque[int] = deque()
@@ -42,7 +42,7 @@
         for times_ms in (self._first_tries_ms, self._retries_ms):
             while times_ms and times_ms[0] < oldest_ms:
                 times_ms.popleft()
-        allowed = max(self._least, int(self._share * len(self._first_tries_ms)))
+        allowed = max(self.least, int(self._share * len(self._first_tries_ms)))
         if len(self._retries_ms) >= allowed:
             return False
         self._retries_ms.append(now.monotonic_ms)
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -25,9 +25,11 @@
     build_error_response,
     to_error,
 )
+from figshunt.services._event_limit import EventLimit
 from figshunt.services._event_log import (
     EventLog,
     KeyValueDestination,
+    LogOutput,
     format_value,
     open_log,
 )
@@ -82,7 +84,9 @@
     "CallerProtocol",
     "CoreView",
     "Daemon",
+    "EventLimit",
     "EventLog",
+    "LogOutput",
     "EventRun",
     "EventStreamReader",
     "Feed",
--- a/figshunt/services/_event_log.py
+++ b/figshunt/services/_event_log.py
@@ -3,7 +3,7 @@
 import json
 import sys
 from collections.abc import Mapping
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import eliot
 
@@ -13,10 +13,20 @@
 )
 
 
+class LogOutput(Protocol):
+    """Takes whole lines."""
+
+    def write(self, text: str, /) -> int:
+        """Take one line."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
 class KeyValueDestination:
     """An eliot destination that prints one line of key=value pairs."""
 
-    def __init__(self, output: TextIO, lowest_level: str) -> None:
+    def __init__(self, output: LogOutput, lowest_level: str) -> None:
         self._output = output
         self._levels = frozenset(LEVELS[LEVELS.index(lowest_level) :])
 
@@ -59,7 +69,7 @@
         )
 
 
-def open_log(lowest_level: str, output: TextIO = sys.stderr) -> KeyValueDestination:
+def open_log(lowest_level: str, output: LogOutput = sys.stderr) -> KeyValueDestination:
     """Send all events of this process to ``output`` and return the destination."""
     destination = KeyValueDestination(output, lowest_level)
     eliot.add_destinations(destination)
--- a/figshunt/services/_event_stream.py
+++ b/figshunt/services/_event_stream.py
@@ -27,6 +27,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def rest(self) -> bytes:
+        """Return the bytes of an event that isn't complete yet."""
+        return bytes(self._buffer)
+
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
         """Add bytes and yield each event that is complete."""
         self._buffer += data
--- a/figshunt/services/_metrics.py
+++ b/figshunt/services/_metrics.py
@@ -15,12 +15,20 @@
     "wasted_tokens": ("route",),
     "retries": ("failure",),
     "late_parts_dropped": ("part",),
+    "calls": ("route",),
+    "answers": ("route",),
+    "repeats": ("route",),
+    "refusals": ("code", "step"),
 }
 HELP_BY_COUNTER = {
     "requests": "Requests that ended, by route and result.",
     "wasted_tokens": "Tokens generated but not delivered.",
     "retries": "Attempts started again after a failure.",
     "late_parts_dropped": "Parts of abandoned attempts that were dropped.",
+    "calls": "Requests with a route and a team, by route.",
+    "answers": "Answers of runners that were given to callers, by route.",
+    "repeats": "Requests sent to a further runner, by route.",
+    "refusals": "Requests answered with an error of this host.",
 }
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.45, 0.9, 2, 5, 10, 30, 60)
 
--- a/figshunt/types/_effects.py
+++ b/figshunt/types/_effects.py
@@ -9,6 +9,9 @@
 from figshunt.types._request import Request
 from figshunt.types._states import CancelReason, RunOutcome, Step
 
+LogValue = str | int | float | bool | None
+LogFields = Mapping[str, LogValue]
+
 
 @dataclass(frozen=True, slots=True)
 class Effect:
@@ -108,7 +111,7 @@
 
     event: str
     step: Step
-    fields: Mapping[str, str | int | float | bool | None] = field(default_factory=dict)
+    fields: LogFields = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -32,6 +32,11 @@
     HOST_LIST = "host_list"
     SETTINGS = "settings"
     DAEMON = "daemon"
+    DIRECTORY = "directory"
+    PEERS = "peers"
+    PLACEMENT = "placement"
+    FRONT_LISTENER = "front_listener"
+    STORE = "store"
 
 
 class RunOutcome(Enum):
