Balance prompt reading over engines; end planned stops without loss

Idle caller connections at the end of the accept window were cancelled but not closed, so requests on them got no answer (LOST), and SIGHUP ended the process.

Change: the cost of a runner counts waiting, the delay of its other streams and the chance that the output isn't finished by the deadline; reading shared tokens again costs only what some runner read lately. Idle connections stop reading, and are closed if no request has begun a moment later. SIGHUP reads the settings again.

--- a/figshunt/commands/_gateway.py
+++ b/figshunt/commands/_gateway.py
@@ -37,11 +37,11 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS_INVALID
     open_log(decoded.log_level, output)
-    asyncio.run(_run(decoded, output))
+    asyncio.run(_run(settings or settings_path(), decoded, output))
     return 0
 
 
-async def _run(settings: GatewaySettings, output: LineOutput) -> None:
+async def _run(path: Path, settings: GatewaySettings, output: LineOutput) -> None:
     loop = asyncio.get_running_loop()
     output.attach(loop)
     daemon = GatewayDaemon(
@@ -55,7 +55,15 @@
     )
     stop_asked = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop_asked.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, daemon)
     await daemon.start()
     await stop_asked.wait()
     await daemon.drain()
     await daemon.stop()
+
+
+def _reload(path: Path, daemon: GatewayDaemon) -> None:
+    try:
+        daemon.reload(read_platform_settings(path))
+    except FigshuntError as error:
+        daemon.keep_settings(error)
--- a/figshunt/dispatch/_cold_limit.py
+++ b/figshunt/dispatch/_cold_limit.py
@@ -12,6 +12,8 @@
     In any second a cold runner may get ``cold_overshoot`` times its published
     rate and ``cold_slack`` more; in any ``retry_window_ms`` a pool may get
     ``retry_share`` of its requests once more, and ``retry_slack`` besides.
+    Reading a shared part of a prompt again is priced for ``reuse_window_ms``
+    after its last use.
     """
 
     cold_overshoot: float = 1.5
@@ -19,6 +21,7 @@
     retry_share: float = 0.2
     retry_slack: float = 50.0
     retry_window_ms: int = 10_000
+    reuse_window_ms: int = 6_000
 
 
 # Part of a shared bound that hosts use; the rest covers hosts that were not
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -26,6 +26,7 @@
     SendResult,
 )
 from figshunt.dispatch._peer_filter import PeersView
+from figshunt.dispatch._prefix_memory import PartUses
 from figshunt.dispatch._refusal import refuse_call
 from figshunt.dispatch._runner_cost import Estimate, estimate_engine, estimate_plain
 from figshunt.dispatch._runner_model import PRIOR_FIRST_MS, PRIOR_STEP_MS, RunnerModel
@@ -116,6 +117,7 @@
         self._data_centre = data_centre
         self._random = random_source
         self._cold = ColdLimit(bounds)
+        self._part_uses = PartUses(bounds.reuse_window_ms)
         self._models: dict[RunnerId, RunnerModel] = {}
         self._starts: dict[RunnerId, int | None] = {}
         self._held: dict[RequestId, HeldCall] = {}
@@ -219,9 +221,20 @@
                 routed, runner, model, self._data_centre, now.monotonic_ms
             )
         return estimate_engine(
-            routed, runner, model, pool.engine, self._data_centre, now.monotonic_ms
+            routed,
+            runner,
+            model,
+            pool.engine,
+            self._data_centre,
+            self._recent_tokens(routed, now),
+            now.monotonic_ms,
         )
 
+    def _recent_tokens(self, routed: RoutedCall, now: Moment) -> int:
+        prompt = routed.call.prompt
+        parts = prompt.parts if prompt else ()
+        return self._part_uses.recent_tokens(parts, now.monotonic_ms)
+
     def _send(
         self,
         routed: RoutedCall,
@@ -270,6 +283,7 @@
         )
 
     def _note(self, notice: PlacementNotice, now: Moment) -> None:
+        self._part_uses.record(notice.parts, now.monotonic_ms)
         model = self._models.get(notice.runner_id)
         if model is None:
             return
--- a/figshunt/dispatch/_prefix_memory.py
+++ b/figshunt/dispatch/_prefix_memory.py
@@ -10,6 +10,33 @@
 CACHE_SHARE = 0.6
 
 
+class PartUses:
+    """When parts of prompts were last sent to any runner."""
+
+    def __init__(self, window_ms: int) -> None:
+        self._window_ms = window_ms
+        self._used_ms_by_part: OrderedDict[PartId, int] = OrderedDict()
+
+    def recent_tokens(self, parts: Sequence[PromptPart], now_ms: int) -> int:
+        """Return how many leading tokens were used within the window."""
+        oldest_ms = now_ms - self._window_ms
+        recent = 0
+        for part in parts:
+            if self._used_ms_by_part.get(part.part_id, oldest_ms) <= oldest_ms:
+                break
+            recent += part.tokens
+        return recent
+
+    def record(self, parts: Sequence[PromptPart], now_ms: int) -> None:
+        """Count the parts as used now, and forget those outside the window."""
+        for part in parts:
+            self._used_ms_by_part.pop(part.part_id, None)
+            self._used_ms_by_part[part.part_id] = now_ms
+        oldest_ms = now_ms - self._window_ms
+        while next(iter(self._used_ms_by_part.values()), now_ms) <= oldest_ms:
+            self._used_ms_by_part.popitem(last=False)
+
+
 class PrefixMemory:
     """The parts that were read last, up to the size of the runner's memory.
 
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -5,11 +5,12 @@
 from math import exp
 
 from figshunt.directory import EngineLimits, PublishedRunner
-from figshunt.dispatch._call import RoutedCall
+from figshunt.dispatch._call import Prompt, RoutedCall
 from figshunt.dispatch._runner_model import (
     PRIOR_FIRST_MS,
     PRIOR_STEP_MS,
     READ_CHUNK_TOKENS,
+    READING_WINDOW_MS,
     RunnerModel,
 )
 from figshunt.types import DataCentreName
@@ -23,11 +24,20 @@
 
 # How sharply an estimate near a target turns into lateness, as a part of the
 # target, and the part of a gap target that is kept free for transport.
-ESTIMATE_SPREAD = 0.15
+ESTIMATE_SPREAD = 0.2
 GAP_HEADROOM = 0.3
 
-# Reading a thousand shared tokens once more: engine time that others need.
-REREAD_COST_PER_TOKEN = 0.15 / 1_000
+# Reading shared tokens once more that a runner read lately: the platform
+# prices it, at about a tenth of an answer's value for a thousand tokens.
+REREAD_COST_PER_TOKEN = 0.12 / 1_000
+
+# Waiting costs something before it makes anything late: a target's length of
+# it, and a second by which each other stream of the runner is delayed.
+WAITING_COST = 0.2
+DELAY_COST_PER_STREAM_S = 0.1
+
+# Outputs are often longer than callers expect, by up to about this factor.
+OUTPUT_MARGIN = 2.0
 
 # A stream with a tight gap target beside a runner that always reads: the part
 # of its value that it loses before it ends.
@@ -61,10 +71,13 @@
     model: RunnerModel,
     engine: EngineLimits,
     own_data_centre: DataCentreName,
+    recent_tokens: int,
     now_ms: int,
 ) -> Estimate:
     """Estimate a call at a model engine.
 
+    ``recent_tokens`` counts the leading tokens that some runner read lately.
+
     The cost adds up: the call's own first event late, the gaps of streams
     that the engine delays while it reads this prompt, the call's own gaps if
     the engine reads a lot, shared tokens that are read again, failures,
@@ -79,7 +92,11 @@
     waited_ms = now_ms - routed.call.received.monotonic_ms
     first_ms = backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
     value = value_of_urgency(routed.urgency)
-    cost = value * LATE_LOSS * _lateness(first_ms + waited_ms, routed.route.target_ms)
+    target_ms = routed.route.target_ms
+    cost = value * LATE_LOSS * _lateness(first_ms + waited_ms, target_ms)
+    cost += value * WAITING_COST * first_ms / target_ms
+    whole_ms = first_ms + _output_ms(prompt, model, own_ms, now_ms)
+    cost += value * _lateness(whole_ms, max(1, routed.deadline_ms - now_ms))
     cost += _delay_cost(model, engine, backlog_ms, own_ms, now_ms)
     gap_ms = routed.route.gap_target_ms
     if gap_ms is not None:
@@ -89,8 +106,7 @@
         share = min(1.0, model.reading_share(now_ms))
         cost += value * LATE_LOSS * (at_risk + READING_RISK * tightness * share)
         cost += ROLE_PREFERENCE * abs(_role_rank(runner.runner_id) - (1 - tightness))
-    shared = sum(part.tokens for part in prompt.parts[:-1]) if prompt else 0
-    cost += REREAD_COST_PER_TOKEN * max(0, shared - held)
+    cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held)
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
     cost += OCCUPANCY_COST * len(model.running) / max(1, runner.slots)
     return Estimate(cost, read_tokens, int(first_ms))
@@ -135,6 +151,19 @@
     return 1 / (1 + exp(-exponent)) if exponent > -20 else 0.0
 
 
+def _output_ms(
+    prompt: Prompt | None, model: RunnerModel, own_ms: float, now_ms: int
+) -> float:
+    """Return how long the output takes while the runner reads as lately."""
+    if prompt is None:
+        return 0.0
+    expected = prompt.expected_output_tokens or prompt.most_output_tokens
+    tokens = min(prompt.most_output_tokens, expected * OUTPUT_MARGIN)
+    share = min(1.0, model.reading_share(now_ms) + own_ms / READING_WINDOW_MS)
+    step_ms = PRIOR_STEP_MS * model.slowness
+    return tokens * (step_ms + share * model.read_ms(READ_CHUNK_TOKENS))
+
+
 def _stall_ms(model: RunnerModel, engine: EngineLimits, reading_ms: float) -> float:
     """Return the longest gap between two events while that long is read."""
     most_ms = engine.event_tokens * model.read_ms(READ_CHUNK_TOKENS)
@@ -163,6 +192,7 @@
         added = _lateness(after_ms, target_ms) - _lateness(before_ms, target_ms)
         streams = min(MOST_LOSING_STREAMS, share.count(now_ms))
         cost += MOST_URGENT_VALUE * LATE_LOSS * added * streams
+        cost += DELAY_COST_PER_STREAM_S * streams * own_ms / 1_000
     return cost
 
 
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 from typing import Any
 
 from mode import Service
@@ -36,6 +37,7 @@
     Clock,
     CountEvent,
     Effect,
+    FigshuntError,
     LogEvent,
     Message,
     ObserveDuration,
@@ -43,9 +45,9 @@
     WakeAt,
 )
 
-# The platform notices within two or three of its questions, one a second, that
-# a host isn't ready any more; until then callers still open connections.
-STOP_ACCEPTING_MS = 3_000
+# The platform asks for readiness once a second and sends callers elsewhere
+# after two refusals; until then they still open connections here.
+STOP_ACCEPTING_MS = 2_600
 
 # Left of the grace period for closing what is still open.
 STOP_MARGIN_MS = 400
@@ -140,7 +142,7 @@
         self.peers.send_now()
         self.front.start_drain()
         await asyncio.sleep(STOP_ACCEPTING_MS / 1000)
-        self.front.stop_accepting()
+        await self.front.stop_accepting()
         left_ms = self._settings.stop_grace_ms - STOP_ACCEPTING_MS - STOP_MARGIN_MS
         try:
             async with asyncio.timeout(left_ms / 1000):
@@ -151,6 +153,20 @@
             )
         self._log.write("drain_finished")
 
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over what may change while the daemon runs: the seeds."""
+        self._log.write(
+            "settings_reloaded",
+            seeds=",".join(settings.seeds),
+            restart_needed=settings != replace(self._settings, seeds=settings.seeds),
+        )
+        self._settings = replace(self._settings, seeds=settings.seeds)
+        self.peers.set_seeds(settings.seeds)
+
+    def keep_settings(self, error: FigshuntError) -> None:
+        """Go on with the settings in force, as the new ones are invalid."""
+        self._log.write("settings_invalid", "error", detail=error)
+
     def feed(self, message: Message) -> None:
         """Process one message now and carry out its effects."""
         for effect in self.core.handle(message, self._clock.now()):
--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -36,6 +36,9 @@
 
 BACKLOG = 1024
 
+# Several turns of the loop, in which requests that were received are begun.
+SETTLE_S = 0.05
+
 
 class FrontListener(Service):
     """Turns HTTP requests into calls and answer parts into HTTP answers."""
@@ -58,7 +61,7 @@
         self._server: asyncio.Server | None = None
         self._http: web.Server | None = None
         self._is_draining = False
-        self._busy = 0
+        self._busy: set[web.RequestHandler] = set()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -97,12 +100,32 @@
         """Close each connection after its next answer."""
         self._is_draining = True
 
-    def stop_accepting(self) -> None:
-        """Accept no more connections, and close those without a request."""
+    async def stop_accepting(self) -> None:
+        """Accept no more connections, and close each once it has no request.
+
+        What has arrived by now is still served: reading stops first, and a
+        connection is closed only if no request has begun a moment later.
+        """
         if self._server is not None:
             self._server.close()
-        if self._http is not None:
-            self._http.pre_shutdown()
+        if self._http is None:
+            return
+        for _ in range(2):
+            for connection in self._idle_connections():
+                if connection.transport is not None:
+                    connection.transport.pause_reading()
+            await asyncio.sleep(SETTLE_S)
+        for connection in self._http.connections:
+            if connection not in self._busy:
+                connection.force_close()
+                continue
+            connection.close()
+            if connection.transport is not None:
+                connection.transport.resume_reading()
+
+    def _idle_connections(self) -> list[web.RequestHandler]:
+        assert self._http is not None
+        return [one for one in self._http.connections if one not in self._busy]
 
     async def wait_idle(self) -> None:
         """Wait until no request is in progress."""
@@ -138,7 +161,8 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         received = self._clock.now()
-        self._busy += 1
+        connection = request.protocol
+        self._busy.add(connection)
         self._idle.clear()
         try:
             target = request.raw_path
@@ -155,7 +179,7 @@
             )
             return await self._serve(request, call)
         finally:
-            self._busy -= 1
+            self._busy.discard(connection)
             if not self._busy:
                 self._idle.set()
 
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -89,6 +89,10 @@
         if self._transport is not None:
             self._transport.close()
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Replace the hosts that are always told."""
+        self._seeds = seeds
+
     def tell(self, effect: TellPeers) -> None:
         """Send placements and crashes soon."""
         self._placements.extend(effect.placements)
--- a/figshunt/platform/_settings.py
+++ b/figshunt/platform/_settings.py
@@ -61,6 +61,7 @@
             retry_share=float(bounds["retryRatio"]),
             retry_slack=float(bounds["retrySlack"]),
             retry_window_ms=int(float(bounds["budgetWindowS"]) * 1000),
+            reuse_window_ms=int(float(bounds["reuseWindowS"]) * 1000),
         ),
         stop_grace_ms=int(float(bounds["graceS"]) * 1000),
     )
