Deal seconds of a cold runner's limit to hosts; test the new filters

Cause: a property test with up to 30 cores showed that more hosts than the cold limit has sends all sent their first one in the same second.

Change: up to as many hosts as the bound has sends, each host has equally many in a second; beyond that, seconds are dealt to groups of hosts by their place among the known ones.

--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -11,7 +11,7 @@
 from figshunt.dispatch._send_filter import SendFilter
 from figshunt.dispatch._team_filter import TeamFilter
 from figshunt.pipeline import Pipeline
-from figshunt.types import DataCentreName, Effect, Message, Moment
+from figshunt.types import DataCentreName, Effect, HostName, Message, Moment
 
 
 class DispatchCore:
@@ -23,12 +23,13 @@
 
     def __init__(
         self,
+        host: HostName,
         data_centre: DataCentreName,
         bounds: SharedBounds,
         random_source: random.Random,
     ) -> None:
         self.directory = DirectoryFilter()
-        self.peers = PeerFilter()
+        self.peers = PeerFilter(host)
         self.placement = PlacementFilter(
             self.directory, self.peers, data_centre, bounds, random_source
         )
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/_peer_filter.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Protocol
 
+from figshunt.dispatch._cold_limit import HostRank
 from figshunt.dispatch._messages import HostStatus, PeerHeard
 from figshunt.pipeline import Output
 from figshunt.types import (
@@ -31,6 +32,9 @@
 class PeersView(Protocol):
     """Read access to the known hosts."""
 
+    def rank(self, now: Moment) -> HostRank:
+        """Return this host's place among the hosts that may share a bound."""
+
     def counted_hosts(self, now: Moment) -> int:
         """Return how many hosts may share a bound, this one included."""
 
@@ -44,7 +48,8 @@
     step = Step.PEERS
     accepts: tuple[type[Message], ...] = (PeerHeard, TimerDue)
 
-    def __init__(self) -> None:
+    def __init__(self, host: HostName) -> None:
+        self._host = host
         self._started_ms: int | None = None
         self._heard_ms_by_host: dict[HostName, int] = {}
         self._statuses_by_host: dict[HostName, HostStatus] = {}
@@ -58,6 +63,14 @@
             if host not in self._lost
         }
 
+    def rank(self, now: Moment) -> HostRank:
+        """Return this host's place among the hosts that may share a bound.
+
+        Hosts that know of the same hosts come to different places.
+        """
+        before = sum(1 for host in self._heard_ms_by_host if host < self._host)
+        return HostRank(before, self.counted_hosts(now))
+
     def counted_hosts(self, now: Moment) -> int:
         """Return how many hosts may share a bound, this one included."""
         known = 1 + len(self._heard_ms_by_host)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -191,8 +191,7 @@
         allowed = [
             runner
             for runner in runners.values()
-            if not self._is_cold(pool, runner.runner_id, now)
-            or self._cold.next_ms(runner.runner_id) <= now_ms
+            if self._next_cold_ms(pool, runner.runner_id, now) <= now_ms
         ]
         reachable = [
             runner
@@ -201,6 +200,16 @@
         ]
         return reachable or allowed
 
+    def _next_cold_ms(
+        self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
+    ) -> int:
+        """Return when the runner may get a call, as far as it is cold."""
+        if pool is None or not self._is_cold(pool, runner_id, now):
+            return now.monotonic_ms
+        return self._cold.next_ms(
+            runner_id, pool.cold_per_s, self._peers.rank(now), now.monotonic_ms
+        )
+
     def _is_cold(
         self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
     ) -> bool:
@@ -248,12 +257,7 @@
         model = self._model(runner.runner_id, pool)
         model.running.add(attempt_id)
         if self._is_cold(pool, runner.runner_id, now):
-            self._cold.record(
-                runner.runner_id,
-                pool.cold_per_s,
-                self._peers.counted_hosts(now),
-                now.monotonic_ms,
-            )
+            self._cold.record(runner.runner_id, now.monotonic_ms)
         if pool.engine is not None:
             notice = self._notice(routed, runner, model, estimate)
             self._note(notice, now)
@@ -354,10 +358,11 @@
         yield CallEnded(routed)
 
     def _next_chance_ms(self, routed: RoutedCall, now: Moment) -> int:
+        pool = self._directory.pool(routed.pool)
         times_ms = [
             time_ms
             for runner_id in self._directory.runners(routed.pool)
-            if (time_ms := self._cold.next_ms(runner_id)) > now.monotonic_ms
+            if (time_ms := self._next_cold_ms(pool, runner_id, now)) > now.monotonic_ms
         ]
         return min(times_ms, default=now.monotonic_ms + RETRY_AFTER_MS)
 
@@ -374,6 +379,8 @@
             model.restart(cold_until_ms, _kv_tokens(pool))
         elif runner.cold_left_ms:
             model.cold_until_ms = max(model.cold_until_ms, cold_until_ms)
+        if runner.cold_left_ms:
+            self._cold.begin(runner.runner_id, now.monotonic_ms)
         self._starts[runner.runner_id] = runner.started_wall_ms
 
     def _forget_unlisted(self) -> None:
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -76,7 +76,9 @@
         self._incarnation = clock.now().wall_ms
         self._is_draining = False
         self._metrics = Metrics()
-        self.core = DispatchCore(settings.data_centre, settings.bounds, random_source)
+        self.core = DispatchCore(
+            settings.host, settings.data_centre, settings.bounds, random_source
+        )
         self.items = PublishedItems(item_codec, self)
         self.reader = DirectoryReader(
             source, self.items, self, clock, self._log, random_source
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,14 +5,35 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from figshunt.directory import (
+    Configuration,
+    EngineLimits,
+    PoolShare,
+    PublishedPool,
+    PublishedRoute,
+    PublishedRunner,
+    Repeatability,
+)
+from figshunt.dispatch import (
+    Call,
+    HostStatus,
+    PartId,
+    Prompt,
+    PromptPart,
+    ReplyHead,
+    ReplyVerdict,
+)
 from figshunt.replay import TraceRequest
 from figshunt.settings import DaemonSettings, check_settings
 from figshunt.tables import Tables, check_tables
 from figshunt.types import (
+    DataCentreName,
     Fingerprint,
+    HostName,
     LoadReport,
     LoadReported,
     Moment,
+    PoolName,
     Request,
     RequestArrived,
     RequestId,
@@ -228,3 +249,128 @@
     checked = check_settings(build_settings_document(**urls, **changes))
     assert checked.settings is not None, checked.faults
     return checked.settings
+
+
+def build_published_route(name: str = "chat", **changes: Any) -> PublishedRoute:
+    """Return a route as the directory holds it."""
+    fields: dict[str, Any] = {
+        "name": RouteName(name),
+        "host": "api.example",
+        "path_prefix": f"/{name}/",
+        "repeatability": Repeatability.RESUMABLE,
+        "is_stream": True,
+        "is_public": True,
+        "pool_shares": (PoolShare(PoolName("engines"), 1.0),),
+        "urgency": 0,
+        "target_ms": 300,
+        "timeout_ms": 15_000,
+        "most_runners": 2,
+        "gap_target_ms": 200,
+    }
+    return PublishedRoute(**(fields | changes))
+
+
+def build_booking_route(**changes: Any) -> PublishedRoute:
+    """Return a route whose requests must not be repeated."""
+    fields: dict[str, Any] = {
+        "repeatability": Repeatability.RUN_ONCE,
+        "is_stream": False,
+        "gap_target_ms": None,
+        "pool_shares": (PoolShare(PoolName("bookings"), 1.0),),
+        "target_ms": 125,
+        "timeout_ms": 1_000,
+        "most_runners": 1,
+        "urgency": 2,
+    }
+    return build_published_route("book", **(fields | changes))
+
+
+def build_configuration(
+    *routes: PublishedRoute, version: int = 1, **changes: Any
+) -> Configuration:
+    """Return a configuration with a pool of engines and a plain pool."""
+    fields: dict[str, Any] = {
+        "version": version,
+        "routes": routes or (build_published_route(), build_booking_route()),
+        "pools_by_name": {
+            PoolName("engines"): PublishedPool(
+                PoolName("engines"), 3_000, 13.0, 300, EngineLimits(64, 260_000, 4)
+            ),
+            PoolName("bookings"): PublishedPool(PoolName("bookings"), 0, 0.0, 100),
+        },
+        "teams_by_key_sha256": {},
+        "most_body_bytes": 1_000_000,
+    }
+    return Configuration(**(fields | changes))
+
+
+def build_published_runner(
+    runner_id: str = "e1", pool: str = "engines", **changes: Any
+) -> PublishedRunner:
+    """Return a warm runner that takes work."""
+    fields: dict[str, Any] = {
+        "runner_id": RunnerId(runner_id),
+        "pool": PoolName(pool),
+        "address": f"10.0.0.{sum(runner_id.encode()) % 250}:80",
+        "data_centre": DataCentreName("a"),
+        "slots": 64,
+        "is_leaving": False,
+        "cold_left_ms": 0,
+        "started_wall_ms": 1_000,
+    }
+    return PublishedRunner(**(fields | changes))
+
+
+def build_call(call_id: str = "r1", path: str = "/chat/1", **changes: Any) -> Call:
+    """Return a caller's request, received at time 0."""
+    fields: dict[str, Any] = {
+        "call_id": RequestId(call_id),
+        "host": "api.example",
+        "method": "POST",
+        "target": path,
+        "caller_key": None,
+        "headers": (),
+        "body": b"{}",
+        "received": Moment(0, 0),
+        "patience_ms": 10_000,
+        "prompt": None,
+        "resume_after": None,
+        "fingerprint": Fingerprint(call_id),
+    }
+    return Call(**(fields | changes))
+
+
+def build_prompt(tokens: int = 500, *parts: tuple[str, int]) -> Prompt:
+    """Return a prompt whose last part is its own."""
+    shared = tuple(PromptPart(PartId(name), count) for name, count in parts)
+    own = tokens - sum(part.tokens for part in shared)
+    return Prompt(tokens, 200, (*shared, PromptPart(PartId("own"), own)), 100)
+
+
+def build_reply_head(status: int = 200, **changes: Any) -> ReplyHead:
+    """Return the head of a runner's whole answer with its receipt."""
+    fields: dict[str, Any] = {
+        "status": status,
+        "headers": (),
+        "verdict": (
+            ReplyVerdict.ANSWERED if 200 <= status < 300 else ReplyVerdict.FAILED
+        ),
+        "has_receipt": True,
+        "is_ours": True,
+        "is_stream": False,
+    }
+    return ReplyHead(**(fields | changes))
+
+
+def build_host_status(host: str = "h2", **changes: Any) -> HostStatus:
+    """Return the status of a peer."""
+    fields: dict[str, Any] = {
+        "host": HostName(host),
+        "incarnation": 1,
+        "address": "10.1.0.2",
+        "version": 1,
+        "revision": 1,
+        "is_current": True,
+        "is_leaving": False,
+    }
+    return HostStatus(**(fields | changes))
--- /dev/null
+++ b/tests/directory/test_replica.py
@@ -0,0 +1,62 @@
+"""The copy of the published items never goes back in time."""
+
+import random
+import unittest
+
+from figshunt.directory import Item, ItemReplica
+
+
+def item(key: str, revision: int, value: bytes | None = b"v") -> Item:
+    return Item(key, revision, value)
+
+
+class ItemReplicaTest(unittest.TestCase):
+    """Guards against old state after reads that overtake each other."""
+
+    def test_older_item_is_dropped(self) -> None:
+        replica = ItemReplica()
+        replica.merge([item("a", 5, b"new")], 5)
+        self.assertEqual([], replica.merge([item("a", 4, b"old")], 4))
+        self.assertEqual(b"new", replica.items()["a"].value)
+        self.assertEqual(5, replica.revision)
+
+    def test_deleted_item_does_not_come_back(self) -> None:
+        replica = ItemReplica()
+        replica.merge([item("a", 5)], 5)
+        replica.merge([item("a", 7, None)], 7)
+        self.assertEqual([], replica.merge([item("a", 5)], 7))
+        self.assertIsNone(replica.items()["a"].value)
+
+    def test_listing_deletes_what_it_lacks(self) -> None:
+        replica = ItemReplica()
+        replica.merge([item("a", 5), item("b", 6)], 6)
+        (changed,) = replica.replace([item("b", 6)], 9)
+        self.assertEqual(("a", None), (changed.key, changed.value))
+
+    def test_listing_keeps_what_is_newer_than_itself(self) -> None:
+        replica = ItemReplica()
+        replica.merge([item("a", 12)], 12)
+        self.assertEqual([], replica.replace([], 9))
+
+    def test_any_order_of_sources_ends_in_the_newest(self) -> None:
+        history = [
+            item("a", n, None if n % 5 == 0 else b"%d" % n) for n in range(1, 40)
+        ]
+        for seed in range(50):
+            with self.subTest(seed=seed):
+                replica = ItemReplica()
+                shuffled = random.Random(seed).sample(history, len(history))
+                for one in shuffled:
+                    replica.merge([one], one.revision)
+                self.assertEqual(b"39", replica.items()["a"].value)
+
+    def test_deleted_items_are_bounded(self) -> None:
+        replica = ItemReplica(most_deleted=3)
+        for number in range(10):
+            replica.merge([item(str(number), 2 * number + 1)], 0)
+            replica.merge([item(str(number), 2 * number + 2, None)], 0)
+        self.assertEqual(3, len(replica.items()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/dispatch/test_crash_filter.py
@@ -0,0 +1,83 @@
+"""Content that crashes its runners is refused, on every host."""
+
+import unittest
+
+from figshunt.dispatch import (
+    AnswerError,
+    Call,
+    PeerHeard,
+    SendCall,
+    SendFailed,
+    TellPeers,
+)
+from figshunt.types import AttemptFailure, Fingerprint, SendState
+from tests.builders import build_call, build_host_status, build_published_runner
+from tests.dispatch.driver import CoreDriver, select
+
+
+def poisoned(call_id: str) -> Call:
+    return build_call(call_id, "/book/1", fingerprint=Fingerprint("poison"))
+
+
+class CrashFilterTest(unittest.TestCase):
+    """Guards against a request that takes down one runner after the other."""
+
+    def crash(self, driver: CoreDriver, call_id: str) -> str:
+        driver.call(poisoned(call_id))
+        send = driver.last_send()
+        driver.feed(
+            SendFailed(
+                send.attempt_id,
+                AttemptFailure.CONNECTION_LOST,
+                SendState.MAY_HAVE_ARRIVED,
+                "reset",
+            )
+        )
+        driver.unlist_runner(send.runner_id)
+        return send.runner_id
+
+    def build_driver(self) -> CoreDriver:
+        return CoreDriver(
+            *(build_published_runner(f"b{n}", "bookings") for n in range(4))
+        )
+
+    def test_refused_after_two_crashes(self) -> None:
+        driver = self.build_driver()
+        self.crash(driver, "r1")
+        self.crash(driver, "r2")
+        effects = driver.call(poisoned("r3"))
+        self.assertEqual([], select(effects, SendCall))
+        self.assertEqual(503, select(effects, AnswerError)[0].status)
+
+    def test_other_content_is_served(self) -> None:
+        driver = self.build_driver()
+        self.crash(driver, "r1")
+        self.crash(driver, "r2")
+        effects = driver.call(build_call("r4", "/book/1"))
+        self.assertEqual(1, len(select(effects, SendCall)))
+
+    def test_lost_connections_alone_are_no_crash(self) -> None:
+        driver = self.build_driver()
+        for number in range(5):
+            driver.call(poisoned(f"r{number}"))
+            driver.feed(
+                SendFailed(
+                    driver.last_send().attempt_id,
+                    AttemptFailure.CONNECTION_LOST,
+                    SendState.MAY_HAVE_ARRIVED,
+                    "reset",
+                )
+            )
+        self.assertEqual(5, len(driver.all_of(SendCall)))
+
+    def test_peers_refuse_it_too(self) -> None:
+        driver, peer = self.build_driver(), self.build_driver()
+        self.crash(driver, "r1")
+        self.crash(driver, "r2")
+        crashed = [crash for told in driver.all_of(TellPeers) for crash in told.crashed]
+        peer.feed(PeerHeard(build_host_status(crashed=tuple(crashed))))
+        self.assertEqual([], select(peer.call(poisoned("r5")), SendCall))
+
+
+if __name__ == "__main__":
+    unittest.main()
