Read from a peer while the store turns this host away

Cause: a host that the store refuses for seconds can't learn of new versions, removed keys and leaving runners, though its path to the platform holds, so that no bound is stretched for it.

Change: hosts tell each other the store's revision that they have seen, at once when it changes; a host whose reads fail, or that is behind a peer for 300 ms, reads published items from a peer that reads the store, by websockets with CBOR. docs/platform.md describes the programs and the path.

--- a/figshunt/codec/__init__.py
+++ b/figshunt/codec/__init__.py
@@ -19,6 +19,7 @@
     decode_tables,
     read_settings,
 )
+from figshunt.codec._mirror_codec import decode_items, encode_items
 from figshunt.codec._peer_codec import (
     UnknownKind,
     decode_peer_message,
@@ -27,7 +28,9 @@
 from figshunt.codec._status_codec import decode_status, encode_status
 
 __all__ = [
+    "decode_items",
     "decode_status",
+    "encode_items",
     "encode_status",
     "DecodedBody",
     "UnknownKind",
--- a/figshunt/gateway/__init__.py
+++ b/figshunt/gateway/__init__.py
@@ -7,12 +7,13 @@
     HistoryLostError,
     ItemSource,
     Listing,
-    PublishedItems,
     SourceError,
 )
 from figshunt.gateway._front_listener import FrontListener
 from figshunt.gateway._line_output import LineOutput
+from figshunt.gateway._mirror import MirrorListener, MirrorReader
 from figshunt.gateway._peer_link import PeerLink
+from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._runner_caller import RunnerCaller
 from figshunt.gateway._settings import Address, GatewaySettings
 from figshunt.gateway._wire import CallCodec, ItemCodec
@@ -27,9 +28,12 @@
     "GatewaySettings",
     "HistoryLostError",
     "ItemCodec",
+    "ItemOrigin",
     "ItemSource",
     "LineOutput",
     "Listing",
+    "MirrorListener",
+    "MirrorReader",
     "PeerLink",
     "PublishedItems",
     "RunnerCaller",
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -20,13 +20,11 @@
     SendCall,
     TellPeers,
 )
-from figshunt.gateway._directory_reader import (
-    DirectoryReader,
-    ItemSource,
-    PublishedItems,
-)
+from figshunt.gateway._directory_reader import DirectoryReader, ItemSource
 from figshunt.gateway._front_listener import FrontListener
+from figshunt.gateway._mirror import MirrorListener, MirrorReader
 from figshunt.gateway._peer_link import PeerLink
+from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._runner_caller import RunnerCaller
 from figshunt.gateway._settings import GatewaySettings
 from figshunt.gateway._side_listeners import MetricsListener, ReadinessListener
@@ -79,9 +77,17 @@
         self.core = DispatchCore(
             settings.host, settings.data_centre, settings.bounds, random_source
         )
-        self.items = PublishedItems(item_codec, self)
+        self.items = PublishedItems(item_codec, self, self._log, self._tell_revision)
         self.reader = DirectoryReader(
-            source, self.items, self, clock, self._log, random_source
+            source, self.items, clock, self._log, random_source
+        )
+        self.mirror_listener = MirrorListener(settings.mirror, self.items)
+        self.mirror_reader = MirrorReader(
+            self.items,
+            settings.mirror.port,
+            lambda: self.core.peers.statuses().values(),
+            self._log,
+            random_source,
         )
         self.front = FrontListener(settings.front, call_codec, self, clock, self._log)
         self.runners = RunnerCaller(call_codec, self)
@@ -109,6 +115,8 @@
             self.front,
             self.peers,
             self.metrics,
+            self.mirror_listener,
+            self.mirror_reader,
             self.reader,
             self.readiness,
         ]
@@ -201,6 +209,10 @@
                 values: dict[str, Any] = dict(fields)
                 self._log.write(event, step=step.value, **values)
 
+    def _tell_revision(self) -> None:
+        """Tell peers at once, so that those which don't see the change ask."""
+        self.peers.send_now()
+
     def _build_status(self) -> HostStatus:
         configuration = self.core.directory.configuration
         return HostStatus(
@@ -208,8 +220,8 @@
             incarnation=self._incarnation,
             address=self._settings.front.ip,
             version=configuration.version if configuration else 0,
-            revision=self.items.replica.revision,
-            is_current=self.reader.is_reading,
+            revision=self.items.revision,
+            is_current=self.items.is_open(ItemOrigin.STORE),
             is_leaving=self._is_draining,
         )
 
