Keep tight streams together on few engines

Cause: chats went to whichever engine read least, so that each engine had some and letters could only go where they delayed chats; in overload letters piled up at one engine (1.1 to 1.4 of what it can read) while others read 0.1.

Change: the first tight stream at an engine costs what the pool reads, shared by the tight streams that follow; gap targets have a spread and headroom of their own, as a stall is better known than a waiting time.

--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -163,8 +163,9 @@
             yield from self._hold(routed, bool(untried), now)
             return
         self._held.pop(routed.call_id, None)
+        pool_share = self._pool_share(pool, runners, now)
         estimates = {
-            runner.runner_id: self._estimate(routed, runner, pool, now)
+            runner.runner_id: self._estimate(routed, runner, pool, pool_share, now)
             for runner in usable
         }
         lowest = min(one.cost for one in estimates.values())
@@ -222,6 +223,7 @@
         routed: RoutedCall,
         runner: PublishedRunner,
         pool: PublishedPool,
+        pool_share: float,
         now: Moment,
     ) -> Estimate:
         model = self._model(runner.runner_id, pool)
@@ -236,9 +238,25 @@
             pool.engine,
             self._data_centre,
             self._recent_tokens(routed, now),
+            pool_share,
             now.monotonic_ms,
         )
 
+    def _pool_share(
+        self,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> float:
+        """Return the mean share of time that the runners of a pool read."""
+        if pool.engine is None:
+            return 0.0
+        shares = [
+            min(1.0, self._model(runner_id, pool).reading_share(now.monotonic_ms))
+            for runner_id in runners
+        ]
+        return sum(shares) / len(shares)
+
     def _recent_tokens(self, routed: RoutedCall, now: Moment) -> int:
         prompt = routed.call.prompt
         parts = prompt.parts if prompt else ()
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -25,7 +25,8 @@
 # How sharply an estimate near a target turns into lateness, as a part of the
 # target, and the part of a gap target that is kept free for transport.
 ESTIMATE_SPREAD = 0.2
-GAP_HEADROOM = 0.3
+GAP_SPREAD = 0.08
+GAP_HEADROOM = 0.15
 
 # Reading shared tokens once more that a runner read lately: the platform
 # prices it, at about a tenth of an answer's value for a thousand tokens.
@@ -43,6 +44,10 @@
 # of its value that it loses before it ends.
 READING_RISK = 0.8
 
+# The first tight stream at a runner keeps long prompts away from it; the cost
+# is in proportion to how much the pool reads, and shared by further streams.
+OPENING_COST = 1.0
+
 # Deterministic preference, alike on all hosts, that separates tight streams
 # from long prompts where nothing else does.
 ROLE_PREFERENCE = 0.15
@@ -72,11 +77,13 @@
     engine: EngineLimits,
     own_data_centre: DataCentreName,
     recent_tokens: int,
+    pool_share: float,
     now_ms: int,
 ) -> Estimate:
     """Estimate a call at a model engine.
 
-    ``recent_tokens`` counts the leading tokens that some runner read lately.
+    ``recent_tokens`` counts the leading tokens that some runner read lately,
+    ``pool_share`` is the mean share of time that the pool's runners read.
 
     The cost adds up: the call's own first event late, the gaps of streams
     that the engine delays while it reads this prompt, the call's own gaps if
@@ -101,10 +108,12 @@
     gap_ms = routed.route.gap_target_ms
     if gap_ms is not None:
         stall_ms = _stall_ms(model, engine, backlog_ms + own_ms)
-        at_risk = _lateness(stall_ms, int(gap_ms * (1 - GAP_HEADROOM)))
+        at_risk = _gap_lateness(stall_ms, gap_ms)
         tightness = _tightness(model, engine, gap_ms)
         share = min(1.0, model.reading_share(now_ms))
         cost += value * LATE_LOSS * (at_risk + READING_RISK * tightness * share)
+        tight_streams = model.count_streams(gap_ms, now_ms)
+        cost += OPENING_COST * tightness * pool_share / (1 + tight_streams)
         cost += ROLE_PREFERENCE * abs(_role_rank(runner.runner_id) - (1 - tightness))
     cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held)
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
@@ -143,9 +152,11 @@
     return cost
 
 
-def _lateness(expected_ms: float, target_ms: int) -> float:
+def _lateness(
+    expected_ms: float, target_ms: int, spread: float = ESTIMATE_SPREAD
+) -> float:
     """Return how probable it is that the target is missed, from 0 to 1."""
-    exponent = (expected_ms - target_ms) / max(1.0, target_ms * ESTIMATE_SPREAD)
+    exponent = (expected_ms - target_ms) / max(1.0, target_ms * spread)
     if exponent > 20:
         return 1.0
     return 1 / (1 + exp(-exponent)) if exponent > -20 else 0.0
@@ -173,8 +184,11 @@
 
 def _tightness(model: RunnerModel, engine: EngineLimits, gap_ms: int) -> float:
     """Return how probable it is that constant reading breaks the gap target."""
-    target_ms = int(gap_ms * (1 - GAP_HEADROOM))
-    return _lateness(_stall_ms(model, engine, float("inf")), target_ms)
+    return _gap_lateness(_stall_ms(model, engine, float("inf")), gap_ms)
+
+
+def _gap_lateness(stall_ms: float, gap_ms: int) -> float:
+    return _lateness(stall_ms, int(gap_ms * (1 - GAP_HEADROOM)), GAP_SPREAD)
 
 
 def _delay_cost(
@@ -188,8 +202,7 @@
     before_ms = _stall_ms(model, engine, backlog_ms)
     after_ms = _stall_ms(model, engine, backlog_ms + own_ms)
     for gap_ms, share in model.streams_by_gap_ms.items():
-        target_ms = int(gap_ms * (1 - GAP_HEADROOM))
-        added = _lateness(after_ms, target_ms) - _lateness(before_ms, target_ms)
+        added = _gap_lateness(after_ms, gap_ms) - _gap_lateness(before_ms, gap_ms)
         streams = min(MOST_LOSING_STREAMS, share.count(now_ms))
         cost += MOST_URGENT_VALUE * LATE_LOSS * added * streams
         cost += DELAY_COST_PER_STREAM_S * streams * own_ms / 1_000
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -82,6 +82,14 @@
         self._age(now_ms)
         return self._failure_share
 
+    def count_streams(self, most_gap_ms: int, now_ms: int) -> int:
+        """Return how many streams run whose gap target is at most that long."""
+        return sum(
+            share.count(now_ms)
+            for gap_ms, share in self.streams_by_gap_ms.items()
+            if gap_ms <= most_gap_ms
+        )
+
     def add(
         self, read_tokens: int, gap_target_ms: int, expected_ms: int, now_ms: int
     ) -> None:
