Count streams that come during a stall; judge speed by short queues

Cause: once an engine's backlog made its streams late, further letters cost nothing there, so that saturated engines drew more; the time to a first event behind a long queue was taken for the engine's speed.

Change: reading during a stall costs in proportion; waiting costs 0.4 of the value per target's length; only first events expected within 400 ms correct the speed; one failure counts half as much.

--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -29,7 +29,7 @@
 from figshunt.dispatch._prefix_memory import PartUses
 from figshunt.dispatch._refusal import refuse_call
 from figshunt.dispatch._runner_cost import Estimate, estimate_engine, estimate_plain
-from figshunt.dispatch._runner_model import PRIOR_FIRST_MS, PRIOR_STEP_MS, RunnerModel
+from figshunt.dispatch._runner_model import PRIOR_STEP_MS, RunnerModel
 from figshunt.pipeline import Output
 from figshunt.types import (
     AttemptId,
@@ -64,6 +64,10 @@
 # drawn: all hosts see nearly the same figures at the same time.
 EQUAL_COST = 0.02
 
+# A first event that was expected later than this tells more of the queue before
+# it, which is an estimate too, than of the runner's speed.
+MOST_JUDGED_MS = 400
+
 FAILED_RESULTS = frozenset(
     {
         SendResult.RUNNER_ERROR,
@@ -133,8 +137,8 @@
                 yield CallEnded(held.routed) if held else message
             case FirstEventSeen():
                 model = self._models.get(message.runner_id)
-                if model is not None:
-                    self._observe_first(model, message)
+                if model is not None and message.expected_ms <= MOST_JUDGED_MS:
+                    model.observe_first(message.waited_ms, message.expected_ms)
             case SendEnded():
                 yield from self._end_send(message, now)
             case RunnerListed(_, _, runner):
@@ -317,10 +321,6 @@
         )
         model.prefixes.remember(notice.parts)
 
-    def _observe_first(self, model: RunnerModel, seen: FirstEventSeen) -> None:
-        if seen.expected_ms >= PRIOR_FIRST_MS / 2:
-            model.observe_first(seen.waited_ms, seen.expected_ms)
-
     def _end_send(self, ended: SendEnded, now: Moment) -> Iterable[Output]:
         model = self._models.get(ended.runner_id)
         if model is None:
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -34,7 +34,7 @@
 
 # Waiting costs something before it makes anything late: a target's length of
 # it, and a second by which each other stream of the runner is delayed.
-WAITING_COST = 0.2
+WAITING_COST = 0.4
 DELAY_COST_PER_STREAM_S = 0.1
 
 # Outputs are often longer than callers expect, by up to about this factor.
@@ -202,7 +202,10 @@
     before_ms = _stall_ms(model, engine, backlog_ms)
     after_ms = _stall_ms(model, engine, backlog_ms + own_ms)
     for gap_ms, share in model.streams_by_gap_ms.items():
-        added = _gap_lateness(after_ms, gap_ms) - _gap_lateness(before_ms, gap_ms)
+        late = _gap_lateness(after_ms, gap_ms)
+        added = late - _gap_lateness(before_ms, gap_ms)
+        # A longer stall also hits the streams that come while it lasts.
+        added = max(added, late * own_ms / max(1.0, backlog_ms + own_ms))
         streams = min(MOST_LOSING_STREAMS, share.count(now_ms))
         cost += MOST_URGENT_VALUE * LATE_LOSS * added * streams
         cost += DELAY_COST_PER_STREAM_S * streams * own_ms / 1_000
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -20,7 +20,7 @@
 
 # Weight of a new observation in the averages.
 OBSERVATION_WEIGHT = 0.15
-FAILURE_WEIGHT = 0.2
+FAILURE_WEIGHT = 0.1
 
 # After this time half of an observed failure share or slowness is forgotten,
 # so that a runner that is avoided gets work again.
