--- a/benchmarks/peer_cost.py
+++ b/benchmarks/peer_cost.py
@@ -14,7 +14,8 @@
 
 from figshunt.codec import encode_peer_message
 from figshunt.control import MembershipFilter
-from figshunt.services import EventLog, LinkCount, PeerIdentity, PeerLinks
+from figshunt.runtime import EventLog
+from figshunt.services import LinkCount, PeerIdentity, PeerLinks
 from figshunt.settings import Address, DaemonSettings, PeerSettings, check_settings
 from figshunt.types import (
     Heartbeat,
--- a/figshunt/codec/__init__.py
+++ b/figshunt/codec/__init__.py
@@ -19,19 +19,13 @@
     decode_tables,
     read_settings,
 )
-from figshunt.codec._mirror_codec import decode_items, encode_items
 from figshunt.codec._peer_codec import (
     UnknownKind,
     decode_peer_message,
     encode_peer_message,
 )
-from figshunt.codec._status_codec import decode_status, encode_status
 
 __all__ = [
-    "decode_items",
-    "decode_status",
-    "encode_items",
-    "encode_status",
     "DecodedBody",
     "UnknownKind",
     "decode_bearer_key",
--- a/figshunt/commands/_demo.py
+++ b/figshunt/commands/_demo.py
@@ -19,7 +19,8 @@
     replay_requests,
     wait_until_served,
 )
-from figshunt.services import Daemon, open_log
+from figshunt.runtime import open_log
+from figshunt.services import Daemon
 from figshunt.settings import check_settings
 from figshunt.standins import (
     BatchProfile,
--- a/figshunt/commands/_gateway.py
+++ b/figshunt/commands/_gateway.py
@@ -15,7 +15,7 @@
     read_platform_settings,
     settings_path,
 )
-from figshunt.services import open_log
+from figshunt.runtime import open_log
 from figshunt.types import FigshuntError
 
 EXIT_SETTINGS_INVALID = 2
--- a/figshunt/commands/_main.py
+++ b/figshunt/commands/_main.py
@@ -1,24 +1,34 @@
 """Entry point of the ``figshunt`` command."""
 
+import importlib
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
-import defopt
-
-from figshunt.commands._check import check
-from figshunt.commands._demo import demo
-from figshunt.commands._gateway import gateway
-from figshunt.commands._replay import replay
-from figshunt.commands._serve import serve
-from figshunt.commands._show import audit, report
+COMMANDS = ("serve", "gateway", "demo", "check", "replay", "report", "audit")
+MODULES_BY_COMMAND = {"report": "_show", "audit": "_show"}
 
 
 def main(arguments: Sequence[str] | None = None) -> None:
-    """Run the command line and exit with the command's status."""
+    """Run the command line and exit with the command's status.
+
+    Only the named command is imported, with the libraries that it needs.
+    """
+    import defopt
+
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    named = [name for name in given[:1] if name in COMMANDS]
     status = defopt.run(
-        [serve, gateway, demo, check, replay, report, audit],
-        argv=arguments,
+        {name: _load(name) for name in named or COMMANDS},
+        argv=given,
         cli_options="has_default",
         no_negated_flags=True,
     )
     sys.exit(status or 0)
+
+
+def _load(name: str) -> Callable[..., int]:
+    module = MODULES_BY_COMMAND.get(name, f"_{name}")
+    command: Callable[..., int] = getattr(
+        importlib.import_module(f"figshunt.commands.{module}"), name
+    )
+    return command
--- a/figshunt/commands/_serve.py
+++ b/figshunt/commands/_serve.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 
 from figshunt.codec import read_settings
-from figshunt.services import Daemon, open_log
+from figshunt.runtime import open_log
+from figshunt.services import Daemon
 from figshunt.settings import DaemonSettings
 from figshunt.types import SystemClock
 
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -30,7 +30,7 @@
 from figshunt.gateway._side_listeners import MetricsListener, ReadinessListener
 from figshunt.gateway._wire import CallCodec, ItemCodec
 from figshunt.pipeline import WakeQueue
-from figshunt.services import EventLog, Metrics
+from figshunt.runtime import EventLog, Metrics
 from figshunt.types import (
     Clock,
     CountEvent,
--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -9,7 +9,7 @@
 
 from figshunt.directory import Item
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
-from figshunt.services import EventLog
+from figshunt.runtime import EventLog
 from figshunt.types import Clock, Step
 
 # Time between two tries while the source fails; the shorter, the sooner a
@@ -18,7 +18,7 @@
 
 # Entries that vanish this soon after an outage of this length, in which no
 # call was answered, may have lapsed because their runners couldn't renew them.
-OUTAGE_MS = 3_000
+OUTAGE_MS = 5_500
 LAPSE_MS = 2_500
 
 
--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -24,7 +24,7 @@
 from figshunt.gateway._answer_queue import AnswerQueue
 from figshunt.gateway._settings import Address
 from figshunt.gateway._wire import CallCodec
-from figshunt.services import EventLog, Feed
+from figshunt.runtime import EventLog, Feed
 from figshunt.types import Clock, RequestId, Step
 
 MOST_HEAD_BYTES = 64 * 1024
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -9,11 +9,11 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed, WebSocketException
 
-from figshunt.codec import decode_items, encode_items
 from figshunt.dispatch import HostStatus
+from figshunt.gateway._mirror_codec import decode_items, encode_items
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._settings import Address
-from figshunt.services import EventLog
+from figshunt.runtime import EventLog
 from figshunt.types import Step
 
 # A published value has at most 1 MB; a copy of all items may have several.
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -6,9 +6,9 @@
 
 from mode import Service
 
-from figshunt.codec import decode_status, encode_status
 from figshunt.dispatch import HostStatus, PeerHeard, PlacementNotice, TellPeers
-from figshunt.services import EventLimit, EventLog, Feed
+from figshunt.gateway._status_codec import decode_status, encode_status
+from figshunt.runtime import EventLimit, EventLog, Feed
 from figshunt.types import Clock, Fingerprint, Step
 
 # Placements wait this long for others, so that one datagram carries several.
--- a/figshunt/gateway/_published_items.py
+++ b/figshunt/gateway/_published_items.py
@@ -6,7 +6,7 @@
 
 from figshunt.directory import Item, ItemReplica, SourceStateChanged
 from figshunt.gateway._wire import ItemCodec
-from figshunt.services import EventLog, Feed
+from figshunt.runtime import EventLog, Feed
 from figshunt.types import Step
 
 
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -19,7 +19,7 @@
 )
 from figshunt.gateway._runner_channels import Channel, ChannelPool
 from figshunt.gateway._wire import CallCodec
-from figshunt.services import EventStreamReader, Feed
+from figshunt.runtime import EventStreamReader, Feed
 from figshunt.types import AttemptFailure, AttemptId, SendState
 
 # Headers that the HTTP library would add to what the caller sent.
--- a/figshunt/platform/_store_client.py
+++ b/figshunt/platform/_store_client.py
@@ -16,9 +16,10 @@
 CALL_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.5
 
-# A silent connection shows only by an answer that is overdue, so that a watch
-# waits for less time than a change may take to be in force.
-WATCH_WAIT_MS = 1_500
+# A silent connection shows only by an answer that is overdue. Peers tell of a
+# change that this host's watch misses, so that the wait may be longer than the
+# time in which a change has to be in force; each call is priced.
+WATCH_WAIT_MS = 4_000
 WATCH_TIMEOUT_S = WATCH_WAIT_MS / 1_000 + 0.5
 
 HISTORY_LOST_STATUS = 410
--- a/figshunt/replay/_answer_check.py
+++ b/figshunt/replay/_answer_check.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import Protocol
 
-from figshunt.services import EventStreamReader, ServerSentEvent
+from figshunt.runtime import EventStreamReader, ServerSentEvent
 from figshunt.standins import digest_content
 
 
--- a/figshunt/services/__init__.py
+++ b/figshunt/services/__init__.py
@@ -25,23 +25,6 @@
     build_error_response,
     to_error,
 )
-from figshunt.services._event_limit import EventLimit
-from figshunt.services._event_log import (
-    EventLog,
-    KeyValueDestination,
-    LogOutput,
-    format_value,
-    open_log,
-)
-from figshunt.services._event_stream import (
-    EventRun,
-    EventStreamReader,
-    ServerSentEvent,
-    join_events,
-)
-from figshunt.services._feed import (
-    Feed,
-)
 from figshunt.services._host_list_watcher import (
     HostListWatcher,
     decode_host_list,
@@ -50,9 +33,6 @@
     LoadWatcher,
     decode_load_report,
 )
-from figshunt.services._metrics import (
-    Metrics,
-)
 from figshunt.services._peer_dialler import (
     LinkCount,
     PeerDialler,
@@ -84,23 +64,14 @@
     "CallerProtocol",
     "CoreView",
     "Daemon",
-    "EventLimit",
-    "EventLog",
-    "LogOutput",
-    "EventRun",
-    "EventStreamReader",
-    "Feed",
     "Handshake",
     "HostListWatcher",
-    "KeyValueDestination",
     "LinkCount",
     "LoadWatcher",
     "PeerDialler",
     "PeerIdentity",
     "PeerLinks",
-    "Metrics",
     "RunnerClient",
-    "ServerSentEvent",
     "TableDecoder",
     "TableWatcher",
     "TransferDecodingFeed",
@@ -108,8 +79,5 @@
     "build_error_body",
     "build_error_response",
     "decode_load_report",
-    "format_value",
-    "join_events",
-    "open_log",
     "to_error",
 ]
--- a/figshunt/services/_admin_listener.py
+++ b/figshunt/services/_admin_listener.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from figshunt.report import FleetReport, format_html, format_text
-from figshunt.services._metrics import Metrics
+from figshunt.runtime import Metrics
 from figshunt.settings import Address
 
 
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -18,6 +18,7 @@
     decode_runner_path,
     fingerprint_content,
 )
+from figshunt.runtime import EventLog, Feed
 from figshunt.services._answer_stream import AnswerPart, AnswerStream
 from figshunt.services._caller_protocol import CallerProtocol
 from figshunt.services._error_response import (
@@ -25,8 +26,6 @@
     build_error_response,
     to_error,
 )
-from figshunt.services._event_log import EventLog
-from figshunt.services._feed import Feed
 from figshunt.settings import Address, LimitSettings, TlsSettings
 from figshunt.types import (
     Clock,
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -8,13 +8,12 @@
 
 from figshunt.core import Core
 from figshunt.pipeline import WakeQueue
+from figshunt.runtime import EventLog, Metrics
 from figshunt.services._admin_listener import AdminListener
 from figshunt.services._caller_listener import CallerListener
 from figshunt.services._core_view import CoreView
-from figshunt.services._event_log import EventLog
 from figshunt.services._host_list_watcher import HostListWatcher
 from figshunt.services._load_watcher import LoadWatcher
-from figshunt.services._metrics import Metrics
 from figshunt.services._peer_handshake import PeerIdentity
 from figshunt.services._peer_links import PeerLinks
 from figshunt.services._runner_client import RunnerClient
--- a/figshunt/services/_host_list_watcher.py
+++ b/figshunt/services/_host_list_watcher.py
@@ -8,9 +8,7 @@
 import aiohttp
 from mode import Service
 
-from figshunt.services._event_limit import EventLimit
-from figshunt.services._event_log import EventLog
-from figshunt.services._feed import Feed
+from figshunt.runtime import EventLimit, EventLog, Feed
 from figshunt.types import (
     Clock,
     DataCentreName,
--- a/figshunt/services/_load_watcher.py
+++ b/figshunt/services/_load_watcher.py
@@ -8,7 +8,7 @@
 import aiohttp
 from mode import Service
 
-from figshunt.services._feed import Feed
+from figshunt.runtime import Feed
 from figshunt.types import (
     ColdEvidence,
     LoadReport,
--- a/figshunt/services/_peer_dialler.py
+++ b/figshunt/services/_peer_dialler.py
@@ -11,9 +11,7 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from figshunt.codec import UnknownKind, decode_peer_message, encode_peer_message
-from figshunt.services._event_limit import EventLimit
-from figshunt.services._event_log import EventLog
-from figshunt.services._feed import Feed
+from figshunt.runtime import EventLimit, EventLog, Feed
 from figshunt.services._peer_handshake import Handshake, handshake_error
 from figshunt.services._send_queue import SendQueue
 from figshunt.settings import PeerSettings
--- a/figshunt/services/_peer_links.py
+++ b/figshunt/services/_peer_links.py
@@ -12,9 +12,7 @@
 from websockets.protocol import State
 
 from figshunt.codec import UnknownKind, decode_peer_message, encode_peer_message
-from figshunt.services._event_limit import EventLimit
-from figshunt.services._event_log import EventLog
-from figshunt.services._feed import Feed
+from figshunt.runtime import EventLimit, EventLog, Feed
 from figshunt.services._peer_dialler import (
     CLOSE_TIMEOUT_S,
     HANDSHAKE_TIMEOUT_S,
--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -6,8 +6,7 @@
 from mode import Service
 from yarl import URL
 
-from figshunt.services._event_stream import EventStreamReader, join_events
-from figshunt.services._feed import Feed
+from figshunt.runtime import EventStreamReader, Feed, join_events
 from figshunt.types import (
     AnswerHead,
     AttemptChunk,
--- a/figshunt/services/_table_decoder.py
+++ b/figshunt/services/_table_decoder.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from figshunt.codec import decode_tables
-from figshunt.services._feed import Feed
+from figshunt.runtime import Feed
 from figshunt.tables import CheckedTables
 from figshunt.types import (
     Message,
--- a/figshunt/services/_table_watcher.py
+++ b/figshunt/services/_table_watcher.py
@@ -6,7 +6,7 @@
 import aiohttp
 from mode import Service
 
-from figshunt.services._feed import Feed
+from figshunt.runtime import Feed
 from figshunt.services._table_decoder import TableDecoder
 from figshunt.types import TableServiceRead, TableSourceKind
 
--- a/tests/services/test_event_stream.py
+++ b/tests/runtime/test_event_stream.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from figshunt.services import EventRun, EventStreamReader, join_events
+from figshunt.runtime import EventRun, EventStreamReader, join_events
 
 DONE = b"data: [DONE]\n\n"
 
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -4,7 +4,7 @@
 import unittest
 from pathlib import Path
 
-from figshunt.services import Metrics
+from figshunt.runtime import Metrics
 from figshunt.settings import DaemonSettings, LimitSettings
 from figshunt.tables import Pool, Route, Team
 from figshunt.types import ErrorCode
