Watch with short waits while hosts are few; tell outages by failed calls

Change: a watch waits 1.5 s while there are few hosts; with many, random times up to 10 s, as the first host that finds out tells the others. An outage is counted from the first failed call, not from the last answer. An address without a port names no runner.

--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -79,7 +79,12 @@
         )
         self.items = PublishedItems(item_codec, self, self._log, self._tell_revision)
         self.reader = DirectoryReader(
-            source, self.items, clock, self._log, random_source
+            source,
+            self.items,
+            lambda: 1 + len(self.core.peers.statuses()),
+            clock,
+            self._log,
+            random_source,
         )
         self.mirror_listener = MirrorListener(settings.mirror, self.items)
         self.mirror_reader = MirrorReader(
--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -16,9 +17,15 @@
 # change is seen after an outage.
 RETRY_MS = 150
 
-# Entries that vanish this soon after an outage of this length, in which no
-# call was answered, may have lapsed because their runners couldn't renew them.
-OUTAGE_MS = 5_500
+# A change has to be in force 2 s after it was made, also if watches were cut.
+WATCH_WAIT_MS = 1_500
+MANY_HOSTS = 9
+WATCH_MS_PER_HOST = 300
+LONGEST_WATCH_MS = 10_000
+
+# Entries that vanish this soon after calls failed for this long may have lapsed
+# because their runners couldn't renew them.
+OUTAGE_MS = 1_500
 LAPSE_MS = 2_500
 
 
@@ -44,8 +51,8 @@
     async def list_items(self) -> Listing:
         """Return all items."""
 
-    async def watch(self, after_revision: int) -> Listing:
-        """Return what changed after a revision."""
+    async def watch(self, after_revision: int, wait_ms: int) -> Listing:
+        """Return what changed after a revision, waiting for a change that long."""
 
     async def close(self) -> None:
         """Close all connections."""
@@ -58,6 +65,7 @@
         self,
         source: ItemSource,
         items: PublishedItems,
+        count_hosts: Callable[[], int],
         clock: Clock,
         log: EventLog,
         random_source: random.Random,
@@ -65,11 +73,12 @@
         super().__init__()
         self._source = source
         self._items = items
+        self._count_hosts = count_hosts
         self._clock = clock
         self._log = log
         self._random = random_source
         self._is_listed = False
-        self._read_ms: int | None = None
+        self._failing_since_ms: int | None = None
         self._lapses_until_ms = 0
         self._task: asyncio.Task[None] | None = None
 
@@ -85,6 +94,7 @@
 
     async def _read_for_ever(self) -> None:
         while True:
+            began_ms = self._clock.now().monotonic_ms
             try:
                 await self._read_once()
                 self._items.set_open(ItemOrigin.STORE, True, "store answered")
@@ -92,13 +102,16 @@
                 self._is_listed = False
                 self._log.write("history_lost", step=Step.STORE.value, detail=error)
             except SourceError as error:
+                if self._failing_since_ms is None:
+                    self._failing_since_ms = began_ms
                 self._items.set_open(ItemOrigin.STORE, False, str(error))
                 wait_ms = RETRY_MS * (0.5 + self._random.random())
                 await asyncio.sleep(wait_ms / 1000)
 
     async def _read_once(self) -> None:
         if self._is_listed:
-            listing = await self._source.watch(self._items.revision)
+            wait_ms = self._watch_wait_ms()
+            listing = await self._source.watch(self._items.revision, wait_ms)
             take = self._items.merge
         else:
             listing = await self._source.list_items()
@@ -106,10 +119,23 @@
         take(listing.items, listing.revision, self._may_have_lapsed())
         self._is_listed = True
 
+    def _watch_wait_ms(self) -> int:
+        """Return how long the next watch waits.
+
+        A watch can be cut without a word. One host that finds out tells all
+        others, so with many hosts each may wait longer on average, as long as
+        some watch ends soon; watches that saw the same change start together.
+        """
+        hosts = self._count_hosts()
+        if hosts < MANY_HOSTS:
+            return WATCH_WAIT_MS
+        longest_ms = min(LONGEST_WATCH_MS, WATCH_MS_PER_HOST * hosts)
+        return int(longest_ms * (0.1 + 0.9 * self._random.random()))
+
     def _may_have_lapsed(self) -> bool:
         """Note an answer; return whether entries may have lapsed in an outage."""
         now_ms = self._clock.now().monotonic_ms
-        if self._read_ms is not None and now_ms - self._read_ms > OUTAGE_MS:
+        failing_since_ms, self._failing_since_ms = self._failing_since_ms, None
+        if failing_since_ms is not None and now_ms - failing_since_ms > OUTAGE_MS:
             self._lapses_until_ms = now_ms + LAPSE_MS
-        self._read_ms = now_ms
         return now_ms < self._lapses_until_ms
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -148,6 +148,9 @@
         for name in ("service", "addr", "zone"):
             if not isinstance(fields[name], str):
                 return None
+        ip, _, port = fields["addr"].rpartition(":")
+        if not ip or not port.isdigit():
+            return None
         return PublishedRunner(
             runner_id=runner_id,
             pool=PoolName(fields["service"]),
--- a/figshunt/platform/_store_client.py
+++ b/figshunt/platform/_store_client.py
@@ -16,11 +16,8 @@
 CALL_TIMEOUT_S = 1.2
 CONNECT_TIMEOUT_S = 0.5
 
-# A silent connection shows only by an answer that is overdue. Peers tell of a
-# change that this host's watch misses, so that the wait may be longer than the
-# time in which a change has to be in force; each call is priced.
-WATCH_WAIT_MS = 4_000
-WATCH_TIMEOUT_S = WATCH_WAIT_MS / 1_000 + 0.5
+# A watch whose answer is overdue by this much is taken for lost.
+WATCH_OVERDUE_S = 0.5
 
 HISTORY_LOST_STATUS = 410
 
@@ -60,14 +57,15 @@
                 after = read[-1].key
         return Listing(tuple(items), first_revision or 0)
 
-    async def watch(self, after_revision: int) -> Listing:
+    async def watch(self, after_revision: int, wait_ms: int) -> Listing:
         """Return what changed after a revision, empty if nothing did for a while."""
         query = {
             "prefix": WATCHED_PREFIX,
             "after": str(after_revision),
-            "waitMs": str(WATCH_WAIT_MS),
+            "waitMs": str(wait_ms),
         }
-        answer = await self._get("/kv-watch", query, WATCH_TIMEOUT_S)
+        timeout_s = wait_ms / 1_000 + WATCH_OVERDUE_S
+        answer = await self._get("/kv-watch", query, timeout_s)
         items = tuple(_decode_item(one) for one in answer["events"])
         return Listing(items, int(answer["asOf"]))
 
--- /dev/null
+++ b/tests/platform/test_calls.py
@@ -0,0 +1,121 @@
+"""Requests and answers in the platform's headers."""
+
+import unittest
+
+from figshunt.dispatch import Call, ReplyHead, ReplyVerdict, SendCall
+from figshunt.platform import PlatformCallCodec
+from figshunt.types import AttemptId, Moment, RunnerId, TeamName
+
+HEADERS = [
+    ("Host", "h.example"),
+    ("X-Figshunt-Attempt-Id", "abc"),
+    ("X-Figshunt-Model", "m"),
+    ("X-Figshunt-Token-Counts", "1460,80"),
+    ("X-Figshunt-Prompt-Prefix", "5c:800,91:410,e4:250"),
+    ("X-Figshunt-Deadline-Ms", "5000"),
+    ("Authorization", "Token secret"),
+    ("Last-Event-Id", "12"),
+    ("Connection", "keep-alive"),
+    ("X-Figshunt-Tenant", "forged"),
+    ("X-Figshunt-Kv-Hold", "forged"),
+    ("X-Figshunt-Expect-Instance", "forged"),
+    ("X-Custom", "kept"),
+]
+
+
+class CallCodecTest(unittest.TestCase):
+    """Guards against leaked keys, forged headers and misread answers."""
+
+    def setUp(self) -> None:
+        self.codec = PlatformCallCodec()
+
+    def decode(self, *extra: tuple[str, str]) -> Call:
+        headers = [*HEADERS, *extra]
+        return self.codec.decode_call("POST", "/p/x?q=1", headers, b"{}", Moment(0, 0))
+
+    def build_send(self) -> SendCall:
+        return SendCall(
+            AttemptId("a1"),
+            RunnerId("i-1"),
+            "10.0.0.1:80",
+            self.decode(),
+            TeamName("team"),
+            4_000,
+            2,
+            12,
+        )
+
+    def decode_head(self, status: int, *headers: tuple[str, str]) -> ReplyHead:
+        return self.codec.decode_head(self.build_send(), status, headers)
+
+    def test_call(self) -> None:
+        call = self.decode()
+        assert call.prompt is not None
+        self.assertEqual("secret", call.caller_key)
+        self.assertEqual((5_000, 12), (call.patience_ms, call.resume_after))
+        self.assertEqual([800, 410, 250], [one.tokens for one in call.prompt.parts])
+
+    def test_two_calls_with_one_request_id_are_told_apart(self) -> None:
+        self.assertNotEqual(self.decode().call_id, self.decode().call_id)
+
+    def test_runner_gets_no_key_and_nothing_forged(self) -> None:
+        headers = self.codec.encode_send(self.build_send())
+        values = [value for _, value in headers]
+        self.assertNotIn("Token secret", values)
+        self.assertNotIn("forged", values)
+        by_name = dict(headers)
+        self.assertEqual("team", by_name["X-Figshunt-Tenant"])
+        self.assertEqual("i-1", by_name["X-Figshunt-Expect-Instance"])
+        self.assertEqual("4000", by_name["X-Figshunt-Deadline-Ms"])
+        self.assertEqual("kept", by_name["X-Custom"])
+        self.assertEqual(len(headers), len({name.lower() for name, _ in headers}))
+
+    def test_key_is_not_shown_by_repr(self) -> None:
+        self.assertNotIn("secret", repr(self.decode()))
+
+    def test_malformed_values_count_as_absent(self) -> None:
+        call = self.codec.decode_call(
+            "GET",
+            "/",
+            [
+                ("X-Figshunt-Token-Counts", "many"),
+                ("X-Figshunt-Deadline-Ms", "-5"),
+                ("Authorization", "Basic x"),
+            ],
+            b"",
+            Moment(0, 0),
+        )
+        self.assertIsNone(call.prompt)
+        self.assertIsNone(call.patience_ms)
+        self.assertIsNone(call.caller_key)
+
+    def test_verdicts(self) -> None:
+        not_run = ("X-Figshunt-Not-Executed", "1")
+        cases = (
+            (200, (), ReplyVerdict.ANSWERED),
+            (500, (), ReplyVerdict.FAILED),
+            (503, (), ReplyVerdict.FAILED),
+            (503, (not_run,), ReplyVerdict.REFUSED),
+            (400, (not_run,), ReplyVerdict.REFUSED),
+            (421, (), ReplyVerdict.WRONG_RUNNER),
+        )
+        for status, headers, verdict in cases:
+            with self.subTest(status=status, headers=headers):
+                self.assertEqual(verdict, self.decode_head(status, *headers).verdict)
+
+    def test_answer_of_another_request_is_not_ours(self) -> None:
+        own = ("X-Figshunt-Attempt-Id", "abc")
+        other = ("X-Figshunt-Attempt-Id", "xyz")
+        self.assertTrue(self.decode_head(200, own).is_ours)
+        self.assertFalse(self.decode_head(200, other).is_ours)
+        self.assertFalse(self.decode_head(200).is_ours)
+
+    def test_refusal_names_the_request_and_the_time(self) -> None:
+        headers = self.codec.encode_refusal(self.decode(), 250)
+        self.assertEqual(
+            {"X-Figshunt-Attempt-Id": "abc", "Retry-After": "0.250"}, headers
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_items.py
@@ -0,0 +1,148 @@
+"""Published items as the platform writes them."""
+
+import json
+import unittest
+from typing import Any
+
+from figshunt.directory import (
+    ConfigurationPublished,
+    ConfigurationUnreadable,
+    DirectoryMessage,
+    EvacuationPublished,
+    Item,
+    Repeatability,
+    RunnerListed,
+    RunnerUnlisted,
+)
+from figshunt.platform import PlatformItemCodec
+
+ENTRY = {
+    "service": "engines",
+    "addr": "10.0.0.9:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 1500,
+    "seq": 4,
+    "born": 1700000000000,
+}
+ROUTE = {
+    "name": "r",
+    "host": "h.example",
+    "prefix": "/p/",
+    "kind": "stream",
+    "timeoutMs": 3000,
+    "sloMs": 500,
+    "priority": 1,
+    "service": "engines",
+    "maxAttempts": 1,
+    "public": False,
+    "sticky": True,
+    "resumable": True,
+    "gapTargetMs": 300,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "engines",
+            "maxConns": 360,
+            "coldS": 3.0,
+            "coldPerS": 13.0,
+            "engine": {"slots": 64, "kvCapacity": 1000, "stride": 4},
+        }
+    ],
+    "limits": {"maxBodyBytes": 100},
+    "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def decode(key: str, value: Any, after_outage: bool = False) -> DirectoryMessage:
+    data = None if value is None else json.dumps(value).encode()
+    (message,) = PlatformItemCodec().decode([Item(key, 9, data)], after_outage)
+    return message
+
+
+class ItemsTest(unittest.TestCase):
+    """Guards against entries that are misread or stop the daemon."""
+
+    def test_runner(self) -> None:
+        message = decode("servers/i-1", ENTRY)
+        assert isinstance(message, RunnerListed) and message.runner is not None
+        self.assertEqual("10.0.0.9:80", message.runner.address)
+        self.assertEqual(1500, message.runner.cold_left_ms)
+        self.assertEqual(1700000000000, message.runner.started_wall_ms)
+        self.assertFalse(message.runner.is_leaving)
+
+    def test_draining_runner_is_leaving(self) -> None:
+        message = decode("servers/i-1", ENTRY | {"state": "draining"})
+        assert isinstance(message, RunnerListed) and message.runner is not None
+        self.assertTrue(message.runner.is_leaving)
+
+    def test_unreadable_entries_name_no_runner(self) -> None:
+        cases: dict[str, Any] = {
+            "no address": {k: v for k, v in ENTRY.items() if k != "addr"},
+            "address of another type": ENTRY | {"addr": 5},
+            "address without a port": ENTRY | {"addr": "10.0.0.9"},
+            "unknown state": ENTRY | {"state": "asleep"},
+            "state of another type": ENTRY | {"state": ["ready"]},
+            "slots of another type": ENTRY | {"slots": "many"},
+            "not an object": [1, 2],
+            "born of another type": ENTRY | {"born": "now"},
+        }
+        for name, value in cases.items():
+            with self.subTest(name):
+                message = decode("servers/i-1", value)
+                assert isinstance(message, RunnerListed)
+                self.assertIsNone(message.runner)
+
+    def test_bytes_that_are_no_text(self) -> None:
+        (message,) = PlatformItemCodec().decode([Item("servers/i", 9, b"\xff{")], False)
+        assert isinstance(message, RunnerListed)
+        self.assertIsNone(message.runner)
+
+    def test_deleted_entry(self) -> None:
+        message = decode("servers/i-1", None, after_outage=True)
+        assert isinstance(message, RunnerUnlisted)
+        self.assertTrue(message.after_outage)
+
+    def test_evacuation_begins_and_ends(self) -> None:
+        for value, is_out in (({}, True), (None, False)):
+            message = decode("op/evacuate/a", value)
+            assert isinstance(message, EvacuationPublished)
+            self.assertEqual(("a", is_out), (message.data_centre, message.is_out))
+
+    def test_configuration(self) -> None:
+        message = decode("op/config", CONFIGURATION)
+        assert isinstance(message, ConfigurationPublished)
+        configuration = message.configuration
+        (route,) = configuration.routes
+        self.assertEqual(Repeatability.RESUMABLE, route.repeatability)
+        self.assertEqual(["engines"], [one.pool for one in route.pool_shares])
+        self.assertEqual(2, len(configuration.teams_by_key_sha256))
+
+    def test_stream_that_may_not_resume_runs_once(self) -> None:
+        for changes in ({"resumable": False}, {"kind": "unsafe"}):
+            document = CONFIGURATION | {"routes": [ROUTE | changes]}
+            message = decode("op/config", document)
+            assert isinstance(message, ConfigurationPublished)
+            (route,) = message.configuration.routes
+            self.assertEqual(Repeatability.RUN_ONCE, route.repeatability)
+
+    def test_split_keeps_weights(self) -> None:
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        route = {k: v for k, v in ROUTE.items() if k != "service"} | {"split": split}
+        message = decode("op/config", CONFIGURATION | {"routes": [route]})
+        assert isinstance(message, ConfigurationPublished)
+        (decoded,) = message.configuration.routes
+        self.assertEqual([90, 10], [one.weight for one in decoded.pool_shares])
+
+    def test_broken_configuration_is_reported(self) -> None:
+        for value in ([], {"version": 1}, CONFIGURATION | {"routes": [{}]}):
+            self.assertIsInstance(decode("op/config", value), ConfigurationUnreadable)
+
+
+if __name__ == "__main__":
+    unittest.main()
