Count the streams of all hosts against an engine's slots

Cause: in a burst of chats one engine got 58 in 2 s, with its own streams only a quarter of what it ran; waiting hardly counted below the latency target.

Change: occupancy is the square of all known streams by the slots, weighted 0.5; waiting costs 0.6 per target's length.

--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -34,7 +34,7 @@
 
 # Waiting costs something before it makes anything late: a target's length of
 # it, and a second by which each other stream of the runner is delayed.
-WAITING_COST = 0.4
+WAITING_COST = 0.6
 DELAY_COST_PER_STREAM_S = 0.1
 
 # Outputs are often longer than callers expect, by up to about this factor.
@@ -57,7 +57,11 @@
 CROSSING_COST_PER_BYTE = 0.02 / 18_000
 
 FAILURE_COST = 1.5
-OCCUPANCY_COST = 0.1
+
+# An engine with all slots taken makes the next request wait for a whole output,
+# and one that is half full still takes a burst.
+OCCUPANCY_COST = 0.5
+ANY_GAP_MS = 1_000_000
 MOST_LOSING_STREAMS = 8
 
 
@@ -117,7 +121,8 @@
         cost += ROLE_PREFERENCE * abs(_role_rank(runner.runner_id) - (1 - tightness))
     cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held)
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
-    cost += OCCUPANCY_COST * len(model.running) / max(1, runner.slots)
+    streams = max(len(model.running), model.count_streams(ANY_GAP_MS, now_ms))
+    cost += value * OCCUPANCY_COST * (streams / max(1, runner.slots)) ** 2
     return Estimate(cost, read_tokens, int(first_ms))
 
 
