--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -136,6 +136,9 @@
         self._log.write(
             "daemon_started",
             incarnation=self._incarnation,
+            front_port=self.front.port,
+            readiness_port=self.readiness.port,
+            metrics_port=self.metrics.port,
             data_centre=self._settings.data_centre,
         )
         self._turn()
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -39,6 +39,13 @@
         self._items = items
         self._server: Server | None = None
 
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        assert self._server is not None
+        port: int = next(iter(self._server.sockets)).getsockname()[1]
+        return port
+
     async def on_start(self) -> None:
         """Listen."""
         self._server = await serve(
--- a/figshunt/gateway/_side_listeners.py
+++ b/figshunt/gateway/_side_listeners.py
@@ -22,6 +22,13 @@
         self._is_ready = is_ready
         self._runner: web.ServerRunner | None = None
 
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        assert self._runner is not None
+        port: int = self._runner.addresses[0][1]
+        return port
+
     async def on_start(self) -> None:
         """Listen."""
         self._runner = await _listen(self._address, self._answer)
@@ -46,6 +53,13 @@
         self._exposition = exposition
         self._runner: web.ServerRunner | None = None
 
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        assert self._runner is not None
+        port: int = self._runner.addresses[0][1]
+        return port
+
     async def on_start(self) -> None:
         """Listen."""
         self._runner = await _listen(self._address, self._answer)
--- a/figshunt/platform/_settings.py
+++ b/figshunt/platform/_settings.py
@@ -51,7 +51,7 @@
         front=_address(listen["front"]),
         readiness=_address(listen["ready"]),
         mirror=_address(listen["control"]),
-        metrics=Address(fields["ip"], METRICS_PORT),
+        metrics=Address(fields["ip"], int(fields.get("metricsPort", METRICS_PORT))),
         peer_port=int(fields["portRange"][0]),
         seeds=tuple(_address(seed).ip for seed in fields.get("seeds", ())),
         store=_address(fields["provider"]["addr"]),
--- a/figshunt/standins/__init__.py
+++ b/figshunt/standins/__init__.py
@@ -26,6 +26,12 @@
     PlainProfile,
     PlainService,
 )
+from figshunt.standins._platform_runner import (
+    PlatformRunner,
+    RunnerBehaviour,
+    SeenRequest,
+)
+from figshunt.standins._platform_store import PlatformStore
 from figshunt.standins._prefix_cache import (
     CacheEvent,
     CacheEventKind,
@@ -45,6 +51,10 @@
 )
 
 __all__ = [
+    "PlatformRunner",
+    "PlatformStore",
+    "RunnerBehaviour",
+    "SeenRequest",
     "BatchProfile",
     "CacheEvent",
     "CacheEventKind",
--- /dev/null
+++ b/figshunt/standins/_platform_runner.py
@@ -0,0 +1,138 @@
+"""A runner as it behaves towards the system on the platform."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+
+from aiohttp import web
+
+from figshunt.standins._web_standin import LOOPBACK, WebStandin
+
+MOST_BODY_BYTES = 8 * 1024 * 1024
+
+
+class RunnerBehaviour(Enum):
+    """What the runner does with the next requests."""
+
+    SERVE = "serve"
+    REFUSE = "refuse"
+    FAIL = "fail"
+    HANG = "hang"
+    BREAK_STREAM = "break_stream"
+    CLOSE = "close"
+    ANSWER_TWICE = "answer_twice"
+
+
+@dataclass(frozen=True, slots=True)
+class SeenRequest:
+    """A request as it arrived."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name: str) -> str | None:
+        """Return the value of a header."""
+        by_name = {key.lower(): value for key, value in self.headers}
+        return by_name.get(name.lower())
+
+
+class PlatformRunner(WebStandin):
+    """Answers plain requests at once and streams a fixed number of events."""
+
+    def __init__(self, runner_id: str, events: int = 5, event_ms: int = 5) -> None:
+        super().__init__()
+        self.runner_id = runner_id
+        self.behaviour = RunnerBehaviour.SERVE
+        self.seen: list[SeenRequest] = []
+        self.cancelled = 0
+        self._events = events
+        self._event_ms = event_ms
+
+    @property
+    def address(self) -> str:
+        """Return the address as the runner lists it."""
+        return f"{LOOPBACK}:{self.port}"
+
+    def entry(self, pool: str, **changes: object) -> dict[str, object]:
+        """Return what the runner writes to the store."""
+        return {
+            "service": pool,
+            "addr": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+        } | changes
+
+    def build_app(self) -> web.Application:
+        """Return the application to serve."""
+        app = web.Application(client_max_size=MOST_BODY_BYTES)
+        app.router.add_route("*", "/{path:.*}", self._answer)
+        return app
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        expected = request.headers.get("X-Figshunt-Expect-Instance")
+        if expected is not None and expected != self.runner_id:
+            return web.Response(status=421)
+        if self.behaviour is RunnerBehaviour.REFUSE:
+            return web.Response(status=503, headers={"X-Figshunt-Not-Executed": "1"})
+        self.seen.append(
+            SeenRequest(
+                request.method,
+                request.raw_path,
+                tuple(request.headers.items()),
+                await request.read(),
+            )
+        )
+        try:
+            return await self._run(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def _run(self, request: web.Request) -> web.StreamResponse:
+        headers = {
+            "X-Figshunt-Attempt-Id": request.headers.get("X-Figshunt-Attempt-Id", ""),
+            "X-Figshunt-Server-Stamp": f"stamp-{self.runner_id}",
+            "X-Figshunt-Instance-Load": "1,0,8",
+        }
+        if self.behaviour is RunnerBehaviour.HANG:
+            await asyncio.Event().wait()
+        if self.behaviour is RunnerBehaviour.CLOSE and request.transport is not None:
+            request.transport.abort()
+        if self.behaviour is RunnerBehaviour.FAIL:
+            return web.Response(status=500, headers=headers, text="failed")
+        if request.headers.get("X-Figshunt-Token-Counts") is not None:
+            return await self._stream(request, headers)
+        response = web.Response(headers=headers, text=f"served by {self.runner_id}")
+        if self.behaviour is RunnerBehaviour.ANSWER_TWICE:
+            self.run_in_background(self._answer_again(request))
+        return response
+
+    async def _stream(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        for number in range(first, self._events):
+            await asyncio.sleep(self._event_ms / 1000)
+            await response.write(b"id: %d\ndata: token\n\n" % number)
+            is_broken = self.behaviour is RunnerBehaviour.BREAK_STREAM
+            if is_broken and number == first + 1 and request.transport is not None:
+                await response.write(b"id: ")
+                request.transport.close()
+                return response
+        await response.write_eof()
+        return response
+
+    async def _answer_again(self, request: web.Request) -> None:
+        await asyncio.sleep(self._event_ms / 1000)
+        if request.transport is not None:
+            request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore")
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -17,6 +17,8 @@
     "request",
     "core",
     "report",
+    "directory",
+    "dispatch",
 )
 FORBIDDEN = frozenset(
     {"aiohttp", "asyncio", "cbor2", "eliot", "json", "json5", "mode", "websockets"}
