Fetch parts of prompts from the runner that has read them

Change: a send names the runner that holds more of its prompt; its cost is the transfer. Parts count as ready for others only 150 ms after their holder is expected to have read them. A prompt is charged for the risk that its reading adds to tight streams. The end of a send is logged with its longest gap.

--- a/figshunt/directory/_model.py
+++ b/figshunt/directory/_model.py
@@ -51,12 +51,15 @@
 class EngineLimits:
     """What one runner of a pool of model engines can hold.
 
-    ``event_tokens`` is how many generated tokens one stream event carries.
+    ``event_tokens`` is how many generated tokens one stream event carries,
+    ``fetch_tokens_per_ms`` how many tokens of a prompt a runner can fetch from
+    another one that holds them; 0 means that it can't.
     """
 
     slots: int
     kv_tokens: int
     event_tokens: int
+    fetch_tokens_per_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -21,7 +21,8 @@
     """Send a call to a runner.
 
     ``patience_ms`` is how long the runner may work on it, ``resume_after``
-    the last event that the caller has, ``priority`` 0 for the most urgent.
+    the last event that the caller has, ``priority`` 0 for the most urgent,
+    ``fetch_from`` the address of a runner that holds more of the prompt.
     """
 
     attempt_id: AttemptId
@@ -32,6 +33,7 @@
     patience_ms: int
     priority: int
     resume_after: int | None
+    fetch_from: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -86,7 +86,8 @@
 class SendPlanned(Message):
     """A runner was chosen; the send is about to start.
 
-    ``read_tokens`` is how much of the prompt the runner is expected to read.
+    ``read_tokens`` is how much of the prompt the runner is expected to read;
+    it fetches what the runner at ``fetch_from`` holds beyond its own.
     """
 
     attempt_id: AttemptId
@@ -94,6 +95,7 @@
     routed: RoutedCall
     read_tokens: int
     expected_first_ms: int
+    fetch_from: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -68,6 +68,13 @@
 # it, which is an estimate too, than of the runner's speed.
 MOST_JUDGED_MS = 400
 
+# Parts can be fetched only once their holder has read them, and the estimate of
+# when that is errs by about this much.
+READY_MARGIN_MS = 150
+
+# A runner that fails more of its requests than this is asked for no parts.
+MOST_HOLDER_FAILURES = 0.3
+
 FAILED_RESULTS = frozenset(
     {
         SendResult.RUNNER_ERROR,
@@ -168,8 +175,11 @@
             return
         self._held.pop(routed.call_id, None)
         pool_share = self._pool_share(pool, runners, now)
+        holder, holder_tokens = self._find_holder(routed, pool, runners, now)
         estimates = {
-            runner.runner_id: self._estimate(routed, runner, pool, pool_share, now)
+            runner.runner_id: self._estimate(
+                routed, runner, pool, holder_tokens, pool_share, now
+            )
             for runner in usable
         }
         lowest = min(one.cost for one in estimates.values())
@@ -179,7 +189,9 @@
             if estimates[runner.runner_id].cost <= lowest + EQUAL_COST
         ]
         chosen = self._random.choice(equals)
-        yield from self._send(routed, chosen, pool, estimates[chosen.runner_id], now)
+        estimate = estimates[chosen.runner_id]
+        fetch_from = holder.address if holder and estimate.fetches else None
+        yield from self._send(routed, chosen, pool, estimate, fetch_from, now)
 
     def _usable(
         self,
@@ -227,6 +239,7 @@
         routed: RoutedCall,
         runner: PublishedRunner,
         pool: PublishedPool,
+        fetchable_tokens: int,
         pool_share: float,
         now: Moment,
     ) -> Estimate:
@@ -242,10 +255,35 @@
             pool.engine,
             self._data_centre,
             self._recent_tokens(routed, now),
+            fetchable_tokens,
             pool_share,
             now.monotonic_ms,
         )
 
+    def _find_holder(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> tuple[PublishedRunner | None, int]:
+        """Return the sound runner that holds most of a prompt, and how much."""
+        prompt = routed.call.prompt
+        if prompt is None or pool.engine is None:
+            return None, 0
+        holder: PublishedRunner | None = None
+        most = 0
+        for runner in runners.values():
+            model = self._model(runner.runner_id, pool)
+            if model.excluded_until_ms > now.monotonic_ms:
+                continue
+            if model.failure_share(now.monotonic_ms) > MOST_HOLDER_FAILURES:
+                continue
+            held = model.prefixes.ready_tokens(prompt.parts, now.monotonic_ms)
+            if held > most:
+                holder, most = runner, held
+        return holder, most
+
     def _pool_share(
         self,
         pool: PublishedPool,
@@ -272,6 +310,7 @@
         runner: PublishedRunner,
         pool: PublishedPool,
         estimate: Estimate,
+        fetch_from: str | None,
         now: Moment,
     ) -> Iterable[Output]:
         self._sends += 1
@@ -285,7 +324,12 @@
             self._note(notice, now)
             yield TellPeers((notice,), ())
         yield SendPlanned(
-            attempt_id, runner, routed, estimate.read_tokens, estimate.first_ms
+            attempt_id,
+            runner,
+            routed,
+            estimate.read_tokens,
+            estimate.first_ms,
+            fetch_from,
         )
 
     def _notice(
@@ -313,13 +357,13 @@
         model = self._models.get(notice.runner_id)
         if model is None:
             return
-        model.add(
+        read_ms = model.add(
             notice.read_tokens,
             notice.gap_target_ms,
             notice.expected_ms,
             now.monotonic_ms,
         )
-        model.prefixes.remember(notice.parts)
+        model.prefixes.remember(notice.parts, read_ms + READY_MARGIN_MS)
 
     def _end_send(self, ended: SendEnded, now: Moment) -> Iterable[Output]:
         model = self._models.get(ended.runner_id)
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -32,6 +32,13 @@
 # prices it, at about a tenth of an answer's value for a thousand tokens.
 REREAD_COST_PER_TOKEN = 0.12 / 1_000
 
+# Fetching parts from another runner: the platform prices the bytes moved, at
+# about a tenth of what it takes for reading. Less than this isn't worth a
+# transfer, which takes a few ms to set up.
+FETCH_COST_PER_TOKEN = 0.014 / 1_000
+LEAST_FETCH_TOKENS = 300
+FETCH_SETUP_MS = 5.0
+
 # Waiting costs something before it makes anything late: a target's length of
 # it, and a second by which each other stream of the runner is delayed.
 WAITING_COST = 0.6
@@ -44,6 +51,10 @@
 # of its value that it loses before it ends.
 READING_RISK = 0.8
 
+# Streams that meet what is read now, for each that runs now: those that run and
+# those that come while it counts as recent.
+MET_STREAMS = 1.5
+
 # The first tight stream at a runner keeps long prompts away from it; the cost
 # is in proportion to how much the pool reads, and shared by further streams.
 OPENING_COST = 1.0
@@ -72,6 +83,7 @@
     cost: float
     read_tokens: int
     first_ms: int
+    fetches: bool = False
 
 
 def estimate_engine(
@@ -81,12 +93,14 @@
     engine: EngineLimits,
     own_data_centre: DataCentreName,
     recent_tokens: int,
+    fetchable_tokens: int,
     pool_share: float,
     now_ms: int,
 ) -> Estimate:
     """Estimate a call at a model engine.
 
     ``recent_tokens`` counts the leading tokens that some runner read lately,
+    ``fetchable_tokens`` those that the runner can fetch from another one,
     ``pool_share`` is the mean share of time that the pool's runners read.
 
     The cost adds up: the call's own first event late, the gaps of streams
@@ -97,11 +111,16 @@
     prompt = routed.call.prompt
     input_tokens = prompt.input_tokens if prompt else 0
     held = model.prefixes.held_tokens(prompt.parts) if prompt else 0
+    fetched = max(0, min(input_tokens, fetchable_tokens) - held)
+    fetch_ms = 0.0
+    if engine.fetch_tokens_per_ms and fetched >= LEAST_FETCH_TOKENS:
+        fetch_ms = FETCH_SETUP_MS + fetched / engine.fetch_tokens_per_ms
+        held += fetched
     read_tokens = max(0, input_tokens - held)
     backlog_ms = model.backlog_ms(now_ms)
     own_ms = model.read_ms(read_tokens)
     waited_ms = now_ms - routed.call.received.monotonic_ms
-    first_ms = backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
+    first_ms = fetch_ms + backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
     value = value_of_urgency(routed.urgency)
     target_ms = routed.route.target_ms
     cost = value * LATE_LOSS * _lateness(first_ms + waited_ms, target_ms)
@@ -120,10 +139,12 @@
         cost += OPENING_COST * tightness * pool_share / (1 + tight_streams)
         cost += ROLE_PREFERENCE * abs(_role_rank(runner.runner_id) - (1 - tightness))
     cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held)
+    if fetch_ms:
+        cost += FETCH_COST_PER_TOKEN * fetched
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
     streams = max(len(model.running), model.count_streams(ANY_GAP_MS, now_ms))
     cost += value * OCCUPANCY_COST * (streams / max(1, runner.slots)) ** 2
-    return Estimate(cost, read_tokens, int(first_ms))
+    return Estimate(cost, read_tokens, int(first_ms), bool(fetch_ms))
 
 
 def estimate_plain(
@@ -211,7 +232,11 @@
         added = late - _gap_lateness(before_ms, gap_ms)
         # A longer stall also hits the streams that come while it lasts.
         added = max(added, late * own_ms / max(1.0, backlog_ms + own_ms))
-        streams = min(MOST_LOSING_STREAMS, share.count(now_ms))
+        running = share.count(now_ms)
+        met = MET_STREAMS * running * own_ms / READING_WINDOW_MS
+        risk = READING_RISK * _tightness(model, engine, gap_ms)
+        cost += MOST_URGENT_VALUE * LATE_LOSS * risk * met
+        streams = min(MOST_LOSING_STREAMS, running)
         cost += MOST_URGENT_VALUE * LATE_LOSS * added * streams
         cost += DELAY_COST_PER_STREAM_S * streams * own_ms / 1_000
     return cost
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -92,8 +92,11 @@
 
     def add(
         self, read_tokens: int, gap_target_ms: int, expected_ms: int, now_ms: int
-    ) -> None:
-        """Count a request that this host or a peer sends."""
+    ) -> int:
+        """Count a request that this host or a peer sends.
+
+        :returns: when the runner is expected to have read its prompt.
+        """
         self._age(now_ms)
         reading_ms = self.read_ms(read_tokens)
         self._reads_until_ms = max(self._reads_until_ms, float(now_ms)) + reading_ms
@@ -101,6 +104,7 @@
         if gap_target_ms:
             share = self.streams_by_gap_ms.setdefault(gap_target_ms, StreamShare())
             share.ends_ms.append(now_ms + expected_ms)
+        return int(self._reads_until_ms)
 
     def observe_first(self, waited_ms: int, expected_ms: float) -> None:
         """Correct the slowness by the time that a first event took."""
--- a/figshunt/dispatch/_send_filter.py
+++ b/figshunt/dispatch/_send_filter.py
@@ -91,6 +91,8 @@
     expected_first_ms: int
     last_heard_ms: int
     has_begun: bool = False
+    first_ms: int | None = None
+    longest_gap_ms: int = 0
 
 
 class SendFilter:
@@ -172,6 +174,7 @@
                 "route": routed.route.name,
                 "read_tokens": planned.read_tokens,
                 "expected_first_ms": planned.expected_first_ms,
+                "fetch_from": planned.fetch_from,
                 "tried": len(routed.tried),
             },
         )
@@ -184,6 +187,7 @@
             patience_ms=max(1, routed.deadline_ms - now.monotonic_ms),
             priority=routed.urgency,
             resume_after=resume_after,
+            fetch_from=planned.fetch_from,
         )
 
     def _judge(self, reply: ReplyWhole, now: Moment) -> Iterable[Output]:
@@ -258,6 +262,7 @@
         if not send.has_begun:
             send.has_begun = True
             waited_ms = now.monotonic_ms - send.started_ms
+            send.first_ms = waited_ms
             yield Feedback(
                 FirstEventSeen(
                     send.attempt_id,
@@ -271,6 +276,9 @@
                 {"route": routed.route.name},
                 now.monotonic_ms - routed.call.received.monotonic_ms,
             )
+        else:
+            gap_ms = now.monotonic_ms - send.last_heard_ms
+            send.longest_gap_ms = max(send.longest_gap_ms, gap_ms)
         send.last_heard_ms = now.monotonic_ms
         yield AnswerEvent(routed.call_id, event.data)
 
@@ -452,8 +460,11 @@
             {
                 "request": send.routed.call_id,
                 "runner": send.runner.runner_id,
+                "route": send.routed.route.name,
                 "result": result.value,
                 "detail": detail,
+                "first_ms": send.first_ms,
+                "longest_gap_ms": send.longest_gap_ms,
             },
         )
         yield Feedback(
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -20,6 +20,7 @@
     CONNECTION_HEADERS,
     EVENT_STREAM,
     EXPECTED_RUNNER,
+    FETCH_FROM,
     KEY_SCHEME,
     LAST_EVENT_ID,
     LEAST_URGENT,
@@ -92,6 +93,8 @@
             headers.append((TEAM, send.team))
         if send.call.prompt is not None:
             headers.append((PRIORITY, str(min(LEAST_URGENT, max(0, send.priority)))))
+        if send.fetch_from is not None:
+            headers.append((FETCH_FROM, send.fetch_from))
         if send.resume_after is not None:
             headers.append((LAST_EVENT_ID, str(send.resume_after)))
         return headers
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -123,11 +123,18 @@
                 slots=int(engine["slots"]),
                 kv_tokens=int(engine["kvCapacity"]),
                 event_tokens=int(engine.get("stride", 1)),
+                fetch_tokens_per_ms=_fetch_rate(engine),
             )
         ),
     )
 
 
+def _fetch_rate(engine: Mapping[str, Any]) -> float:
+    """Return tokens a ms over an engine's link; mega stands for 10 to the 6."""
+    token_bits = float(engine.get("kvTokenBytes", 0)) * 8
+    return float(engine.get("linkMbps", 0)) * 1_000 / token_bits if token_bits else 0.0
+
+
 def _decode_teams(tenants: Iterable[Mapping[str, Any]]) -> dict[str, PublishedTeam]:
     teams = {}
     for fields in tenants:
--- a/figshunt/platform/_names.py
+++ b/figshunt/platform/_names.py
@@ -16,6 +16,8 @@
 LOAD = "X-Figshunt-Instance-Load"
 NOT_RUN = "X-Figshunt-Not-Executed"
 PRIORITY = "X-Figshunt-Request-Priority"
+# Where the runner gets parts of the prompt that it doesn't hold, as IP:PORT.
+FETCH_FROM = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
 AUTHORIZATION = "Authorization"
 KEY_SCHEME = "token"
@@ -32,7 +34,7 @@
         "X-Figshunt-Kv-Hold",
         "X-Figshunt-Kv-Backup",
         "Kv-From",
-        "Kv-Fetch",
+        FETCH_FROM,
     )
 )
 
