Count only long prompts as a risk to tight streams

Change: the risk counts the time that prompts of 80 ms and more are read, and of shorter ones a part; four times that share is the chance of a late stream, for the chat that is placed and for those that a prompt would meet. Opening an engine for tight streams costs 2.5 times the pool's share.

--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -12,6 +12,7 @@
     READ_CHUNK_TOKENS,
     READING_WINDOW_MS,
     RunnerModel,
+    stalling_ms,
 )
 from figshunt.types import DataCentreName
 
@@ -47,9 +48,9 @@
 # Outputs are often longer than callers expect, by up to about this factor.
 OUTPUT_MARGIN = 2.0
 
-# A stream with a tight gap target beside a runner that always reads: the part
-# of its value that it loses before it ends.
-READING_RISK = 0.8
+# How probable it is that a stream with a tight gap target is late, for each
+# share of time that its runner reads long prompts.
+READING_RISK = 4.0
 
 # Streams that meet what is read now, for each that runs now: those that run and
 # those that come while it counts as recent.
@@ -57,7 +58,7 @@
 
 # The first tight stream at a runner keeps long prompts away from it; the cost
 # is in proportion to how much the pool reads, and shared by further streams.
-OPENING_COST = 1.0
+OPENING_COST = 2.5
 
 # Deterministic preference, alike on all hosts, that separates tight streams
 # from long prompts where nothing else does.
@@ -133,8 +134,9 @@
         stall_ms = _stall_ms(model, engine, backlog_ms + own_ms)
         at_risk = _gap_lateness(stall_ms, gap_ms)
         tightness = _tightness(model, engine, gap_ms)
-        share = min(1.0, model.reading_share(now_ms))
-        cost += value * LATE_LOSS * (at_risk + READING_RISK * tightness * share)
+        share = model.stalling_share(now_ms)
+        at_risk = max(at_risk, tightness * min(1.0, READING_RISK * share))
+        cost += value * LATE_LOSS * at_risk
         tight_streams = model.count_streams(gap_ms, now_ms)
         cost += OPENING_COST * tightness * pool_share / (1 + tight_streams)
         cost += ROLE_PREFERENCE * abs(_role_rank(runner.runner_id) - (1 - tightness))
@@ -233,7 +235,7 @@
         # A longer stall also hits the streams that come while it lasts.
         added = max(added, late * own_ms / max(1.0, backlog_ms + own_ms))
         running = share.count(now_ms)
-        met = MET_STREAMS * running * own_ms / READING_WINDOW_MS
+        met = MET_STREAMS * running * stalling_ms(own_ms) / READING_WINDOW_MS
         risk = READING_RISK * _tightness(model, engine, gap_ms)
         cost += MOST_URGENT_VALUE * LATE_LOSS * risk * met
         streams = min(MOST_LOSING_STREAMS, running)
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -29,6 +29,10 @@
 # The share of time spent reading is averaged over about this time.
 READING_WINDOW_MS = 4_000
 
+# Prompts that take this long to read stall the streams beside them; of a shorter
+# one only a part counts, as little as it takes, since several must coincide.
+LONG_READ_MS = 80
+
 SLOWNESS_BOUNDS = (0.5, 12.0)
 
 
@@ -61,6 +65,7 @@
         self.exclusions = 0
         self._reads_until_ms = 0.0
         self._reading_share = 0.0
+        self._stalling_share = 0.0
         self._failure_share = 0.0
         self._seen_ms = 0
 
@@ -77,6 +82,11 @@
         self._age(now_ms)
         return self._reading_share
 
+    def stalling_share(self, now_ms: int) -> float:
+        """Return the recent share of time spent reading long prompts."""
+        self._age(now_ms)
+        return self._stalling_share
+
     def failure_share(self, now_ms: int) -> float:
         """Return the recent share of requests that the runner failed."""
         self._age(now_ms)
@@ -101,6 +111,7 @@
         reading_ms = self.read_ms(read_tokens)
         self._reads_until_ms = max(self._reads_until_ms, float(now_ms)) + reading_ms
         self._reading_share += reading_ms / READING_WINDOW_MS
+        self._stalling_share += stalling_ms(reading_ms) / READING_WINDOW_MS
         if gap_target_ms:
             share = self.streams_by_gap_ms.setdefault(gap_target_ms, StreamShare())
             share.ends_ms.append(now_ms + expected_ms)
@@ -144,4 +155,11 @@
         kept = 0.5 ** (passed_ms / FORGET_HALF_MS)
         self._failure_share *= kept
         self.slowness = 1.0 + (self.slowness - 1.0) * kept**0.25
-        self._reading_share *= exp(-passed_ms / READING_WINDOW_MS)
+        faded = exp(-passed_ms / READING_WINDOW_MS)
+        self._reading_share *= faded
+        self._stalling_share *= faded
+
+
+def stalling_ms(reading_ms: float) -> float:
+    """Return how much of the time that a prompt is read stalls streams."""
+    return reading_ms * min(1.0, reading_ms / LONG_READ_MS)
