Break off a begun stream when no runner is left; split what grew

Cause: reading the code showed that a resumed stream for which no runner was left was refused with a second answer on its connection.

Change: such a stream is broken off. FleetModel owns the pictures of runners, RepeatPolicy the repeats; the cost of an engine is the sum of named parts; unused fields and the load header are gone.

Measured: the new test fails without the change (two answers); 85 tests of the new packages pass.

--- a/figshunt/directory/__init__.py
+++ b/figshunt/directory/__init__.py
@@ -11,7 +11,6 @@
     DirectoryMessage,
     EvacuationPublished,
     RunnerListed,
-    RunnersById,
     RunnerUnlisted,
     SourceStateChanged,
 )
@@ -46,7 +45,6 @@
     "PublishedTeam",
     "Repeatability",
     "RunnerListed",
-    "RunnersById",
     "RunnerUnlisted",
     "SourceStateChanged",
 ]
--- a/figshunt/directory/_messages.py
+++ b/figshunt/directory/_messages.py
@@ -1,6 +1,5 @@
 """Messages that carry published items into the pipeline."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 from figshunt.directory._model import Configuration, PublishedRunner
@@ -69,5 +68,3 @@
     | RunnerListed
     | RunnerUnlisted
 )
-
-RunnersById = Mapping[RunnerId, PublishedRunner]
--- a/figshunt/directory/_model.py
+++ b/figshunt/directory/_model.py
@@ -37,7 +37,6 @@
     host: str
     path_prefix: str
     repeatability: Repeatability
-    is_stream: bool
     is_public: bool
     pool_shares: tuple[PoolShare, ...]
     urgency: int
@@ -56,7 +55,6 @@
     another one that holds them; 0 means that it can't.
     """
 
-    slots: int
     kv_tokens: int
     event_tokens: int
     fetch_tokens_per_ms: float = 0.0
@@ -73,7 +71,6 @@
     name: PoolName
     cold_ms: int
     cold_per_s: float
-    most_connections: int
     engine: EngineLimits | None = None
 
 
@@ -93,7 +90,6 @@
     routes: tuple[PublishedRoute, ...]
     pools_by_name: Mapping[PoolName, PublishedPool]
     teams_by_key_sha256: Mapping[str, PublishedTeam] = field(repr=False)
-    most_body_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/_crash_filter.py
@@ -1,4 +1,4 @@
-"""Keeps content away from runners that crashes them."""
+"""Keeps content that crashes runners away from them."""
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
--- /dev/null
+++ b/figshunt/dispatch/_fleet_model.py
@@ -0,0 +1,195 @@
+"""This host's picture of all runners."""
+
+from collections.abc import Mapping
+
+from figshunt.directory import DirectoryView, PublishedPool, PublishedRunner
+from figshunt.dispatch._call import RoutedCall
+from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
+from figshunt.dispatch._messages import PlacementNotice
+from figshunt.dispatch._peer_filter import PeersView
+from figshunt.dispatch._prefix_memory import PartUses
+from figshunt.dispatch._runner_model import RunnerModel
+from figshunt.types import Moment, RunnerId
+
+# Parts can be fetched only once their holder has read them, and the estimate of
+# when that is errs by about this much.
+READY_MARGIN_MS = 150
+
+# A runner that fails more of its requests than this is asked for no parts.
+MOST_HOLDER_FAILURES = 0.3
+
+# Memory of a runner whose pool isn't published yet.
+DEFAULT_KV_TOKENS = 100_000
+
+
+class FleetModel:
+    """Owns the models of runners, and which of them may get work now.
+
+    It has one model for each listed runner; that of a runner that left goes
+    once none of its sends is in flight.
+    """
+
+    def __init__(
+        self, directory: DirectoryView, peers: PeersView, bounds: SharedBounds
+    ) -> None:
+        self._directory = directory
+        self._peers = peers
+        self._cold = ColdLimit(bounds)
+        self._part_uses = PartUses(bounds.reuse_window_ms)
+        self._models: dict[RunnerId, RunnerModel] = {}
+        self._starts: dict[RunnerId, int | None] = {}
+
+    def find(self, runner_id: RunnerId) -> RunnerModel | None:
+        """Return the picture of a runner, if there is one."""
+        return self._models.get(runner_id)
+
+    def model(self, runner_id: RunnerId, pool: PublishedPool | None) -> RunnerModel:
+        """Return the picture of a runner, a new one if there is none."""
+        model = self._models.get(runner_id)
+        if model is None:
+            model = RunnerModel(_kv_tokens(pool))
+            self._models[runner_id] = model
+        return model
+
+    def record_send(
+        self, runner_id: RunnerId, pool: PublishedPool, now: Moment
+    ) -> None:
+        """Count a send of this host against the limit of a cold runner."""
+        if self._is_cold(pool, runner_id, now):
+            self._cold.record(runner_id, now.monotonic_ms)
+
+    def usable(
+        self,
+        pool: PublishedPool | None,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> list[PublishedRunner]:
+        """Return the runners that may get a call now.
+
+        Runners that couldn't be reached lately are used only if there is no
+        other; a cold runner never gets more than its part.
+        """
+        now_ms = now.monotonic_ms
+        allowed = [
+            runner
+            for runner in runners.values()
+            if self.next_cold_ms(pool, runner.runner_id, now) <= now_ms
+        ]
+        reachable = [
+            runner
+            for runner in allowed
+            if self.model(runner.runner_id, pool).excluded_until_ms <= now_ms
+        ]
+        return reachable or allowed
+
+    def next_cold_ms(
+        self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
+    ) -> int:
+        """Return when the runner may get a call, as far as it is cold."""
+        if pool is None or not self._is_cold(pool, runner_id, now):
+            return now.monotonic_ms
+        return self._cold.next_ms(
+            runner_id, pool.cold_per_s, self._peers.rank(now), now.monotonic_ms
+        )
+
+    def find_holder(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> tuple[PublishedRunner | None, int]:
+        """Return the sound runner that holds most of a prompt, and how much."""
+        prompt = routed.call.prompt
+        if prompt is None or pool.engine is None:
+            return None, 0
+        holder: PublishedRunner | None = None
+        most = 0
+        for runner in runners.values():
+            model = self.model(runner.runner_id, pool)
+            if model.excluded_until_ms > now.monotonic_ms:
+                continue
+            if model.failure_share(now.monotonic_ms) > MOST_HOLDER_FAILURES:
+                continue
+            held = model.prefixes.ready_tokens(prompt.parts, now.monotonic_ms)
+            if held > most:
+                holder, most = runner, held
+        return holder, most
+
+    def pool_share(
+        self,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> float:
+        """Return the mean share of time that the runners of a pool read."""
+        if pool.engine is None:
+            return 0.0
+        shares = [
+            min(1.0, self.model(runner_id, pool).reading_share(now.monotonic_ms))
+            for runner_id in runners
+        ]
+        return sum(shares) / len(shares)
+
+    def recent_tokens(self, routed: RoutedCall, now: Moment) -> int:
+        """Return how many leading tokens of a prompt were used lately."""
+        prompt = routed.call.prompt
+        parts = prompt.parts if prompt else ()
+        return self._part_uses.recent_tokens(parts, now.monotonic_ms)
+
+    def note(self, notice: PlacementNotice, now: Moment) -> None:
+        """Count a request that this host or a peer sent."""
+        self._part_uses.record(notice.parts, now.monotonic_ms)
+        model = self._models.get(notice.runner_id)
+        if model is None:
+            return
+        read_ms = model.add(
+            notice.read_tokens,
+            notice.gap_target_ms,
+            notice.expected_ms,
+            now.monotonic_ms,
+        )
+        model.prefixes.remember(notice.parts, read_ms + READY_MARGIN_MS)
+
+    def list_runner(self, runner: PublishedRunner, now: Moment) -> None:
+        """Note what a runner wrote of itself."""
+        pool = self._directory.pool(runner.pool)
+        model = self.model(runner.runner_id, pool)
+        held = self._starts.get(runner.runner_id)
+        cold_until_ms = now.monotonic_ms + runner.cold_left_ms
+        if held is not None and held != runner.started_wall_ms:
+            model.restart(cold_until_ms, _kv_tokens(pool))
+        elif runner.cold_left_ms:
+            model.cold_until_ms = max(model.cold_until_ms, cold_until_ms)
+        if runner.cold_left_ms:
+            self._cold.begin(runner.runner_id, now.monotonic_ms)
+        self._starts[runner.runner_id] = runner.started_wall_ms
+
+    def forget_unlisted(self) -> None:
+        """Forget runners that left."""
+        configuration = self._directory.configuration
+        if configuration is None:
+            return
+        listed = {
+            runner_id
+            for pool in configuration.pools_by_name
+            for runner_id in self._directory.runners(pool)
+        }
+        for runner_id in self._models.keys() - listed:
+            if not self._models[runner_id].running:
+                del self._models[runner_id]
+                self._starts.pop(runner_id, None)
+        self._cold.keep_only(listed)
+
+    def _is_cold(
+        self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
+    ) -> bool:
+        if pool is None or not pool.cold_per_s:
+            return False
+        return self.model(runner_id, pool).cold_until_ms > now.monotonic_ms
+
+
+def _kv_tokens(pool: PublishedPool | None) -> int:
+    if pool is None or pool.engine is None:
+        return DEFAULT_KV_TOKENS
+    return pool.engine.kv_tokens
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -26,15 +26,6 @@
     WRONG_RUNNER = "wrong_runner"
 
 
-@dataclass(frozen=True, slots=True)
-class RunnerLoad:
-    """Load as a runner tells it with an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class ReplyHead:
     """Status and headers of a runner's answer.
@@ -49,7 +40,6 @@
     has_receipt: bool
     is_ours: bool
     is_stream: bool
-    load: RunnerLoad | None = None
     retry_after_ms: int | None = None
 
 
@@ -210,7 +200,6 @@
     version: int
     revision: int
     is_current: bool
-    is_leaving: bool
     peer_addresses: tuple[str, ...] = ()
     placements: tuple[PlacementNotice, ...] = ()
     crashed: tuple[tuple[Fingerprint, str], ...] = ()
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/_peer_filter.py
@@ -35,9 +35,6 @@
     def rank(self, now: Moment) -> HostRank:
         """Return this host's place among the hosts that may share a bound."""
 
-    def counted_hosts(self, now: Moment) -> int:
-        """Return how many hosts may share a bound, this one included."""
-
 
 class PeerFilter:
     """Remembers the last status of each peer.
@@ -69,10 +66,9 @@
         Hosts that know of the same hosts come to different places.
         """
         before = sum(1 for host in self._heard_ms_by_host if host < self._host)
-        return HostRank(before, self.counted_hosts(now))
+        return HostRank(before, self._count_hosts(now))
 
-    def counted_hosts(self, now: Moment) -> int:
-        """Return how many hosts may share a bound, this one included."""
+    def _count_hosts(self, now: Moment) -> int:
         known = 1 + len(self._heard_ms_by_host)
         started_ms = self._started_ms
         if started_ms is None or now.monotonic_ms - started_ms < SETTLING_MS:
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -113,40 +113,24 @@
     input_tokens = prompt.input_tokens if prompt else 0
     held = model.prefixes.held_tokens(prompt.parts) if prompt else 0
     fetched = max(0, min(input_tokens, fetchable_tokens) - held)
-    fetch_ms = 0.0
-    if engine.fetch_tokens_per_ms and fetched >= LEAST_FETCH_TOKENS:
-        fetch_ms = FETCH_SETUP_MS + fetched / engine.fetch_tokens_per_ms
-        held += fetched
-    read_tokens = max(0, input_tokens - held)
+    if not engine.fetch_tokens_per_ms or fetched < LEAST_FETCH_TOKENS:
+        fetched = 0
+    read_tokens = max(0, input_tokens - held - fetched)
     backlog_ms = model.backlog_ms(now_ms)
     own_ms = model.read_ms(read_tokens)
-    waited_ms = now_ms - routed.call.received.monotonic_ms
-    first_ms = fetch_ms + backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
-    value = value_of_urgency(routed.urgency)
-    target_ms = routed.route.target_ms
-    cost = value * LATE_LOSS * _lateness(first_ms + waited_ms, target_ms)
-    cost += value * WAITING_COST * first_ms / target_ms
-    whole_ms = first_ms + _output_ms(prompt, model, own_ms, now_ms)
-    cost += value * _lateness(whole_ms, max(1, routed.deadline_ms - now_ms))
+    first_ms = backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
+    if fetched:
+        first_ms += FETCH_SETUP_MS + fetched / engine.fetch_tokens_per_ms
+    cost = _own_cost(routed, model, first_ms, own_ms, now_ms)
+    cost += _own_gap_cost(routed, runner, model, engine, own_ms, pool_share, now_ms)
     cost += _delay_cost(model, engine, backlog_ms, own_ms, now_ms)
-    gap_ms = routed.route.gap_target_ms
-    if gap_ms is not None:
-        stall_ms = _stall_ms(model, engine, backlog_ms + own_ms)
-        at_risk = _gap_lateness(stall_ms, gap_ms)
-        tightness = _tightness(model, engine, gap_ms)
-        share = model.stalling_share(now_ms)
-        at_risk = max(at_risk, tightness * min(1.0, READING_RISK * share))
-        cost += value * LATE_LOSS * at_risk
-        tight_streams = model.count_streams(gap_ms, now_ms)
-        cost += OPENING_COST * tightness * pool_share / (1 + tight_streams)
-        cost += ROLE_PREFERENCE * abs(_role_rank(runner.runner_id) - (1 - tightness))
-    cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held)
-    if fetch_ms:
-        cost += FETCH_COST_PER_TOKEN * fetched
+    cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held - fetched)
+    cost += FETCH_COST_PER_TOKEN * fetched
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
     streams = max(len(model.running), model.count_streams(ANY_GAP_MS, now_ms))
-    cost += value * OCCUPANCY_COST * (streams / max(1, runner.slots)) ** 2
-    return Estimate(cost, read_tokens, int(first_ms), bool(fetch_ms))
+    occupancy = streams / max(1, runner.slots)
+    cost += value_of_urgency(routed.urgency) * OCCUPANCY_COST * occupancy**2
+    return Estimate(cost, read_tokens, int(first_ms), bool(fetched))
 
 
 def estimate_plain(
@@ -167,6 +151,43 @@
     return 2 * MOST_URGENT_VALUE / (2 + max(0, urgency))
 
 
+def _own_cost(
+    routed: RoutedCall, model: RunnerModel, first_ms: float, own_ms: float, now_ms: int
+) -> float:
+    """Return what waiting costs the call itself."""
+    value = value_of_urgency(routed.urgency)
+    target_ms = routed.route.target_ms
+    waited_ms = now_ms - routed.call.received.monotonic_ms
+    cost = value * LATE_LOSS * _lateness(first_ms + waited_ms, target_ms)
+    cost += value * WAITING_COST * first_ms / target_ms
+    whole_ms = first_ms + _output_ms(routed.call.prompt, model, own_ms, now_ms)
+    return cost + value * _lateness(whole_ms, max(1, routed.deadline_ms - now_ms))
+
+
+def _own_gap_cost(
+    routed: RoutedCall,
+    runner: PublishedRunner,
+    model: RunnerModel,
+    engine: EngineLimits,
+    own_ms: float,
+    pool_share: float,
+    now_ms: int,
+) -> float:
+    """Return what the engine's other work costs a stream, and it the engine."""
+    gap_ms = routed.route.gap_target_ms
+    if gap_ms is None:
+        return 0.0
+    tightness = _tightness(model, engine, gap_ms)
+    stall_ms = _stall_ms(model, engine, model.backlog_ms(now_ms) + own_ms)
+    chance = min(1.0, READING_RISK * model.stalling_share(now_ms))
+    at_risk = max(_gap_lateness(stall_ms, gap_ms), tightness * chance)
+    cost = value_of_urgency(routed.urgency) * LATE_LOSS * at_risk
+    tight_streams = model.count_streams(gap_ms, now_ms)
+    cost += OPENING_COST * tightness * pool_share / (1 + tight_streams)
+    rank = _role_rank(runner.runner_id)
+    return cost + ROLE_PREFERENCE * abs(rank - (1 - tightness))
+
+
 def _common_cost(
     routed: RoutedCall,
     runner: PublishedRunner,
--- a/figshunt/dispatch/_send_filter.py
+++ b/figshunt/dispatch/_send_filter.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
-from figshunt.directory import PublishedRunner, Repeatability
+from figshunt.directory import PublishedRunner
 from figshunt.dispatch._call import RoutedCall
-from figshunt.dispatch._cold_limit import USED_SHARE, SharedBounds
+from figshunt.dispatch._cold_limit import SharedBounds
 from figshunt.dispatch._effects import (
     AnswerBegin,
     AnswerBreak,
@@ -33,8 +33,8 @@
 )
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._refusal import refuse_call
+from figshunt.dispatch._repeat_policy import RepeatPolicy
 from figshunt.pipeline import Feedback, Output
-from figshunt.policy import RetryBudget
 from figshunt.types import (
     AttemptFailure,
     AttemptId,
@@ -45,7 +45,6 @@
     Message,
     Moment,
     ObserveDuration,
-    PoolName,
     RequestId,
     RunOutcome,
     SendState,
@@ -54,10 +53,6 @@
     WakeAt,
 )
 
-# A request that nobody ran may be offered to this many runners besides those
-# that may have run it.
-MOST_REFUSALS = 3
-
 # A repeatable request whose answer hasn't begun is tried elsewhere after this
 # many times its latency target, and a resumable stream that falls silent after
 # this many times its gap target.
@@ -65,9 +60,6 @@
 SILENT_GAP_TARGETS = 5
 LEAST_STALL_MS = 250
 
-# No further send is started with less time than this left.
-LEAST_TIME_LEFT_MS = 40
-
 RETRY_AFTER_MS = 300
 
 RESULT_BY_FAILURE = {
@@ -111,16 +103,13 @@
         ReplyEnded,
         SendFailed,
         CallAbandoned,
-        CallEnded,
         TimerDue,
     )
 
     def __init__(self, peers: PeersView, bounds: SharedBounds) -> None:
-        self._peers = peers
-        self._bounds = bounds
+        self._repeats = RepeatPolicy(peers, bounds)
         self._sends: dict[AttemptId, Send] = {}
         self._attempts_by_call: dict[RequestId, AttemptId] = {}
-        self._budgets_by_pool: dict[PoolName, RetryBudget] = {}
 
     @property
     def in_flight(self) -> int:
@@ -160,7 +149,7 @@
         self._sends[planned.attempt_id] = send
         self._attempts_by_call[routed.call_id] = planned.attempt_id
         if len(routed.tried) == 1:
-            self._budget(routed.pool).record_first_try(now)
+            self._repeats.record_first(routed.pool, now)
         resume_after = routed.delivered
         if resume_after is None:
             resume_after = routed.call.resume_after
@@ -202,7 +191,9 @@
         elif not head.has_receipt or not head.is_ours:
             detail = f"answer {head.status} without receipt or of another request"
             yield from self._lose(send, SendResult.SPOILED, detail, now)
-        elif head.verdict is ReplyVerdict.FAILED and self._may_repeat(send, now):
+        elif head.verdict is ReplyVerdict.FAILED and self._repeats.may_repeat(
+            send.routed, now
+        ):
             detail = f"runner answered {head.status}"
             yield from self._end_send(send, SendResult.RUNNER_ERROR, detail)
             yield from self._send_again(send.routed, now)
@@ -225,7 +216,7 @@
         yield from self._end_send(
             send, SendResult.REFUSED, f"status {head.status}", is_wrong
         )
-        if self._may_offer(routed, now):
+        if self._repeats.may_offer(routed, now):
             yield from self._send_again(routed, now)
             return
         yield from self._give_up(
@@ -301,7 +292,7 @@
                 refusals=send.routed.refusals + 1,
             )
             yield from self._end_send(send, result, failed.detail)
-            if self._may_offer(routed, now):
+            if self._repeats.may_offer(routed, now):
                 yield from self._send_again(routed, now)
             else:
                 yield from self._give_up(
@@ -314,7 +305,7 @@
         self, send: Send, result: SendResult, detail: str, now: Moment
     ) -> Iterable[Output]:
         """Handle a send after which the request may have run."""
-        again = self._may_repeat(send, now)
+        again = self._repeats.may_repeat(send.routed, now)
         yield from self._end_send(send, result, detail)
         if again:
             yield from self._send_again(send.routed, now)
@@ -347,42 +338,6 @@
             )
         yield Feedback(CallEnded(routed))
 
-    def _may_offer(self, routed: RoutedCall, now: Moment) -> bool:
-        """Return whether a request that wasn't run may go to another runner."""
-        return (
-            routed.refusals < MOST_REFUSALS
-            and routed.deadline_ms - now.monotonic_ms > LEAST_TIME_LEFT_MS
-            and self._take_retry(routed.pool, now)
-        )
-
-    def _may_repeat(self, send: Send, now: Moment) -> bool:
-        """Return whether a request that may have run may be sent again."""
-        routed = send.routed
-        repeatability = routed.route.repeatability
-        if repeatability is Repeatability.RUN_ONCE:
-            return False
-        if routed.answering and repeatability is not Repeatability.RESUMABLE:
-            return False
-        if routed.sends >= routed.route.most_runners:
-            return False
-        if routed.deadline_ms - now.monotonic_ms <= LEAST_TIME_LEFT_MS:
-            return False
-        return self._take_retry(routed.pool, now)
-
-    def _take_retry(self, pool: PoolName, now: Moment) -> bool:
-        budget = self._budget(pool)
-        hosts = self._peers.counted_hosts(now)
-        budget.least = int(self._bounds.retry_slack * USED_SHARE / hosts)
-        return budget.take_retry(now)
-
-    def _budget(self, pool: PoolName) -> RetryBudget:
-        budget = self._budgets_by_pool.get(pool)
-        if budget is None:
-            share = self._bounds.retry_share * USED_SHARE
-            budget = RetryBudget(share, 0, self._bounds.retry_window_ms)
-            self._budgets_by_pool[pool] = budget
-        return budget
-
     def _send_again(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
         yield CountEvent("repeats", {"route": routed.route.name})
         yield Feedback(CallAdmitted(routed))
@@ -409,7 +364,7 @@
 
     def _check_stall(self, send: Send, now: Moment) -> Iterable[Output]:
         """Try a silent runner's request elsewhere if that is allowed."""
-        if self._may_repeat(send, now):
+        if self._repeats.may_repeat(send.routed, now):
             yield CancelSend(send.attempt_id, CancelReason.DEADLINE)
             yield from self._end_send(send, SendResult.STALLED, "runner is silent")
             yield from self._send_again(send.routed, now)
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -230,7 +230,6 @@
             version=configuration.version if configuration else 0,
             revision=self.items.revision,
             is_current=self.items.is_open(ItemOrigin.STORE),
-            is_leaving=self._is_draining,
         )
 
     def _turn(self) -> None:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -26,7 +26,6 @@
             status.version,
             status.revision,
             status.is_current,
-            status.is_leaving,
             list(peer_addresses),
             [_encode_notice(notice) for notice in placements],
             [list(crash) for crash in crashed],
@@ -45,7 +44,7 @@
         if not isinstance(fields, list) or fields[0] != STATUS_FORMAT:
             raise ValueError("not a status of this format")
         _, host, incarnation, address, version, revision, *rest = fields
-        is_current, is_leaving, addresses, placements, crashed = rest
+        is_current, addresses, placements, crashed = rest
         return HostStatus(
             host=HostName(str(host)),
             incarnation=int(incarnation),
@@ -53,7 +52,6 @@
             version=int(version),
             revision=int(revision),
             is_current=bool(is_current),
-            is_leaving=bool(is_leaving),
             peer_addresses=tuple(str(one) for one in addresses),
             placements=tuple(_decode_notice(one) for one in placements),
             crashed=tuple(
--- a/figshunt/gateway/_wire.py
+++ b/figshunt/gateway/_wire.py
@@ -1,6 +1,6 @@
 """What the services need to know of a platform's formats."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Protocol
 
 from figshunt.directory import DirectoryMessage, Item
@@ -42,12 +42,3 @@
         self, items: Iterable[Item], after_outage: bool
     ) -> Iterable[DirectoryMessage]:
         """Yield what changed, with what routes refer to before the routes."""
-
-
-class ReadinessPath(Protocol):
-    """Names the path at which the platform asks for readiness."""
-
-    path: str
-
-
-StatusFields = Mapping[str, object]
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -12,7 +12,6 @@
     PromptPart,
     ReplyHead,
     ReplyVerdict,
-    RunnerLoad,
     SendCall,
 )
 from figshunt.platform._names import (
@@ -24,7 +23,6 @@
     KEY_SCHEME,
     LAST_EVENT_ID,
     LEAST_URGENT,
-    LOAD,
     NOT_RUN,
     OUTPUT_ESTIMATE,
     OWN_REQUEST_HEADERS,
@@ -121,7 +119,6 @@
             has_receipt=RECEIPT.lower() in by_name,
             is_ours=by_name.get(REQUEST_ID.lower()) == own_id,
             is_stream=is_success and content_type.startswith(EVENT_STREAM),
-            load=_decode_load(by_name.get(LOAD.lower())),
             retry_after_ms=_decode_seconds(by_name.get(RETRY_AFTER.lower())),
         )
 
@@ -184,14 +181,6 @@
     return ReplyVerdict.ANSWERED if 200 <= status < 300 else ReplyVerdict.FAILED
 
 
-def _decode_load(text: str | None) -> RunnerLoad | None:
-    numbers = [_decode_number(one.strip()) for one in (text or "").split(",")]
-    if len(numbers) != 3 or None in numbers:
-        return None
-    running, waiting, slots = (number or 0 for number in numbers)
-    return RunnerLoad(running, waiting, slots)
-
-
 def _fingerprint(
     method: str, target: str, caller_key: str | None, body: bytes
 ) -> Fingerprint:
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -30,7 +30,6 @@
 PREFIXES = ("op/", RUNNER_PREFIX)
 
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
-_DEFAULT_MOST_BODY_BYTES = 4 * 1024 * 1024
 
 
 class PlatformItemCodec:
@@ -68,9 +67,6 @@
                 PoolName(one["name"]): _decode_pool(one) for one in document["services"]
             },
             teams_by_key_sha256=_decode_teams(document.get("tenants") or ()),
-            most_body_bytes=int(
-                document.get("limits", {}).get("maxBodyBytes", _DEFAULT_MOST_BODY_BYTES)
-            ),
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         detail = f"{type(error).__name__}: {error}"
@@ -88,7 +84,6 @@
         host=fields["host"],
         path_prefix=fields["prefix"],
         repeatability=_decode_repeatability(fields),
-        is_stream=fields["kind"] == "stream",
         is_public=bool(fields.get("public", False)),
         pool_shares=tuple(
             PoolShare(PoolName(one["service"]), float(one["weight"])) for one in split
@@ -115,12 +110,10 @@
         name=PoolName(fields["name"]),
         cold_ms=int(float(fields.get("coldS", 0)) * 1000),
         cold_per_s=float(fields.get("coldPerS", 0)),
-        most_connections=int(fields.get("maxConns", 0)),
         engine=(
             None
             if engine is None
             else EngineLimits(
-                slots=int(engine["slots"]),
                 kv_tokens=int(engine["kvCapacity"]),
                 event_tokens=int(engine.get("stride", 1)),
                 fetch_tokens_per_ms=_fetch_rate(engine),
--- a/figshunt/platform/_names.py
+++ b/figshunt/platform/_names.py
@@ -12,8 +12,6 @@
 RECEIPT = "X-Figshunt-Server-Stamp"
 TEAM = "X-Figshunt-Tenant"
 EXPECTED_RUNNER = "X-Figshunt-Expect-Instance"
-# Three numbers: running, waiting, slots.
-LOAD = "X-Figshunt-Instance-Load"
 NOT_RUN = "X-Figshunt-Not-Executed"
 PRIORITY = "X-Figshunt-Request-Priority"
 # Where the runner gets parts of the prompt that it doesn't hold, as IP:PORT.
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -258,7 +258,6 @@
         "host": "api.example",
         "path_prefix": f"/{name}/",
         "repeatability": Repeatability.RESUMABLE,
-        "is_stream": True,
         "is_public": True,
         "pool_shares": (PoolShare(PoolName("engines"), 1.0),),
         "urgency": 0,
@@ -274,7 +273,6 @@
     """Return a route whose requests must not be repeated."""
     fields: dict[str, Any] = {
         "repeatability": Repeatability.RUN_ONCE,
-        "is_stream": False,
         "gap_target_ms": None,
         "pool_shares": (PoolShare(PoolName("bookings"), 1.0),),
         "target_ms": 125,
@@ -294,12 +292,11 @@
         "routes": routes or (build_published_route(), build_booking_route()),
         "pools_by_name": {
             PoolName("engines"): PublishedPool(
-                PoolName("engines"), 3_000, 13.0, 300, EngineLimits(64, 260_000, 4)
+                PoolName("engines"), 3_000, 13.0, EngineLimits(260_000, 4)
             ),
-            PoolName("bookings"): PublishedPool(PoolName("bookings"), 0, 0.0, 100),
+            PoolName("bookings"): PublishedPool(PoolName("bookings"), 0, 0.0),
         },
         "teams_by_key_sha256": {},
-        "most_body_bytes": 1_000_000,
     }
     return Configuration(**(fields | changes))
 
@@ -371,6 +368,5 @@
         "version": 1,
         "revision": 1,
         "is_current": True,
-        "is_leaving": False,
     }
     return HostStatus(**(fields | changes))
--- a/tests/dispatch/test_send_filter.py
+++ b/tests/dispatch/test_send_filter.py
@@ -237,6 +237,18 @@
         self.assertEqual(1, len(select(effects, AnswerBreak)))
         self.assertEqual([], driver.all_of(AnswerEnd))
 
+    def test_begun_stream_without_a_runner_left_is_broken_off(self) -> None:
+        driver = CoreDriver(
+            build_published_runner("e1"),
+            configuration=build_configuration(build_published_route()),
+        )
+        self.start(driver)
+        self.send_event(driver, 1)
+        self.lose(driver)
+        driver.pass_time(100)
+        self.assertEqual(1, len(driver.all_of(AnswerBreak)))
+        self.assertEqual([], driver.all_of(AnswerError))
+
     def test_doubled_event_is_not_passed_on(self) -> None:
         driver = build_stream_driver(repeatability=Repeatability.RUN_ONCE)
         self.start(driver)
