--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -31,7 +31,11 @@
 
 
 class MirrorListener(Service):
-    """Tells all published items, then each change, as long as it reads them."""
+    """Tells all published items, then each change.
+
+    It says whether this host reads the store. If it doesn't, what it holds is
+    still what a host needs that starts meanwhile.
+    """
 
     def __init__(self, address: Address, items: PublishedItems) -> None:
         super().__init__()
@@ -72,14 +76,17 @@
 
     async def _tell_changes(self, connection: ServerConnection) -> None:
         told_revisions: dict[str, int] = {}
-        while self._items.is_open(ItemOrigin.STORE):
+        while True:
             changed = [
                 item
                 for item in self._items.all_items()
                 if told_revisions.get(item.key) != item.revision
             ]
             told_revisions.update((item.key, item.revision) for item in changed)
-            await connection.send(encode_items(changed, self._items.revision))
+            is_current = self._items.is_open(ItemOrigin.STORE)
+            await connection.send(
+                encode_items(changed, self._items.revision, is_current)
+            )
             try:
                 async with asyncio.timeout(BEAT_S):
                     await self._items.wait_changed()
@@ -142,8 +149,20 @@
             for status in self._statuses()
             if status.is_current and status.revision >= self._items.revision
         ]
+        if not known and not self._items.revision:
+            known = self._most_knowing()
         return self._random.choice(known).address if known else None
 
+    def _most_knowing(self) -> list[HostStatus]:
+        """Return the peers that know the newest revision, current or not.
+
+        A host that starts while nobody can read the store serves by what the
+        others last read, as they do.
+        """
+        statuses = [status for status in self._statuses() if status.revision]
+        newest = max((status.revision for status in statuses), default=0)
+        return [status for status in statuses if status.revision == newest]
+
     async def _read(self, peer: str) -> None:
         async with connect(
             f"ws://{peer}:{self._port}",
@@ -159,8 +178,11 @@
                     data = await connection.recv()
                 if isinstance(data, str):
                     raise ValueError("text instead of items")
-                items, revision = decode_items(data)
-                self._items.merge(items, revision)
+                message = decode_items(data)
+                self._items.merge(message.items, message.revision)
+                if not message.is_current:
+                    self._items.set_open(ItemOrigin.PEER, False, "peer lost the store")
+                    return
                 self._items.set_open(ItemOrigin.PEER, True, f"reading from {peer}")
                 if self._is_no_longer_needed():
                     self._items.set_open(ItemOrigin.PEER, False, "not needed any more")
--- a/figshunt/gateway/_mirror_codec.py
+++ b/figshunt/gateway/_mirror_codec.py
@@ -1,6 +1,7 @@
 """Published items as CBOR, as hosts pass them on to each other."""
 
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 import cbor2
 
@@ -9,31 +10,41 @@
 MIRROR_FORMAT = 1
 
 
-def encode_items(items: Sequence[Item], revision: int) -> bytes:
-    """Return a message with items and the revision that they lead up to."""
+@dataclass(frozen=True, slots=True)
+class MirrorMessage:
+    """Items, the revision that they lead up to, and whether it is current."""
+
+    items: tuple[Item, ...]
+    revision: int
+    is_current: bool
+
+
+def encode_items(items: Sequence[Item], revision: int, is_current: bool) -> bytes:
+    """Return the bytes of a :class:`MirrorMessage`."""
     data: bytes = cbor2.dumps(
         [
             MIRROR_FORMAT,
             revision,
+            is_current,
             [[item.key, item.revision, item.value] for item in items],
         ]
     )
     return data
 
 
-def decode_items(data: bytes) -> tuple[list[Item], int]:
-    """Return the items of a message and the revision that they lead up to.
+def decode_items(data: bytes) -> MirrorMessage:
+    """Return the message in ``data``.
 
     :raises ValueError: if it isn't such a message.
     """
     try:
-        format_number, revision, rows = cbor2.loads(data)
+        format_number, revision, is_current, rows = cbor2.loads(data)
         if format_number != MIRROR_FORMAT:
             raise ValueError(f"format {format_number}, expected {MIRROR_FORMAT}")
-        items = [
+        items = tuple(
             Item(str(key), int(number), None if value is None else bytes(value))
             for key, number, value in rows
-        ]
-        return items, int(revision)
+        )
+        return MirrorMessage(items, int(revision), bool(is_current))
     except (cbor2.CBORDecodeError, TypeError, EOFError) as error:
         raise ValueError(f"not a message of items: {error}") from error
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -91,6 +91,12 @@
         await asyncio.sleep(0.5)
         self.assertFalse(self.own_items.is_open(ItemOrigin.PEER))
 
+    async def test_host_that_starts_in_an_outage_takes_what_peers_hold(self) -> None:
+        self.peer_items.set_open(ItemOrigin.STORE, False, "down")
+        await self.start_reader()
+        await wait_until(lambda: self.own_items.revision == 5)
+        self.assertFalse(self.own_items.is_open(ItemOrigin.PEER))
+
     async def test_peer_that_lost_the_store_is_left(self) -> None:
         await self.start_reader()
         await wait_until(lambda: self.own_items.is_open(ItemOrigin.PEER))
