--- a/tests/dispatch/test_shared_bounds.py
+++ b/tests/dispatch/test_shared_bounds.py
@@ -3,8 +3,11 @@
 import random
 import unittest
 
-from figshunt.dispatch import PeerHeard, SendCall, SharedBounds
+from figshunt.directory import Repeatability
+from figshunt.dispatch import PeerHeard, SendCall, SendFailed, SharedBounds
+from figshunt.types import AttemptFailure, SendState
 from tests.builders import (
+    build_booking_route,
     build_call,
     build_configuration,
     build_host_status,
@@ -70,5 +73,49 @@
                     self.assertLessEqual(most_in_a_second(times_ms), MOST_IN_A_SECOND)
 
 
+class RepeatBudgetTest(unittest.TestCase):
+    """Guards against repeats that multiply the load of an outage."""
+
+    def repeats_in_a_window(self, hosts: int, per_host: int) -> int:
+        """Return the repeats of a pool whose runners lose every request."""
+        route = build_booking_route(
+            repeatability=Repeatability.REPEATABLE, most_runners=2
+        )
+        repeats = 0
+        for number in range(hosts):
+            driver = CoreDriver(
+                build_published_runner("b1", "bookings"),
+                build_published_runner("b2", "bookings"),
+                configuration=build_configuration(route),
+                host=f"p{number:02}",
+            )
+            for peer in range(hosts):
+                if peer != number:
+                    driver.feed(PeerHeard(build_host_status(f"p{peer:02}")))
+            driver.clock.advance(5_000)
+            for call in range(per_host):
+                driver.call(build_call(f"r{call}", "/book/1"))
+                while driver.core.sends.in_flight:
+                    driver.feed(
+                        SendFailed(
+                            driver.last_send().attempt_id,
+                            AttemptFailure.CONNECTION_LOST,
+                            SendState.MAY_HAVE_ARRIVED,
+                            "reset",
+                        )
+                    )
+            repeats += len(driver.all_of(SendCall)) - per_host
+        return repeats
+
+    def test_sum_over_hosts_stays_below_the_bound(self) -> None:
+        for hosts in (1, 2, 5, 9, 30):
+            for per_host in (1, 20, 200):
+                with self.subTest(hosts=hosts, per_host=per_host):
+                    bound = BOUNDS.retry_share * hosts * per_host + BOUNDS.retry_slack
+                    repeats = self.repeats_in_a_window(hosts, per_host)
+                    self.assertGreater(repeats, 0)
+                    self.assertLessEqual(repeats, bound)
+
+
 if __name__ == "__main__":
     unittest.main()
