Use one wake timer and one side listener; take a turn every 200 ms

Cause: both daemons had the same timer code, and two listeners differed by their answer only. With a wake time far ahead an entry host took no turn until then, so that lost peers were noticed late.

Change: runtime.WakeTimer and gateway.SideListener; the entry host's turns fall on multiples of 200 ms whatever else is due.

--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -27,10 +27,12 @@
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._runner_caller import RunnerCaller
 from figshunt.gateway._settings import GatewaySettings
-from figshunt.gateway._side_listeners import MetricsListener, ReadinessListener
+from figshunt.gateway._side_listeners import (
+    build_metrics_listener,
+    build_readiness_listener,
+)
 from figshunt.gateway._wire import CallCodec, ItemCodec
-from figshunt.pipeline import WakeQueue
-from figshunt.runtime import EventLog, Metrics
+from figshunt.runtime import EventLog, Metrics, WakeTimer
 from figshunt.types import (
     Clock,
     CountEvent,
@@ -106,12 +108,13 @@
             self._log,
             random_source,
         )
-        self.readiness = ReadinessListener(
+        self.readiness = build_readiness_listener(
             settings.readiness, readiness_path, self.is_ready
         )
-        self.metrics = MetricsListener(settings.metrics, self._metrics.exposition)
-        self._timer: asyncio.TimerHandle | None = None
-        self._wake_queue = WakeQueue()
+        self.metrics = build_metrics_listener(
+            settings.metrics, self._metrics.exposition
+        )
+        self._timer = WakeTimer(clock, self._turn)
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the services in the order in which they start."""
@@ -145,8 +148,7 @@
 
     async def on_stop(self) -> None:
         """Cancel the timer."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.stop()
         self._log.write("daemon_stopped")
 
     async def drain(self) -> None:
@@ -208,7 +210,7 @@
             case TellPeers():
                 self.peers.tell(effect)
             case WakeAt(monotonic_ms):
-                self._wake_at(monotonic_ms)
+                self._timer.wake_at(monotonic_ms)
             case CountEvent():
                 self._metrics.count(effect)
             case ObserveDuration():
@@ -234,28 +236,5 @@
 
     def _turn(self) -> None:
         self.feed(TimerDue())
-        self._wake_at(self._clock.now().monotonic_ms + TURN_MS)
-
-    def _wake_at(self, monotonic_ms: int) -> None:
-        self._wake_queue.add(monotonic_ms)
-        if self._wake_queue.next_ms() == monotonic_ms:
-            self._set_timer()
-
-    def _set_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        due_ms = self._wake_queue.next_ms()
-        if due_ms is not None:
-            wait_ms = max(1, due_ms - self._clock.now().monotonic_ms)
-            self._timer = asyncio.get_running_loop().call_later(
-                wait_ms / 1000, self._timer_due
-            )
-
-    def _timer_due(self) -> None:
-        now_ms = self._clock.now().monotonic_ms
-        if self._wake_queue.take_due(now_ms):
-            self.feed(TimerDue())
-        if self._wake_queue.next_ms() is None:
-            self._wake_queue.add(now_ms + TURN_MS)
-        self._set_timer()
+        turns = self._clock.now().monotonic_ms // TURN_MS
+        self._timer.wake_at((turns + 1) * TURN_MS)
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -16,6 +16,7 @@
 )
 from figshunt.runtime._feed import Feed
 from figshunt.runtime._metrics import Metrics
+from figshunt.runtime._wake_timer import WakeTimer
 
 __all__ = [
     "EventLimit",
@@ -27,6 +28,7 @@
     "LogOutput",
     "Metrics",
     "ServerSentEvent",
+    "WakeTimer",
     "format_value",
     "join_events",
     "open_log",
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -7,8 +7,7 @@
 from mode import Service
 
 from figshunt.core import Core
-from figshunt.pipeline import WakeQueue
-from figshunt.runtime import EventLog, Metrics
+from figshunt.runtime import EventLog, Metrics, WakeTimer
 from figshunt.services._admin_listener import AdminListener
 from figshunt.services._caller_listener import CallerListener
 from figshunt.services._core_view import CoreView
@@ -93,8 +92,7 @@
         self._host_list_watcher = HostListWatcher(
             settings.host_list_url, self, clock, self._log, random_source
         )
-        self._timer: asyncio.TimerHandle | None = None
-        self._wake_queue = WakeQueue()
+        self._timer = WakeTimer(clock, lambda: self.feed(TimerDue()))
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the services in the order in which they start."""
@@ -120,8 +118,7 @@
 
     async def on_stop(self) -> None:
         """Cancel the timer."""
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.stop()
 
     async def drain(self) -> None:
         """Shut down gracefully: finish every request, refuse none.
@@ -170,7 +167,7 @@
             case SendPeer():
                 self.peers.send(effect)
             case WakeAt(monotonic_ms):
-                self._wake_at(monotonic_ms)
+                self._timer.wake_at(monotonic_ms)
             case CountEvent():
                 self._metrics.count(effect)
             case ObserveDuration():
@@ -200,24 +197,3 @@
             changes="; ".join(entry.changes),
             refusals="; ".join(entry.refusals),
         )
-
-    def _wake_at(self, monotonic_ms: int) -> None:
-        self._wake_queue.add(monotonic_ms)
-        if self._wake_queue.next_ms() == monotonic_ms:
-            self._set_timer()
-
-    def _set_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        due_ms = self._wake_queue.next_ms()
-        if due_ms is not None:
-            wait_ms = max(1, due_ms - self._clock.now().monotonic_ms)
-            self._timer = asyncio.get_running_loop().call_later(
-                wait_ms / 1000, self._timer_due
-            )
-
-    def _timer_due(self) -> None:
-        if self._wake_queue.take_due(self._clock.now().monotonic_ms):
-            self.feed(TimerDue())
-        self._set_timer()
