Correct the picture of runners by first events; notice failed fetches

Logs show letters with read_tokens=0 and fetch_from=... whose first event came after 260 to 350 ms: the holder was behind its own queue or leaving, so the runner read the whole prompt, and the next ones went to the same runner. Prompts sent one after the other were judged one by one, though a stream stalls while the engine reads without a pause.

Change: the first event of a send corrects the queue of its runner; a holder whose parts were read after all lends none for 2 s; a stall counts what the runner reads without a pause, and fetched parts as if they were read.

--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -1,15 +1,16 @@
 """This host's picture of all runners."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from figshunt.directory import DirectoryView, PublishedPool, PublishedRunner
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
-from figshunt.dispatch._messages import PlacementNotice
+from figshunt.dispatch._messages import FirstEventSeen, PlacementNotice
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._prefix_memory import PartUses
 from figshunt.dispatch._runner_model import RunnerModel
-from figshunt.types import Moment, RunnerId
+from figshunt.pipeline import Output
+from figshunt.types import AttemptId, LogEvent, LogValue, Moment, RunnerId, Step
 
 # Parts can be fetched only once their holder has read them, and the estimate of
 # when that is errs by about this much.
@@ -18,6 +19,16 @@
 # A runner that fails more of its requests than this is asked for no parts.
 MOST_HOLDER_FAILURES = 0.3
 
+# A first event that is late by this part of the time that reading the fetched
+# parts takes shows that they were read after all: the holder had none or is
+# gone. It is asked for none for a while.
+FAILED_FETCH_SHARE = 0.7
+FAILED_FETCH_PAUSE_MS = 2_000
+
+# A first event that was expected later than this tells more of the queue before
+# it, which is an estimate too, than of the runner's speed.
+MOST_JUDGED_MS = 400
+
 # Memory of a runner whose pool isn't published yet.
 DEFAULT_KV_TOKENS = 100_000
 
@@ -107,7 +118,7 @@
         most = 0
         for runner in runners.values():
             model = self.model(runner.runner_id, pool)
-            if model.excluded_until_ms > now.monotonic_ms:
+            if max(model.excluded_until_ms, model.lends_from_ms) > now.monotonic_ms:
                 continue
             if model.failure_share(now.monotonic_ms) > MOST_HOLDER_FAILURES:
                 continue
@@ -137,8 +148,13 @@
         parts = prompt.parts if prompt else ()
         return self._part_uses.recent_tokens(parts, now.monotonic_ms)
 
-    def note(self, notice: PlacementNotice, now: Moment) -> None:
-        """Count a request that this host or a peer sent."""
+    def note(
+        self,
+        notice: PlacementNotice,
+        now: Moment,
+        attempt_id: AttemptId | None = None,
+    ) -> None:
+        """Count a request that this host, as ``attempt_id``, or a peer sent."""
         self._part_uses.record(notice.parts, now.monotonic_ms)
         model = self._models.get(notice.runner_id)
         if model is None:
@@ -148,9 +164,33 @@
             notice.gap_target_ms,
             notice.expected_ms,
             now.monotonic_ms,
+            attempt_id,
         )
         model.prefixes.remember(notice.parts, read_ms + READY_MARGIN_MS)
 
+    def observe_begun(self, seen: FirstEventSeen, now: Moment) -> Iterable[Output]:
+        """Correct the picture of a runner by the first event of a send."""
+        model = self._models.get(seen.runner_id)
+        if model is None:
+            return
+        model.observe_begun(seen.attempt_id, now.monotonic_ms)
+        fetch = model.running.get(seen.attempt_id)
+        if fetch is None:
+            if seen.expected_ms <= MOST_JUDGED_MS:
+                model.observe_first(seen.waited_ms, seen.expected_ms)
+            return
+        late_ms = seen.waited_ms - seen.expected_ms
+        holder = self._models.get(fetch.holder_id)
+        if holder is None or late_ms < FAILED_FETCH_SHARE * model.read_ms(fetch.tokens):
+            return
+        holder.lends_from_ms = now.monotonic_ms + FAILED_FETCH_PAUSE_MS
+        fields: dict[str, LogValue] = {
+            "holder": fetch.holder_id,
+            "runner": seen.runner_id,
+            "late_ms": late_ms,
+        }
+        yield LogEvent("fetch_failed", Step.PLACEMENT, fields)
+
     def list_runner(self, runner: PublishedRunner, now: Moment) -> None:
         """Note what a runner wrote of itself."""
         pool = self._directory.pool(runner.pool)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -29,7 +29,7 @@
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._refusal import refuse_call
 from figshunt.dispatch._runner_cost import Estimate, estimate_engine, estimate_plain
-from figshunt.dispatch._runner_model import PRIOR_STEP_MS, RunnerModel
+from figshunt.dispatch._runner_model import PRIOR_STEP_MS, PartFetch, RunnerModel
 from figshunt.pipeline import Output
 from figshunt.types import (
     AttemptId,
@@ -63,10 +63,6 @@
 # drawn: all hosts see nearly the same figures at the same time.
 EQUAL_COST = 0.02
 
-# A first event that was expected later than this tells more of the queue before
-# it, which is an estimate too, than of the runner's speed.
-MOST_JUDGED_MS = 400
-
 FAILED_RESULTS = frozenset(
     {
         SendResult.RUNNER_ERROR,
@@ -130,9 +126,7 @@
                 held = self._held.pop(call_id, None)
                 yield CallEnded(held.routed) if held else message
             case FirstEventSeen():
-                model = self._fleet.find(message.runner_id)
-                if model is not None and message.expected_ms <= MOST_JUDGED_MS:
-                    model.observe_first(message.waited_ms, message.expected_ms)
+                yield from self._fleet.observe_begun(message, now)
             case SendEnded():
                 yield from self._end_send(message, now)
             case RunnerListed(_, _, runner):
@@ -177,8 +171,8 @@
         ]
         chosen = self._random.choice(equals)
         estimate = estimates[chosen.runner_id]
-        fetch_from = holder.address if holder and estimate.fetches else None
-        yield from self._send(routed, chosen, pool, estimate, fetch_from, now)
+        fetches_from = holder if estimate.fetched_tokens else None
+        yield from self._send(routed, chosen, pool, estimate, fetches_from, now)
 
     def _estimate(
         self,
@@ -212,17 +206,19 @@
         runner: PublishedRunner,
         pool: PublishedPool,
         estimate: Estimate,
-        fetch_from: str | None,
+        holder: PublishedRunner | None,
         now: Moment,
     ) -> Iterable[Output]:
         self._sends += 1
         attempt_id = AttemptId(f"{routed.call_id}.{self._sends}")
         model = self._fleet.model(runner.runner_id, pool)
-        model.running.add(attempt_id)
+        model.running[attempt_id] = (
+            PartFetch(holder.runner_id, estimate.fetched_tokens) if holder else None
+        )
         self._fleet.record_send(runner.runner_id, pool, now)
         if pool.engine is not None:
             notice = self._notice(routed, runner, model, estimate)
-            self._fleet.note(notice, now)
+            self._fleet.note(notice, now, attempt_id)
             yield TellPeers((notice,), ())
         yield SendPlanned(
             attempt_id,
@@ -230,7 +226,7 @@
             routed,
             estimate.read_tokens,
             estimate.first_ms,
-            fetch_from,
+            holder.address if holder else None,
         )
 
     def _notice(
@@ -257,7 +253,7 @@
         model = self._fleet.find(ended.runner_id)
         if model is None:
             return
-        model.running.discard(ended.attempt_id)
+        model.running.pop(ended.attempt_id, None)
         if ended.result is SendResult.ABANDONED:
             return
         model.observe_result(ended.result in FAILED_RESULTS, now.monotonic_ms)
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -84,7 +84,7 @@
     cost: float
     read_tokens: int
     first_ms: int
-    fetches: bool = False
+    fetched_tokens: int = 0
 
 
 def estimate_engine(
@@ -123,14 +123,16 @@
         first_ms += FETCH_SETUP_MS + fetched / engine.fetch_tokens_per_ms
     cost = _own_cost(routed, model, first_ms, own_ms, now_ms)
     cost += _own_gap_cost(routed, runner, model, engine, own_ms, pool_share, now_ms)
-    cost += _delay_cost(model, engine, backlog_ms, own_ms, now_ms)
+    # A fetch may fail, and then the runner reads what it should have fetched.
+    most_ms = own_ms + model.read_ms(fetched)
+    cost += _delay_cost(model, engine, model.busy_ms(now_ms), most_ms, now_ms)
     cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held - fetched)
     cost += FETCH_COST_PER_TOKEN * fetched
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
     streams = max(len(model.running), model.count_streams(ANY_GAP_MS, now_ms))
     occupancy = streams / max(1, runner.slots)
     cost += value_of_urgency(routed.urgency) * OCCUPANCY_COST * occupancy**2
-    return Estimate(cost, read_tokens, int(first_ms), bool(fetched))
+    return Estimate(cost, read_tokens, int(first_ms), fetched)
 
 
 def estimate_plain(
@@ -243,18 +245,23 @@
 def _delay_cost(
     model: RunnerModel,
     engine: EngineLimits,
-    backlog_ms: float,
+    busy_ms: float,
     own_ms: float,
     now_ms: int,
 ) -> float:
+    """Return what reading this prompt costs the streams that run there.
+
+    A stream stalls while the engine reads without a pause, so what was read
+    just before counts as well as what waits to be read.
+    """
     cost = 0.0
-    before_ms = _stall_ms(model, engine, backlog_ms)
-    after_ms = _stall_ms(model, engine, backlog_ms + own_ms)
+    before_ms = _stall_ms(model, engine, busy_ms)
+    after_ms = _stall_ms(model, engine, busy_ms + own_ms)
     for gap_ms, share in model.streams_by_gap_ms.items():
         late = _gap_lateness(after_ms, gap_ms)
         added = late - _gap_lateness(before_ms, gap_ms)
         # A longer stall also hits the streams that come while it lasts.
-        added = max(added, late * own_ms / max(1.0, backlog_ms + own_ms))
+        added = max(added, late * own_ms / max(1.0, busy_ms + own_ms))
         running = share.count(now_ms)
         met = MET_STREAMS * running * stalling_ms(own_ms) / READING_WINDOW_MS
         risk = READING_RISK * _tightness(model, engine, gap_ms)
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -1,10 +1,11 @@
 """How long a runner will take, from what all hosts have sent to it."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from math import exp
 
 from figshunt.dispatch._prefix_memory import PrefixMemory
-from figshunt.types import AttemptId
+from figshunt.types import AttemptId, RunnerId
 
 # Prompt tokens that an engine reads in one ms and the time to the first token
 # of an empty prompt; priors, corrected for each runner by what is observed.
@@ -33,6 +34,17 @@
 # one only a part counts, as little as it takes, since several must coincide.
 LONG_READ_MS = 80
 
+# An engine that has nothing to read for this long, about the time of one event,
+# has let the streams beside the reading go on.
+READING_PAUSE_MS = 25
+
+# A first event that comes this much later than expected shows that the runner
+# is behind the estimate; less is noise of the estimate.
+BEHIND_MS = 60
+
+# Sends whose prompts are taken to be read later than those of earlier sends.
+MOST_UNREAD = 256
+
 SLOWNESS_BOUNDS = (0.5, 12.0)
 
 
@@ -48,22 +60,42 @@
         return len(self.ends_ms)
 
 
+@dataclass(frozen=True, slots=True)
+class PartFetch:
+    """Parts of a prompt that a runner gets from another one."""
+
+    holder_id: RunnerId
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class PromptRead:
+    """A prompt that was sent, with the time that reading it takes."""
+
+    attempt_id: AttemptId | None
+    reading_ms: float
+
+
 class RunnerModel:
     """One host's picture of one runner.
 
     Reading is a queue that is worked off at a constant rate: each request,
-    of this host or a peer, adds the tokens it makes the runner read.
+    of this host or a peer, adds the tokens it makes the runner read. First
+    events that come later than expected move the end of the queue.
     """
 
     def __init__(self, kv_tokens: int) -> None:
         self.prefixes = PrefixMemory(kv_tokens)
-        self.running: set[AttemptId] = set()
+        self.running: dict[AttemptId, PartFetch | None] = {}
         self.streams_by_gap_ms: dict[int, StreamShare] = {}
         self.slowness = 1.0
         self.cold_until_ms = 0
         self.excluded_until_ms = 0
         self.exclusions = 0
+        self.lends_from_ms = 0
         self._reads_until_ms = 0.0
+        self._busy_ms = 0.0
+        self._reads: deque[PromptRead] = deque(maxlen=MOST_UNREAD)
         self._reading_share = 0.0
         self._stalling_share = 0.0
         self._failure_share = 0.0
@@ -77,6 +109,12 @@
         """Return how long the runner still reads what it was sent."""
         return max(0.0, self._reads_until_ms - now_ms)
 
+    def busy_ms(self, now_ms: int) -> float:
+        """Return how much the runner reads without a pause, done or to come."""
+        if now_ms > self._reads_until_ms + READING_PAUSE_MS:
+            return 0.0
+        return self._busy_ms
+
     def reading_share(self, now_ms: int) -> float:
         """Return the recent share of time spent reading prompts."""
         self._age(now_ms)
@@ -101,14 +139,22 @@
         )
 
     def add(
-        self, read_tokens: int, gap_target_ms: int, expected_ms: int, now_ms: int
+        self,
+        read_tokens: int,
+        gap_target_ms: int,
+        expected_ms: int,
+        now_ms: int,
+        attempt_id: AttemptId | None = None,
     ) -> int:
         """Count a request that this host or a peer sends.
 
+        :param attempt_id: the send, if it is one of this host.
         :returns: when the runner is expected to have read its prompt.
         """
         self._age(now_ms)
         reading_ms = self.read_ms(read_tokens)
+        self._busy_ms = self.busy_ms(now_ms) + reading_ms
+        self._reads.append(PromptRead(attempt_id, reading_ms))
         self._reads_until_ms = max(self._reads_until_ms, float(now_ms)) + reading_ms
         self._reading_share += reading_ms / READING_WINDOW_MS
         self._stalling_share += stalling_ms(reading_ms) / READING_WINDOW_MS
@@ -125,6 +171,23 @@
         mixed = (1 - weight) * self.slowness + weight * ratio
         self.slowness = min(high, max(low, mixed))
 
+    def observe_begun(self, attempt_id: AttemptId, now_ms: int) -> None:
+        """Correct the queue by a send whose prompt has just been read.
+
+        Prompts are read about in the order in which they were sent, so what
+        was sent later is still to be read. The estimate is only raised: a
+        short prompt may be read before a long one that was sent earlier.
+        """
+        if all(one.attempt_id != attempt_id for one in self._reads):
+            return
+        while self._reads.popleft().attempt_id != attempt_id:
+            continue
+        left_ms = sum(one.reading_ms for one in self._reads)
+        behind_ms = now_ms + left_ms - self._reads_until_ms
+        if behind_ms > BEHIND_MS:
+            self._busy_ms = self.busy_ms(now_ms) + behind_ms
+            self._reads_until_ms = now_ms + left_ms
+
     def observe_result(self, failed: bool, now_ms: int) -> None:
         """Correct the failure share by the end of one send."""
         self._age(now_ms)
@@ -145,6 +208,8 @@
         self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
         self.slowness = 1.0
         self._reads_until_ms = 0.0
+        self._busy_ms = 0.0
+        self._reads.clear()
         self._failure_share = 0.0
 
     def _age(self, now_ms: int) -> None:
--- /dev/null
+++ b/tests/dispatch/test_runner_model.py
@@ -0,0 +1,62 @@
+"""How long a runner is believed to take, and what corrects that belief."""
+
+import unittest
+
+from figshunt.dispatch._runner_model import (
+    PRIOR_READ_TOKENS_PER_MS,
+    READING_PAUSE_MS,
+    RunnerModel,
+)
+from figshunt.types import AttemptId
+
+KV_TOKENS = 260_000
+
+
+def count_tokens(reading_ms: int) -> int:
+    """Return the tokens that a runner reads in that time."""
+    return int(reading_ms * PRIOR_READ_TOKENS_PER_MS)
+
+
+class ReadingQueueTest(unittest.TestCase):
+    """Guards against a queue of prompts that is longer than believed."""
+
+    def setUp(self) -> None:
+        self.model = RunnerModel(KV_TOKENS)
+        self.model.add(0, 0, 0, 0, AttemptId("first"))
+        self.model.add(count_tokens(100), 0, 0, 0, AttemptId("second"))
+
+    def test_late_first_event_moves_what_was_sent_later(self) -> None:
+        self.model.observe_begun(AttemptId("first"), 400)
+        self.assertAlmostEqual(100, self.model.backlog_ms(400))
+
+    def test_early_first_event_changes_nothing(self) -> None:
+        self.model.observe_begun(AttemptId("second"), 10)
+        self.assertAlmostEqual(90, self.model.backlog_ms(10))
+
+    def test_unknown_send_changes_nothing(self) -> None:
+        self.model.observe_begun(AttemptId("other"), 400)
+        self.model.observe_begun(AttemptId("first"), 400)
+        self.assertAlmostEqual(100, self.model.backlog_ms(400))
+
+    def test_restart_forgets_the_queue(self) -> None:
+        self.model.restart(0, KV_TOKENS)
+        self.model.observe_begun(AttemptId("first"), 400)
+        self.assertEqual(0, self.model.backlog_ms(400))
+
+
+class BusyPeriodTest(unittest.TestCase):
+    """Guards against prompts that follow each other without a pause.
+
+    Each alone stalls the streams beside it for a short time only.
+    """
+
+    def setUp(self) -> None:
+        self.model = RunnerModel(KV_TOKENS)
+        self.model.add(count_tokens(70), 0, 0, 0)
+
+    def test_reading_that_goes_on_adds_up(self) -> None:
+        self.model.add(count_tokens(70), 0, 0, 60)
+        self.assertAlmostEqual(140, self.model.busy_ms(60))
+
+    def test_pause_ends_a_busy_period(self) -> None:
+        self.assertEqual(0, self.model.busy_ms(70 + READING_PAUSE_MS + 1))
