Leave silent runners alone, then try them with one call at a time

Change: a runner at which two sends got no byte for 250 ms while no other send got one is excluded like one that can't be reached. A runner that was excluded gets one call at a time until it answers.

SilentRunnerTest fails before the change.

--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -89,7 +89,7 @@
         reachable = [
             runner
             for runner in allowed
-            if self.model(runner.runner_id, pool).excluded_until_ms <= now_ms
+            if self.model(runner.runner_id, pool).may_be_tried(now_ms)
         ]
         return reachable or allowed
 
@@ -173,6 +173,7 @@
         model = self._models.get(seen.runner_id)
         if model is None:
             return
+        model.hear(now.monotonic_ms)
         model.observe_begun(seen.attempt_id, now.monotonic_ms)
         fetch = model.running.get(seen.attempt_id)
         if fetch is None:
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -153,12 +153,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SendEnded(Message):
-    """A planned send holds nothing at its runner any more; once for each."""
+    """A planned send holds nothing at its runner any more; once for each.
+
+    ``heard_ms`` is when the runner was last heard on this send, or when it
+    was sent.
+    """
 
     attempt_id: AttemptId
     runner_id: RunnerId
     routed: RoutedCall
     result: SendResult
+    heard_ms: int
     is_wrong_runner: bool = False
 
 
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -46,8 +46,8 @@
     WakeAt,
 )
 
-# A runner that can't be reached is left alone for this long at first, twice
-# as long each time after, up to the longest.
+# A runner that can't be reached or is silent is left alone for this long at
+# first, twice as long each time after, up to the longest.
 FIRST_EXCLUSION_MS = 250
 LONGEST_EXCLUSION_MS = 2_000
 
@@ -72,6 +72,9 @@
         SendResult.STALLED,
     }
 )
+ANSWERED_RESULTS = frozenset(
+    {SendResult.SERVED, SendResult.RUNNER_ERROR, SendResult.REFUSED}
+)
 DEFAULT_OUTPUT_TOKENS = 100
 
 
@@ -257,11 +260,17 @@
         if ended.result is SendResult.ABANDONED:
             return
         model.observe_result(ended.result in FAILED_RESULTS, now.monotonic_ms)
+        if ended.result in ANSWERED_RESULTS:
+            model.hear(now.monotonic_ms)
         exclusion_ms = 0
-        if ended.result is SendResult.UNREACHABLE:
+        is_silent = ended.result is SendResult.STALLED and model.note_silence(
+            ended.heard_ms, now.monotonic_ms
+        )
+        if ended.result is SendResult.UNREACHABLE or is_silent:
             exclusion_ms = min(
                 LONGEST_EXCLUSION_MS, FIRST_EXCLUSION_MS << min(model.exclusions, 4)
             )
+        if ended.result is SendResult.UNREACHABLE:
             pool = self._directory.pool(ended.routed.pool)
             if pool is not None:
                 model.cold_until_ms = now.monotonic_ms + exclusion_ms + pool.cold_ms
@@ -272,6 +281,7 @@
             fields: dict[str, LogValue] = {
                 "runner": ended.runner_id,
                 "for_ms": exclusion_ms,
+                "result": ended.result.value,
             }
             yield LogEvent("runner_excluded", self.step, fields)
 
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -42,6 +42,12 @@
 # is behind the estimate; less is noise of the estimate.
 BEHIND_MS = 60
 
+# A runner is silent once this many sends got no byte for this long while no
+# other send got one either. Some requests alone take longer than a short time
+# limit of their route.
+SILENCE_MS = 250
+SILENT_SENDS = 2
+
 # Sends whose prompts are taken to be read later than those of earlier sends.
 MOST_UNREAD = 256
 
@@ -92,6 +98,8 @@
         self.cold_until_ms = 0
         self.excluded_until_ms = 0
         self.exclusions = 0
+        self._heard_ms = 0
+        self._silences = 0
         self.lends_from_ms = 0
         self._reads_until_ms = 0.0
         self._busy_ms = 0.0
@@ -188,13 +196,33 @@
             self._busy_ms = self.busy_ms(now_ms) + behind_ms
             self._reads_until_ms = now_ms + left_ms
 
+    def hear(self, now_ms: int) -> None:
+        """Note that the runner answers."""
+        self._heard_ms = now_ms
+        self._silences = 0
+        self.exclusions = 0
+
+    def note_silence(self, since_ms: int, now_ms: int) -> bool:
+        """Count a send that was given up; return whether the runner is silent."""
+        if now_ms - since_ms < SILENCE_MS or self._heard_ms > since_ms:
+            return False
+        self._silences += 1
+        return self._silences >= SILENT_SENDS
+
     def observe_result(self, failed: bool, now_ms: int) -> None:
         """Correct the failure share by the end of one send."""
         self._age(now_ms)
         target = 1.0 if failed else 0.0
         self._failure_share += FAILURE_WEIGHT * (target - self._failure_share)
-        if not failed:
-            self.exclusions = 0
+
+    def may_be_tried(self, now_ms: int) -> bool:
+        """Return whether the runner may get a call while there are others.
+
+        One that hasn't been heard since it was excluded gets one at a time.
+        """
+        if self.excluded_until_ms > now_ms:
+            return False
+        return not self.exclusions or not self.running
 
     def exclude(self, until_ms: int) -> None:
         """Send nothing to the runner until then, unless there is no other."""
--- a/figshunt/dispatch/_send_filter.py
+++ b/figshunt/dispatch/_send_filter.py
@@ -428,6 +428,7 @@
                 send.runner.runner_id,
                 send.routed,
                 result,
+                send.last_heard_ms,
                 is_wrong_runner,
             )
         )
--- a/tests/dispatch/test_placement_filter.py
+++ b/tests/dispatch/test_placement_filter.py
@@ -9,10 +9,12 @@
     PlacementNotice,
     ReplyEvent,
     ReplyStarted,
+    ReplyWhole,
     SendCall,
 )
 from figshunt.types import LogEvent, PoolName, RunnerId
 from tests.builders import (
+    build_booking_route,
     build_call,
     build_configuration,
     build_host_status,
@@ -82,3 +84,64 @@
         self.assertIn("fetch_failed", events)
         second = self.send_elsewhere("r3")
         self.assertNotEqual(self.holder.address, second.fetch_from)
+
+
+class SilentRunnerTest(unittest.TestCase):
+    """Guards against sending more and more to a runner that says nothing."""
+
+    def setUp(self) -> None:
+        self.driver = CoreDriver(
+            build_published_runner("b1", "bookings", slots=4),
+            build_published_runner("b2", "bookings", slots=4),
+            configuration=build_configuration(
+                build_booking_route(most_runners=1, timeout_ms=300)
+            ),
+        )
+        self.calls = 0
+
+    def send(self) -> SendCall:
+        self.calls += 1
+        self.driver.call(build_call(f"r{self.calls}", "/book/1"))
+        return self.driver.last_send()
+
+    def answer(self, send: SendCall) -> None:
+        self.driver.feed(ReplyWhole(send.attempt_id, build_reply_head(), b""))
+
+    def send_to(self, runner_id: str, count: int) -> list[SendCall]:
+        """Send so many calls to each runner; those to the other are answered."""
+        sent = [self.send() for _ in range(2 * count)]
+        for send in sent:
+            if send.runner_id != runner_id:
+                self.answer(send)
+        return [send for send in sent if send.runner_id == runner_id]
+
+    def send_burst(self) -> list[SendCall]:
+        """Send calls that are not answered yet; return those to b1."""
+        sent = [self.send() for _ in range(10)]
+        return [send for send in sent if send.runner_id == "b1"]
+
+    def test_silent_runner_is_left_alone(self) -> None:
+        self.send_to("b1", 2)
+        self.driver.pass_time(400)
+        self.assertEqual([], self.send_burst())
+
+    def test_silent_runner_gets_one_call_at_a_time_until_it_answers(self) -> None:
+        self.send_to("b1", 2)
+        self.driver.pass_time(400)
+        self.driver.pass_time(300)
+        trials = self.send_burst()
+        self.assertEqual(1, len(trials))
+        self.answer(trials[0])
+        self.assertLess(1, len(self.send_burst()))
+
+    def test_runner_that_answers_others_is_not_silent(self) -> None:
+        first, second, third = self.send_to("b1", 3)
+        self.driver.pass_time(200)
+        self.answer(third)
+        self.driver.pass_time(200)
+        self.assertLess(1, len(self.send_burst()))
+
+    def test_single_slow_request_does_not_exclude(self) -> None:
+        self.send_to("b1", 1)
+        self.driver.pass_time(400)
+        self.assertLess(1, len(self.send_burst()))
