Take no entry for lapsed that went while a peer read the store

A runner whose entry went 1.5 s after the store served them again was kept for 2 s as lapsed, and got a request 2,002 ms after the entry went.

Change: an outage counts from the last failure during which a peer read the store, as runners can renew their entries while anyone is served. The grace of lapsed entries is 1.8 s, below the 2 s within which a leaving runner must get nothing more.

The new test in test_directory_reader fails before the change.

--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -32,8 +32,9 @@
 )
 
 # Runners whose entries lapsed during an outage of the store list themselves
-# again within about this time of its return (the platform's statement).
-RELIST_GRACE_MS = 2_000
+# again within about 2 s of its return. A runner that left for good must get
+# nothing later than 2 s after its entry went, so the grace is a little less.
+RELIST_GRACE_MS = 1_800
 
 
 class DirectoryView(Protocol):
--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -102,8 +102,7 @@
                 self._is_listed = False
                 self._log.write("history_lost", step=Step.STORE.value, detail=error)
             except SourceError as error:
-                if self._failing_since_ms is None:
-                    self._failing_since_ms = began_ms
+                self._note_failure(began_ms)
                 self._items.set_open(ItemOrigin.STORE, False, str(error))
                 wait_ms = RETRY_MS * (0.5 + self._random.random())
                 await asyncio.sleep(wait_ms / 1000)
@@ -132,6 +131,16 @@
         longest_ms = min(LONGEST_WATCH_MS, WATCH_MS_PER_HOST * hosts)
         return int(longest_ms * (0.1 + 0.9 * self._random.random()))
 
+    def _note_failure(self, began_ms: int) -> None:
+        """Note since when nobody is known to read the store.
+
+        While a peer reads it, runners can renew their entries too.
+        """
+        if self._items.is_open(ItemOrigin.PEER):
+            self._failing_since_ms = self._clock.now().monotonic_ms
+        elif self._failing_since_ms is None:
+            self._failing_since_ms = began_ms
+
     def _may_have_lapsed(self) -> bool:
         """Note an answer; return whether entries may have lapsed in an outage."""
         now_ms = self._clock.now().monotonic_ms
--- a/tests/gateway/test_directory_reader.py
+++ b/tests/gateway/test_directory_reader.py
@@ -129,6 +129,23 @@
         (gone,) = self.unlisted()
         self.assertTrue(gone.after_outage)
 
+    async def test_entry_that_vanished_while_a_peer_read_the_store_is_gone(
+        self,
+    ) -> None:
+        """Guards against sends to a runner that left, as the store serves others."""
+        self.clock = ManualClock()
+
+        def refuse() -> Listing:
+            self.clock.advance(4_000)
+            self.items.set_open(ItemOrigin.PEER, True, "peer reads")
+            raise SourceError("status 503")
+
+        await self.read(
+            Listing((Item("a", 3, b"x"),), 5), refuse, Listing((Item("a", 7, None),), 7)
+        )
+        (gone,) = self.unlisted()
+        self.assertFalse(gone.after_outage)
+
     async def test_quiet_watches_are_no_outage(self) -> None:
         self.clock = ManualClock()
 
