Estimate reading by steps and pairs; tell peers of queues that are behind

Reading was taken for proportional to tokens at a rate that engines reach only between steps, a host sees few first events of each of 30 runners, and placements were told 150 ms late. Full engines put requests back.

--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/_crash_filter.py
@@ -139,7 +139,7 @@
             self.step,
             {"runner": runner_id, "requests": len(recent)},
         )
-        yield TellPeers((), tuple((loss.fingerprint, crash) for loss in recent))
+        yield TellPeers(crashed=tuple((loss.fingerprint, crash) for loss in recent))
 
     def _record(self, fingerprint: Fingerprint, crash: str, now: Moment) -> None:
         record = self._records.setdefault(
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from figshunt.dispatch._call import Call
-from figshunt.dispatch._messages import PlacementNotice, ReplyHead
+from figshunt.dispatch._messages import PlacementNotice, QueueNotice, ReplyHead
 from figshunt.types import (
     AttemptId,
     CancelReason,
@@ -98,10 +98,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TellPeers(Effect):
-    """Send this host's status to its peers."""
+    """Send this host's status to its peers, with what they should know."""
 
-    placements: tuple[PlacementNotice, ...]
-    crashed: tuple[tuple[Fingerprint, str], ...]
+    placements: tuple[PlacementNotice, ...] = ()
+    crashed: tuple[tuple[Fingerprint, str], ...] = ()
+    queues: tuple[QueueNotice, ...] = ()
 
 
 AnswerPart = (
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -189,6 +189,14 @@
     parts: tuple[PromptPart, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QueueNotice:
+    """A host saw that a runner is behind; ``backlog_ms`` is left to read."""
+
+    runner_id: RunnerId
+    backlog_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """What a host tells its peers.
@@ -208,6 +216,7 @@
     peer_addresses: tuple[str, ...] = ()
     placements: tuple[PlacementNotice, ...] = ()
     crashed: tuple[tuple[Fingerprint, str], ...] = ()
+    queues: tuple[QueueNotice, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -141,6 +141,8 @@
             case PeerHeard(status):
                 for notice in status.placements:
                     self._fleet.note(notice, now)
+                for queue in status.queues:
+                    self._fleet.note_queue(queue, now)
             case TimerDue():
                 yield from self._retry_held(now)
                 yield message
@@ -222,7 +224,7 @@
         if pool.engine is not None:
             notice = self._notice(routed, runner, model, estimate)
             self._fleet.note(notice, now, attempt_id)
-            yield TellPeers((notice,), ())
+            yield TellPeers(placements=(notice,))
         yield SendPlanned(
             attempt_id,
             runner,
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -70,9 +70,15 @@
 
 FAILURE_COST = 1.5
 
-# An engine with all slots taken makes the next request wait for a whole output,
-# and one that is half full still takes a burst.
+# An engine with all slots taken makes the next request wait for a whole output
+# or puts a less urgent one back, and one that is half full still takes a burst.
 OCCUPANCY_COST = 0.5
+
+# Share of an engine's slots up to which it is taken to have one free when the
+# request arrives: hosts don't see each other's latest sends.
+FREE_SLOTS_SHARE = 0.7
+FREE_SLOTS_SPREAD = 0.1
+FULL_COST = 2.0
 ANY_GAP_MS = 1_000_000
 MOST_LOSING_STREAMS = 8
 
@@ -117,7 +123,7 @@
         fetched = 0
     read_tokens = max(0, input_tokens - held - fetched)
     backlog_ms = model.backlog_ms(now_ms)
-    own_ms = model.read_ms(read_tokens)
+    own_ms = model.read_ms(read_tokens, held + fetched)
     first_ms = backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
     if fetched:
         first_ms += FETCH_SETUP_MS + fetched / engine.fetch_tokens_per_ms
@@ -131,7 +137,7 @@
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
     streams = max(len(model.running), model.count_streams(ANY_GAP_MS, now_ms))
     occupancy = streams / max(1, runner.slots)
-    cost += value_of_urgency(routed.urgency) * OCCUPANCY_COST * occupancy**2
+    cost += value_of_urgency(routed.urgency) * _occupancy_cost(occupancy)
     return Estimate(cost, read_tokens, int(first_ms), fetched)
 
 
@@ -203,6 +209,11 @@
     return cost
 
 
+def _occupancy_cost(occupancy: float) -> float:
+    exponent = (FREE_SLOTS_SHARE - occupancy) / (FREE_SLOTS_SHARE * FREE_SLOTS_SPREAD)
+    return OCCUPANCY_COST * occupancy**2 + FULL_COST / (1 + exp(min(20.0, exponent)))
+
+
 def _lateness(
     expected_ms: float, target_ms: int, spread: float = ESTIMATE_SPREAD
 ) -> float:
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -2,18 +2,25 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 
 from mode import Service
 
-from figshunt.dispatch import HostStatus, PeerHeard, PlacementNotice, TellPeers
+from figshunt.dispatch import (
+    HostStatus,
+    PeerHeard,
+    PlacementNotice,
+    QueueNotice,
+    TellPeers,
+)
 from figshunt.gateway._status_codec import decode_status, encode_status
 from figshunt.runtime import EventLimit, EventLog, Feed
-from figshunt.types import Clock, Fingerprint, Step
+from figshunt.types import Clock, Fingerprint, RunnerId, Step
 
 # Placements wait this long for others, so that one datagram carries several.
 # With more peers they wait in proportion, so that a host's cost stays bounded.
-GATHER_MS_PER_PEER = 5
+GATHER_MS_PER_PEER = 2
 LEAST_GATHER_MS = 15
 
 # Without anything to tell, a host says this often that it is there.
@@ -25,6 +32,7 @@
 # Datagrams stay below the usual size of a packet.
 MOST_PLACEMENTS = 10
 MOST_CRASHES = 10
+MOST_QUEUES = 10
 MOST_TOLD_ADDRESSES = 24
 
 BAD_DATAGRAM_LOG_MS = 5_000
@@ -61,6 +69,7 @@
         self._heard_ms_by_ip: dict[str, int] = {}
         self._placements: list[PlacementNotice] = []
         self._crashes: list[tuple[Fingerprint, str]] = []
+        self._queues_by_runner: dict[RunnerId, QueueNotice] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._flushing: asyncio.TimerHandle | None = None
         self._beacon_timer: asyncio.TimerHandle | None = None
@@ -94,9 +103,12 @@
         self._seeds = seeds
 
     def tell(self, effect: TellPeers) -> None:
-        """Send placements and crashes soon."""
+        """Send placements, crashes and queues soon."""
         self._placements.extend(effect.placements)
         self._crashes.extend(effect.crashed)
+        self._queues_by_runner.update(
+            (notice.runner_id, notice) for notice in effect.queues
+        )
         if self._flushing is None:
             wait_ms = max(
                 LEAST_GATHER_MS, GATHER_MS_PER_PEER * len(self._heard_ms_by_ip)
@@ -108,7 +120,7 @@
     def send_now(self) -> None:
         """Send the status at once, as when this host is about to stop."""
         self._flush()
-        self._send([], [])
+        self._send()
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a datagram."""
@@ -138,7 +150,7 @@
 
     def _send_beacon(self) -> None:
         self._forget_silent()
-        self._send([], [])
+        self._send()
         wait_ms = BEACON_MS * (0.8 + 0.4 * self._random.random())
         self._beacon_timer = asyncio.get_running_loop().call_later(
             wait_ms / 1000, self._send_beacon
@@ -150,23 +162,36 @@
         self._flushing = None
         placements, self._placements = self._placements, []
         crashed, self._crashes = self._crashes, []
-        while placements or crashed:
-            self._send(placements[:MOST_PLACEMENTS], crashed[:MOST_CRASHES])
+        queues = list(self._queues_by_runner.values())
+        self._queues_by_runner = {}
+        while placements or crashed or queues:
+            self._send(
+                placements[:MOST_PLACEMENTS],
+                crashed[:MOST_CRASHES],
+                queues[:MOST_QUEUES],
+            )
             placements = placements[MOST_PLACEMENTS:]
             crashed = crashed[MOST_CRASHES:]
+            queues = queues[MOST_QUEUES:]
 
     def _send(
         self,
-        placements: list[PlacementNotice],
-        crashed: list[tuple[Fingerprint, str]],
+        placements: Sequence[PlacementNotice] = (),
+        crashed: Sequence[tuple[Fingerprint, str]] = (),
+        queues: Sequence[QueueNotice] = (),
     ) -> None:
         if self._transport is None:
             return
-        is_beacon = not placements and not crashed
+        is_beacon = not placements and not crashed and not queues
         addresses = self.addresses[:MOST_TOLD_ADDRESSES] if is_beacon else ()
-        data = encode_status(
-            self._build_status(), tuple(placements), tuple(crashed), addresses
+        status = replace(
+            self._build_status(),
+            peer_addresses=addresses,
+            placements=tuple(placements),
+            crashed=tuple(crashed),
+            queues=tuple(queues),
         )
+        data = encode_status(status)
         for ip in {*self._seeds, *self._heard_ms_by_ip} - {self._own_ip}:
             self._transport.sendto(data, (ip, self._port))
 
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -4,18 +4,19 @@
 
 import cbor2
 
-from figshunt.dispatch import HostStatus, PartId, PlacementNotice, PromptPart
+from figshunt.dispatch import (
+    HostStatus,
+    PartId,
+    PlacementNotice,
+    PromptPart,
+    QueueNotice,
+)
 from figshunt.types import Fingerprint, HostName, RunnerId
 
-STATUS_FORMAT = 1
+STATUS_FORMAT = 2
 
 
-def encode_status(
-    status: HostStatus,
-    placements: tuple[PlacementNotice, ...],
-    crashed: tuple[tuple[Fingerprint, str], ...],
-    peer_addresses: tuple[str, ...],
-) -> bytes:
+def encode_status(status: HostStatus) -> bytes:
     """Return a datagram with a host's status and what it has to tell."""
     data: bytes = cbor2.dumps(
         [
@@ -26,9 +27,10 @@
             status.version,
             status.revision,
             status.is_current,
-            list(peer_addresses),
-            [_encode_notice(notice) for notice in placements],
-            [list(crash) for crash in crashed],
+            list(status.peer_addresses),
+            [_encode_notice(notice) for notice in status.placements],
+            [list(crash) for crash in status.crashed],
+            [[notice.runner_id, notice.backlog_ms] for notice in status.queues],
         ]
     )
     return data
@@ -44,7 +46,7 @@
         if not isinstance(fields, list) or fields[0] != STATUS_FORMAT:
             raise ValueError("not a status of this format")
         _, host, incarnation, address, version, revision, *rest = fields
-        is_current, addresses, placements, crashed = rest
+        is_current, addresses, placements, crashed, queues = rest
         return HostStatus(
             host=HostName(str(host)),
             incarnation=int(incarnation),
@@ -58,6 +60,10 @@
                 (Fingerprint(str(fingerprint)), str(crash))
                 for fingerprint, crash in crashed
             ),
+            queues=tuple(
+                QueueNotice(RunnerId(str(runner_id)), int(backlog_ms))
+                for runner_id, backlog_ms in queues
+            ),
         )
     except (cbor2.CBORDecodeError, TypeError, IndexError, EOFError) as error:
         raise ValueError(f"not a status: {error}") from error
--- a/tests/dispatch/test_placement_filter.py
+++ b/tests/dispatch/test_placement_filter.py
@@ -7,10 +7,12 @@
     Call,
     PeerHeard,
     PlacementNotice,
+    QueueNotice,
     ReplyEvent,
     ReplyStarted,
     ReplyWhole,
     SendCall,
+    TellPeers,
 )
 from figshunt.types import LogEvent, PoolName, RunnerId
 from tests.builders import (
@@ -86,6 +88,30 @@
         self.assertNotEqual(self.holder.address, second.fetch_from)
 
 
+class LateRunnerTest(unittest.TestCase):
+    """Guards against a queue that only one host knows of."""
+
+    def test_peers_are_told_that_a_runner_is_behind(self) -> None:
+        driver = CoreDriver(build_published_runner("e1"))
+        driver.call(build_call("r1", prompt=build_prompt()))
+        first = driver.last_send()
+        driver.call(build_call("r2", prompt=build_prompt(30_000, ("long", 29_000))))
+        driver.pass_time(400)
+        driver.feed(ReplyStarted(first.attempt_id, build_reply_head(is_stream=True)))
+        driver.feed(ReplyEvent(first.attempt_id, 1, b"id: 1\n\n"))
+        (told,) = [one for one in driver.all_of(TellPeers) if one.queues]
+        self.assertEqual("e1", told.queues[0].runner_id)
+        self.assertLess(500, told.queues[0].backlog_ms)
+
+    def test_word_of_a_peer_counts(self) -> None:
+        driver = CoreDriver(build_published_runner("e1"), build_published_runner("e2"))
+        queue = QueueNotice(RunnerId("e1"), 2_000)
+        driver.feed(PeerHeard(build_host_status(queues=(queue,))))
+        for number in range(5):
+            driver.call(build_call(f"r{number}", prompt=build_prompt()))
+        self.assertEqual({"e2"}, {one.runner_id for one in driver.all_of(SendCall)})
+
+
 class SilentRunnerTest(unittest.TestCase):
     """Guards against sending more and more to a runner that says nothing."""
 
