Split the reading queue and the send record off; gather changes with many hosts

With nine hosts and more, a host waits 200 ms after a watch that told changes before it asks again; with fewer hosts nothing changes.

--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -177,7 +177,7 @@
         """Count what a peer saw of a runner's queue."""
         model = self._models.get(notice.runner_id)
         if model is not None:
-            model.raise_backlog(notice.backlog_ms, now.monotonic_ms)
+            model.queue.raise_backlog(notice.backlog_ms, now.monotonic_ms)
 
     def observe_begun(self, seen: FirstEventSeen, now: Moment) -> Iterable[Output]:
         """Correct the picture of a runner by the first event of a send."""
@@ -185,8 +185,8 @@
         if model is None:
             return
         model.hear(now.monotonic_ms)
-        if model.observe_begun(seen.attempt_id, now.monotonic_ms):
-            backlog_ms = int(model.backlog_ms(now.monotonic_ms))
+        if model.queue.observe_begun(seen.attempt_id, now.monotonic_ms):
+            backlog_ms = int(model.queue.backlog_ms(now.monotonic_ms))
             yield TellPeers(queues=(QueueNotice(seen.runner_id, backlog_ms),))
         fetch = model.running.get(seen.attempt_id)
         if fetch is None:
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -122,7 +122,7 @@
     if not engine.fetch_tokens_per_ms or fetched < LEAST_FETCH_TOKENS:
         fetched = 0
     read_tokens = max(0, input_tokens - held - fetched)
-    backlog_ms = model.backlog_ms(now_ms)
+    backlog_ms = model.queue.backlog_ms(now_ms)
     own_ms = model.read_ms(read_tokens, held + fetched)
     first_ms = backlog_ms + own_ms + PRIOR_FIRST_MS * model.slowness
     if fetched:
@@ -131,7 +131,7 @@
     cost += _own_gap_cost(routed, runner, model, engine, own_ms, pool_share, now_ms)
     # A fetch may fail, and then the runner reads what it should have fetched.
     most_ms = own_ms + model.read_ms(fetched)
-    cost += _delay_cost(model, engine, model.busy_ms(now_ms), most_ms, now_ms)
+    cost += _delay_cost(model, engine, model.queue.busy_ms(now_ms), most_ms, now_ms)
     cost += REREAD_COST_PER_TOKEN * max(0, recent_tokens - held - fetched)
     cost += FETCH_COST_PER_TOKEN * fetched
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
@@ -186,7 +186,7 @@
     if gap_ms is None:
         return 0.0
     tightness = _tightness(model, engine, gap_ms)
-    stall_ms = _stall_ms(model, engine, model.backlog_ms(now_ms) + own_ms)
+    stall_ms = _stall_ms(model, engine, model.queue.backlog_ms(now_ms) + own_ms)
     chance = min(1.0, READING_RISK * model.stalling_share(now_ms))
     at_risk = max(_gap_lateness(stall_ms, gap_ms), tightness * chance)
     cost = value_of_urgency(routed.urgency) * LATE_LOSS * at_risk
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -1,10 +1,10 @@
 """How long a runner will take, from what all hosts have sent to it."""
 
-from collections import deque
 from dataclasses import dataclass, field
 from math import exp
 
 from figshunt.dispatch._prefix_memory import PrefixMemory
+from figshunt.dispatch._reading_queue import ReadingQueue
 from figshunt.types import AttemptId, RunnerId
 
 # Prompt tokens that an engine reads in one ms and the time to the first token
@@ -38,23 +38,12 @@
 # one only a part counts, as little as it takes, since several must coincide.
 LONG_READ_MS = 80
 
-# An engine that has nothing to read for this long, about the time of one event,
-# has let the streams beside the reading go on.
-READING_PAUSE_MS = 25
-
-# A first event that comes this much later than expected shows that the runner
-# is behind the estimate; less is noise of the estimate.
-BEHIND_MS = 60
-
 # A runner is silent once this many sends got no byte for this long while no
 # other send got one either. Some requests alone take longer than a short time
 # limit of their route.
 SILENCE_MS = 250
 SILENT_SENDS = 2
 
-# Sends whose prompts are taken to be read later than those of earlier sends.
-MOST_UNREAD = 256
-
 SLOWNESS_BOUNDS = (0.5, 12.0)
 
 
@@ -78,24 +67,12 @@
     tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class PromptRead:
-    """A prompt that was sent, with the time that reading it takes."""
-
-    attempt_id: AttemptId | None
-    reading_ms: float
-
-
 class RunnerModel:
-    """One host's picture of one runner.
-
-    Reading is a queue that is worked off at a constant rate: each request,
-    of this host or a peer, adds the tokens it makes the runner read. First
-    events that come later than expected move the end of the queue.
-    """
+    """One host's picture of one runner."""
 
     def __init__(self, kv_tokens: int) -> None:
         self.prefixes = PrefixMemory(kv_tokens)
+        self.queue = ReadingQueue()
         self.running: dict[AttemptId, PartFetch | None] = {}
         self.streams_by_gap_ms: dict[int, StreamShare] = {}
         self.slowness = 1.0
@@ -105,9 +82,6 @@
         self._heard_ms = 0
         self._silences = 0
         self.lends_from_ms = 0
-        self._reads_until_ms = 0.0
-        self._busy_ms = 0.0
-        self._reads: deque[PromptRead] = deque(maxlen=MOST_UNREAD)
         self._reading_share = 0.0
         self._stalling_share = 0.0
         self._failure_share = 0.0
@@ -127,16 +101,6 @@
         )
         return reading_ms * self.slowness
 
-    def backlog_ms(self, now_ms: int) -> float:
-        """Return how long the runner still reads what it was sent."""
-        return max(0.0, self._reads_until_ms - now_ms)
-
-    def busy_ms(self, now_ms: int) -> float:
-        """Return how much the runner reads without a pause, done or to come."""
-        if now_ms > self._reads_until_ms + READING_PAUSE_MS:
-            return 0.0
-        return self._busy_ms
-
     def reading_share(self, now_ms: int) -> float:
         """Return the recent share of time spent reading prompts."""
         self._age(now_ms)
@@ -176,15 +140,12 @@
         """
         self._age(now_ms)
         reading_ms = self.read_ms(read_tokens, context_tokens)
-        self._busy_ms = self.busy_ms(now_ms) + reading_ms
-        self._reads.append(PromptRead(attempt_id, reading_ms))
-        self._reads_until_ms = max(self._reads_until_ms, float(now_ms)) + reading_ms
         self._reading_share += reading_ms / READING_WINDOW_MS
         self._stalling_share += stalling_ms(reading_ms) / READING_WINDOW_MS
         if gap_target_ms:
             share = self.streams_by_gap_ms.setdefault(gap_target_ms, StreamShare())
             share.ends_ms.append(now_ms + expected_ms)
-        return int(self._reads_until_ms)
+        return self.queue.add(reading_ms, now_ms, attempt_id)
 
     def observe_first(self, waited_ms: int, expected_ms: float) -> None:
         """Correct the slowness by the time that a first event took."""
@@ -194,31 +155,6 @@
         mixed = (1 - weight) * self.slowness + weight * ratio
         self.slowness = min(high, max(low, mixed))
 
-    def observe_begun(self, attempt_id: AttemptId, now_ms: int) -> bool:
-        """Correct the queue by a send whose prompt has just been read.
-
-        Prompts are read about in the order in which they were sent, so what
-        was sent later is still to be read. The estimate is only raised: a
-        short prompt may be read before a long one that was sent earlier.
-
-        :returns: whether the runner was behind the estimate.
-        """
-        if all(one.attempt_id != attempt_id for one in self._reads):
-            return False
-        while self._reads.popleft().attempt_id != attempt_id:
-            continue
-        left_ms = sum(one.reading_ms for one in self._reads)
-        return self.raise_backlog(left_ms, now_ms)
-
-    def raise_backlog(self, backlog_ms: float, now_ms: int) -> bool:
-        """Lengthen the queue if it is shorter; return whether it was by much."""
-        behind_ms = now_ms + backlog_ms - self._reads_until_ms
-        if behind_ms <= BEHIND_MS:
-            return False
-        self._busy_ms = self.busy_ms(now_ms) + behind_ms
-        self._reads_until_ms = now_ms + backlog_ms
-        return True
-
     def hear(self, now_ms: int) -> None:
         """Note that the runner answers."""
         self._heard_ms = now_ms
@@ -258,9 +194,7 @@
         self.streams_by_gap_ms = {}
         self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
         self.slowness = 1.0
-        self._reads_until_ms = 0.0
-        self._busy_ms = 0.0
-        self._reads.clear()
+        self.queue = ReadingQueue()
         self._failure_share = 0.0
 
     def _age(self, now_ms: int) -> None:
--- a/figshunt/dispatch/_send_filter.py
+++ b/figshunt/dispatch/_send_filter.py
@@ -1,9 +1,8 @@
 """Follows sends and turns what runners answer into the caller's answer."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
-from figshunt.directory import PublishedRunner
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._cold_limit import SharedBounds
 from figshunt.dispatch._effects import (
@@ -34,6 +33,7 @@
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._refusal import refuse_call
 from figshunt.dispatch._repeat_policy import RepeatPolicy
+from figshunt.dispatch._send import Send
 from figshunt.pipeline import Feedback, Output
 from figshunt.types import (
     AttemptFailure,
@@ -53,13 +53,6 @@
     WakeAt,
 )
 
-# A repeatable request whose answer hasn't begun is tried elsewhere after this
-# many times its latency target, and a resumable stream that falls silent after
-# this many times its gap target.
-STALLED_TARGETS = 1.5
-SILENT_GAP_TARGETS = 5
-LEAST_STALL_MS = 250
-
 RETRY_AFTER_MS = 300
 
 RESULT_BY_FAILURE = {
@@ -72,21 +65,6 @@
 }
 
 
-@dataclass(slots=True)
-class Send:
-    """One send in flight."""
-
-    attempt_id: AttemptId
-    runner: PublishedRunner
-    routed: RoutedCall
-    started_ms: int
-    expected_first_ms: int
-    last_heard_ms: int
-    has_begun: bool = False
-    first_ms: int | None = None
-    longest_gap_ms: int = 0
-
-
 class SendFilter:
     """Owns the sends in flight; each caller gets its own whole answer once.
 
@@ -153,7 +131,7 @@
         resume_after = routed.delivered
         if resume_after is None:
             resume_after = routed.call.resume_after
-        yield WakeAt(min(routed.deadline_ms, self._stall_ms(send)))
+        yield WakeAt(min(routed.deadline_ms, send.stall_ms))
         yield LogEvent(
             "call_sent",
             self.step,
@@ -359,7 +337,7 @@
                 yield from self._give_up(
                     send.routed, ErrorCode.DEADLINE_PASSED, None, "deadline passed"
                 )
-            elif self._stall_ms(send) <= now.monotonic_ms:
+            elif send.stall_ms <= now.monotonic_ms:
                 yield from self._check_stall(send, now)
 
     def _check_stall(self, send: Send, now: Moment) -> Iterable[Output]:
@@ -371,21 +349,6 @@
         else:
             yield WakeAt(send.routed.deadline_ms)
 
-    def _stall_ms(self, send: Send) -> int:
-        """Return when a silent send is taken for stalled."""
-        route = send.routed.route
-        if send.has_begun:
-            gap_ms = route.gap_target_ms or route.target_ms
-            return send.last_heard_ms + max(
-                LEAST_STALL_MS, int(gap_ms * SILENT_GAP_TARGETS)
-            )
-        wait_ms = max(
-            LEAST_STALL_MS,
-            int(route.target_ms * STALLED_TARGETS),
-            3 * send.expected_first_ms,
-        )
-        return send.started_ms + wait_ms
-
     def _finish(
         self, send: Send, result: SendResult, detail: str, now: Moment
     ) -> Iterable[Output]:
--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -23,6 +23,11 @@
 WATCH_MS_PER_HOST = 300
 LONGEST_WATCH_MS = 10_000
 
+# With many hosts, each gathers changes for this long before it asks again, as
+# each call is priced. It is shorter than the time after which a host that knows
+# less than its peers reads from one of them.
+GATHER_MS = 200
+
 # Entries that vanish this soon after calls failed for this long may have lapsed
 # because their runners couldn't renew them.
 OUTAGE_MS = 1_500
@@ -117,6 +122,8 @@
             take = self._items.replace
         take(listing.items, listing.revision, self._may_have_lapsed())
         self._is_listed = True
+        if listing.items and self._count_hosts() >= MANY_HOSTS:
+            await asyncio.sleep(GATHER_MS / 1000)
 
     def _watch_wait_ms(self) -> int:
         """Return how long the next watch waits.
--- a/tests/gateway/test_directory_reader.py
+++ b/tests/gateway/test_directory_reader.py
@@ -20,6 +20,7 @@
     PublishedItems,
     SourceError,
 )
+from figshunt.gateway._directory_reader import GATHER_MS
 from figshunt.runtime import EventLog
 from figshunt.types import DataCentreName, ManualClock, Message, RunnerId
 
@@ -176,6 +177,21 @@
         self.assertGreater(max(self.source.waits_ms), 5_000)
         self.assertLess(min(self.source.waits_ms), 2_000)
 
+    async def test_many_hosts_gather_changes_between_watches(self) -> None:
+        """Guards against one priced call a host for each change."""
+        started_s = asyncio.get_running_loop().time()
+        changes = [Listing((Item("a", one, b"x"),), one) for one in (6, 7)]
+        await self.read(Listing((), 5), *changes, hosts=40)
+        passed_s = asyncio.get_running_loop().time() - started_s
+        self.assertGreaterEqual(passed_s, 2 * GATHER_MS / 1000)
+
+    async def test_few_hosts_ask_again_at_once(self) -> None:
+        changes = [Listing((Item("a", one, b"x"),), one) for one in range(6, 106)]
+        started_s = asyncio.get_running_loop().time()
+        await self.read(Listing((), 5), *changes, hosts=5)
+        passed_s = asyncio.get_running_loop().time() - started_s
+        self.assertLess(passed_s, 100 * GATHER_MS / 1000)
+
 
 if __name__ == "__main__":
     unittest.main()
