Count engines as full from half of their slots on

At the engine of the case (Timberline, 8.5 s) 57 to 63 chats ran beside notes, 66 to 78 requests for 64 slots, so that urgent ones put others back. Hosts believe in fewer streams than run, as outputs take longer than estimated while the engine reads, and opening another engine for chats cost more than filling one.

Change: the share of slots up to which one is taken to be free is 0.5 instead of 0.7, and a full engine costs 6.0 instead of 2.0.

--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -76,9 +76,9 @@
 
 # Share of an engine's slots up to which it is taken to have one free when the
 # request arrives: hosts don't see each other's latest sends.
-FREE_SLOTS_SHARE = 0.7
+FREE_SLOTS_SHARE = 0.5
 FREE_SLOTS_SPREAD = 0.1
-FULL_COST = 2.0
+FULL_COST = 6.0
 ANY_GAP_MS = 1_000_000
 MOST_LOSING_STREAMS = 8
 
