Remove a function that nothing calls; say what two constants stand for

Cause: count_owned_slots had no caller left, in code, tests or benchmarks; two constants of the placement had no line on their meaning.

Measured: nothing; the tests of slots pass.

--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -75,6 +75,8 @@
 ANSWERED_RESULTS = frozenset(
     {SendResult.SERVED, SendResult.RUNNER_ERROR, SendResult.REFUSED}
 )
+
+# Length of the output of a request that tells nothing of it.
 DEFAULT_OUTPUT_TOKENS = 100
 
 
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -78,7 +78,10 @@
 # request arrives: hosts don't see each other's latest sends.
 FREE_SLOTS_SHARE = 0.5
 FREE_SLOTS_SPREAD = 0.1
+
+# What a full engine costs: more than opening another one for tight streams.
 FULL_COST = 6.0
+
 ANY_GAP_MS = 1_000_000
 MOST_LOSING_STREAMS = 8
 
--- a/figshunt/slots/__init__.py
+++ b/figshunt/slots/__init__.py
@@ -1,7 +1,6 @@
 """Slots of runners: ownership by seat, and the filter that uses them."""
 
 from figshunt.slots._ownership import (
-    count_owned_slots,
     order_seats,
 )
 from figshunt.slots._settled_capacity import (
@@ -18,6 +17,5 @@
     "CapacityView",
     "SettledCapacity",
     "SlotFilter",
-    "count_owned_slots",
     "order_seats",
 ]
