--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -79,7 +79,8 @@
 
     ``prefill_tokens`` is the number of prompt tokens that the runner is expected
     to process itself. It fetches cached parts that it lacks from the runner at
-    the address ``fetch_from``.
+    the address ``fetch_from``. ``known_streams`` is the number of streams that
+    this host assumes to run there already.
     """
 
     attempt_id: AttemptId
@@ -88,6 +89,7 @@
     prefill_tokens: int
     expected_first_ms: int
     fetch_from: str | None = None
+    known_streams: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -242,6 +242,7 @@
             estimate.prefill_tokens,
             estimate.first_ms,
             holder.address if holder else None,
+            estimate.streams,
         )
 
     def _build_notice(
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -100,12 +100,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Estimate:
-    """Expected cost and timing of a call at one runner."""
+    """Expected cost and timing of a call at one runner.
+
+    ``streams`` is the number of streams that are assumed to run there already.
+    """
 
     cost: float
     prefill_tokens: int
     first_ms: int
     fetched_tokens: int = 0
+    streams: int = 0
 
 
 def estimate_engine(
@@ -163,7 +167,7 @@
     streams = max(len(model.running_attempts), model.count_streams(ANY_GAP_MS, now_ms))
     occupancy = streams / max(1, runner.slots)
     cost += answer_value(routed.urgency) * _occupancy_cost(occupancy)
-    return Estimate(cost, prefill_tokens, int(first_ms), fetched_tokens)
+    return Estimate(cost, prefill_tokens, int(first_ms), fetched_tokens, streams)
 
 
 def estimate_plain(
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -20,10 +20,11 @@
     ReplyVerdict,
     StartCallAttempt,
 )
-from figshunt.types import AttemptFailure, Effect, SendState
+from figshunt.types import AttemptFailure, Effect, LogEvent, SendState
 from tests.builders import (
     build_call,
     build_configuration,
+    build_prompt,
     build_published_route,
     build_published_runner,
     build_reply_head,
@@ -282,3 +283,22 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class CallSentLogTest(unittest.TestCase):
+    """Guards against logs that don't tell why an engine put a request back."""
+
+    def test_line_has_urgency_and_streams_that_host_knows_of(self) -> None:
+        driver = CoreDriver(
+            build_published_runner("e1"),
+            configuration=build_configuration(build_published_route(urgency=1)),
+        )
+        for call_id in ("r1", "r2"):
+            driver.call(build_call(call_id, prompt=build_prompt()))
+        lines = [
+            line.fields
+            for line in driver.effects_of(LogEvent)
+            if line.event == "call_sent"
+        ]
+        self.assertEqual([1, 1], [line["urgency"] for line in lines])
+        self.assertEqual([0, 1], [line["known_streams"] for line in lines])
