Order requests of one team by the urgency of their routes

What callers saw: chats and notes were put back by engines, or waited for a slot, while letters ran on at the same engine.

Cause: a team's urgency replaced that of the route, so that the engine received one priority for all requests of a team, and nearly all teams have the same urgency. Among equals an engine puts back the newest, which is often the most urgent in a burst of chats.

Change: the priority that engines receive orders requests by urgency and, among equals, by the urgency of the route. Held calls are placed in that order as well. The log has the priority instead of the urgency. The test of the longest path prefix told routes apart by their priority, which is no longer the route's urgency; it now expects the route's name in the log.

Engines that get more requests than they have slots are a fault of its own.

--- a/figshunt/dispatch/__init__.py
+++ b/figshunt/dispatch/__init__.py
@@ -43,9 +43,11 @@
 from figshunt.dispatch._peer_filter import PeerFilter, PeersView
 from figshunt.dispatch._placement_filter import PlacementFilter
 from figshunt.dispatch._prefix_cache import PrefixCache
+from figshunt.dispatch._priority_scale import PRIORITY_LEVELS, PriorityScale
 from figshunt.dispatch._runner_model import RunnerModel
 
 __all__ = [
+    "PRIORITY_LEVELS",
     "AnswerAbort",
     "AnswerComplete",
     "AnswerEffect",
@@ -79,6 +81,7 @@
     "PlacementFilter",
     "PlacementNotice",
     "PrefixCache",
+    "PriorityScale",
     "Prompt",
     "PromptPart",
     "QueueNotice",
--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -67,6 +67,8 @@
 class RoutedCall:
     """A call with its route, pool, team and deadline, and its attempts so far.
 
+    ``urgency`` is that of the team or, if it has none, of the route. ``priority``
+    is the one that the runner receives; it also orders requests of equal urgency.
     ``possible_runs`` counts the runners that may have run it, ``refusals`` the
     attempts that certainly did not run, and ``tried_runner_ids`` lists the runners
     of both. ``last_event_id`` is the id of the last event that was forwarded to
@@ -79,6 +81,7 @@
     pool: PoolName
     team: TeamName | None
     urgency: int
+    priority: int
     deadline_ms: int
     possible_runs: int = 0
     refusals: int = 0
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -141,7 +141,7 @@
                 "runner": plan.runner.runner_id,
                 "route": routed.route.name,
                 "team": routed.team,
-                "urgency": routed.urgency,
+                "priority": routed.priority,
                 "known_streams": plan.known_streams,
                 "read_tokens": plan.prefill_tokens,
                 "expected_first_ms": plan.expected_first_ms,
@@ -156,7 +156,7 @@
             call=routed.call,
             team=routed.team,
             time_limit_ms=max(1, routed.deadline_ms - now.monotonic_ms),
-            priority=routed.urgency,
+            priority=routed.priority,
             resume_after=resume_after,
             fetch_from=plan.fetch_from,
         )
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -348,6 +348,6 @@
 
     def _place_held_calls(self, now: Moment) -> Iterable[Output]:
         for held_call in sorted(
-            self._held_calls.values(), key=lambda candidate: candidate.routed.urgency
+            self._held_calls.values(), key=lambda candidate: candidate.routed.priority
         ):
             yield from self._place(held_call.routed, now)
--- a/figshunt/dispatch/_team_filter.py
+++ b/figshunt/dispatch/_team_filter.py
@@ -4,9 +4,15 @@
 import random
 from collections.abc import Iterable
 
-from figshunt.directory import DirectoryView, PublishedRoute, PublishedTeam
+from figshunt.directory import (
+    Configuration,
+    DirectoryView,
+    PublishedRoute,
+    PublishedTeam,
+)
 from figshunt.dispatch._call import Call, RoutedCall
 from figshunt.dispatch._messages import CallMatched, CallRouted
+from figshunt.dispatch._priority_scale import PriorityScale
 from figshunt.dispatch._refusal import refuse_call
 from figshunt.dispatch._route_filter import NOT_READY_RETRY_MS
 from figshunt.pipeline import Output
@@ -22,7 +28,7 @@
 
 
 class TeamFilter:
-    """Adds the team, urgency, deadline and pool to a call.
+    """Adds the team, urgency, priority, deadline and pool to a call.
 
     If a route has several pools, one is chosen at random by their weights.
     """
@@ -33,6 +39,8 @@
     def __init__(self, directory: DirectoryView, random_source: random.Random) -> None:
         self._directory = directory
         self._random = random_source
+        self._scaled_configuration: Configuration | None = None
+        self._priority_scale: PriorityScale | None = None
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
@@ -65,10 +73,21 @@
                 pool=self._choose_pool(route),
                 team=team.name if team else None,
                 urgency=urgency,
+                priority=self._scale(configuration).priority(urgency, route.urgency),
                 deadline_ms=call.received.monotonic_ms + _time_limit_ms(call, route),
             )
         )
 
+    def _scale(self, configuration: Configuration) -> PriorityScale:
+        """Return the priority scale, which changes only with the configuration."""
+        if (
+            self._priority_scale is None
+            or configuration is not self._scaled_configuration
+        ):
+            self._priority_scale = PriorityScale(configuration)
+            self._scaled_configuration = configuration
+        return self._priority_scale
+
     def _find_team(self, call: Call) -> PublishedTeam | None:
         configuration = self._directory.configuration
         if configuration is None or call.caller_key is None:
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -288,7 +288,7 @@
 class CallSentLogTest(unittest.TestCase):
     """Guards against logs that don't tell why an engine put a request back."""
 
-    def test_line_has_urgency_and_streams_that_host_knows_of(self) -> None:
+    def test_line_has_priority_and_streams_that_host_knows_of(self) -> None:
         driver = CoreDriver(
             build_published_runner("e1"),
             configuration=build_configuration(build_published_route(urgency=1)),
@@ -300,5 +300,5 @@
             for line in driver.effects_of(LogEvent)
             if line.event == "call_sent"
         ]
-        self.assertEqual([1, 1], [line["urgency"] for line in lines])
+        self.assertEqual([1, 1], [line["priority"] for line in lines])
         self.assertEqual([0, 1], [line["known_streams"] for line in lines])
--- a/tests/dispatch/test_directory_filter.py
+++ b/tests/dispatch/test_directory_filter.py
@@ -11,7 +11,7 @@
     SourceStateChanged,
 )
 from figshunt.dispatch import AnswerError, StartCallAttempt
-from figshunt.types import DataCentreName, Effect, TeamName
+from figshunt.types import DataCentreName, Effect, LogEvent, TeamName
 from tests.builders import (
     build_call,
     build_configuration,
@@ -51,11 +51,16 @@
             build_published_runner("b1", "bookings"),
             configuration=build_configuration(
                 build_published_route(path_prefix="/chat/"),
-                build_published_route("inner", path_prefix="/chat/in/", urgency=3),
+                build_published_route("inner", path_prefix="/chat/in/"),
             ),
         )
         driver.call(build_call(path="/chat/in/x?y=/chat/"))
-        self.assertEqual(3, driver.last_attempt().priority)
+        routes = [
+            line.fields["route"]
+            for line in driver.effects_of(LogEvent)
+            if line.event == "call_sent"
+        ]
+        self.assertEqual(["inner"], routes)
 
     def test_unknown_route_and_key_get_permanent_errors_only_while_current(
         self,
--- a/tests/dispatch/test_priority.py
+++ b/tests/dispatch/test_priority.py
@@ -2,8 +2,14 @@
 
 import hashlib
 import unittest
+from itertools import pairwise, product
+
+from hypothesis import given
+from hypothesis import strategies as st
 
 from figshunt.directory import PublishedTeam
+from figshunt.dispatch import PRIORITY_LEVELS, PriorityScale
+from figshunt.platform._headers import LOWEST_PRIORITY
 from figshunt.types import TeamName
 from tests.builders import (
     build_call,
@@ -59,3 +65,38 @@
 
     def test_urgency_of_team_goes_before_that_of_route(self) -> None:
         self.assertLess(self.send("first", "letter"), self.send("second", "chat"))
+
+
+class PriorityScaleTest(unittest.TestCase):
+    """Guards against an order of requests that depends on the range of urgencies."""
+
+    @given(
+        route_urgencies=st.sets(st.integers(0, 20), min_size=1, max_size=8),
+        team_urgencies=st.sets(st.integers(0, 20), max_size=4),
+    )
+    def test_priorities_are_valid_and_never_reverse_the_order(
+        self, route_urgencies: set[int], team_urgencies: set[int]
+    ) -> None:
+        teams = {}
+        for urgency in team_urgencies:
+            teams |= build_team(f"team-{urgency}", urgency)
+        scale = PriorityScale(
+            build_configuration(
+                *(
+                    build_published_route(f"route-{urgency}", urgency=urgency)
+                    for urgency in route_urgencies
+                ),
+                teams_by_key_sha256=teams,
+            )
+        )
+        urgencies = sorted(route_urgencies | team_urgencies)
+        priorities = [
+            scale.priority(urgency, route_urgency)
+            for urgency, route_urgency in product(urgencies, sorted(route_urgencies))
+        ]
+        self.assertLessEqual(set(priorities), set(range(PRIORITY_LEVELS)))
+        for first, second in pairwise(priorities):
+            self.assertLessEqual(first, second)
+
+    def test_levels_are_those_that_the_platform_knows(self) -> None:
+        self.assertEqual(LOWEST_PRIORITY, PRIORITY_LEVELS - 1)
