Wait for the request before the caller leaves in a test

Cause: the test gave a caller 0.2 s to reach the runner before it left. On a busy machine (load 13) one run of 22 tests had an error after the 20 s limit of a wait; the output kept doesn't name the test. With 0.002 s instead of 0.2 s this test fails in that way: the runner never gets a request that could be cancelled.

Change: the caller leaves once the runner has received the request. The test expects the same as before.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -111,10 +111,16 @@
 
     async def test_caller_disconnect_cancels_the_run(self) -> None:
         self.set_behaviour(RunnerBehaviour.HANG)
-        with self.assertRaises(TimeoutError):
-            async with asyncio.timeout(0.2):
-                async with self.fixture.request("POST", "/book/1"):
-                    pass
+
+        async def send_booking() -> None:
+            async with self.fixture.request("POST", "/book/1"):
+                self.fail("the runner answered")
+
+        caller = asyncio.create_task(send_booking())
+        await wait_until(lambda: bool(self.received_targets()))
+        caller.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await caller
         await wait_until(
             lambda: sum(runner.cancelled for runner in self.fixture.bookings) == 1
         )
