Cut off answers of runners that never end

What callers saw: nothing yet; a host that reads such an answer would exceed its memory and be killed with all its callers' requests.

Cause: the HTTP library limits lines and the number of headers, but neither the bytes between heads nor the size of a body. Plain answers were collected and events searched for without a bound, and each read searched all bytes again.

Change: connections to runners fail once more bytes have arrived than the reader allowed: 512 KiB for a head or between two events with data, 8 MiB for a plain answer. All plain answers of an entry host together have 32 MiB, beyond which none may exceed an equal share, so that small ones still pass. Comments of a stream are passed on with the next event and aren't counted as tokens. Both front ends use the connector; the cell's passes plain bodies on as they arrive, until the time limit.

A stream of well-formed events without end is an answer by its form; the caller's queue and the time limit bound it.

--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -17,9 +17,16 @@
     ReplyStarted,
     StartCallAttempt,
 )
+from figshunt.gateway._answer_buffers import MAX_ANSWER_BYTES, AnswerBuffers
 from figshunt.gateway._codecs import CallCodec
 from figshunt.gateway._runner_channels import Channel, ChannelPool
-from figshunt.runtime import EventStreamReader, MessageSink
+from figshunt.runtime import (
+    MAX_EVENT_BYTES,
+    EventStreamReader,
+    MessageSink,
+    allow_body,
+    attach_comments,
+)
 from figshunt.types import AttemptFailure, AttemptId, SendState
 
 # Headers that the HTTP library must not add to the caller's own.
@@ -36,6 +43,7 @@
         self._codec = codec
         self._message_sink = message_sink
         self._channels = ChannelPool()
+        self._answer_buffers = AnswerBuffers()
         self._tasks_by_attempt: dict[AttemptId, asyncio.Task[None]] = {}
         self._expiry_task: asyncio.Task[None] | None = None
 
@@ -115,10 +123,23 @@
         if head.is_stream:
             await self._read_events(attempt, channel, head, response)
             return
-        body = await response.read()
+        body = await self._read_body(attempt, response)
         self._check_not_reset(channel, response)
         self._message_sink.submit(ReplyComplete(attempt.attempt_id, head, body))
 
+    async def _read_body(
+        self, attempt: StartCallAttempt, response: aiohttp.ClientResponse
+    ) -> bytes:
+        allow_body(response, MAX_ANSWER_BYTES)
+        body = bytearray()
+        try:
+            async for data in response.content.iter_any():
+                self._answer_buffers.grow(attempt.attempt_id, len(data))
+                body += data
+        finally:
+            self._answer_buffers.release(attempt.attempt_id)
+        return bytes(body)
+
     async def _read_events(
         self,
         attempt: StartCallAttempt,
@@ -128,8 +149,11 @@
     ) -> None:
         self._message_sink.submit(ReplyStarted(attempt.attempt_id, head))
         reader = EventStreamReader()
+        allow_body(response, MAX_EVENT_BYTES)
         async for data in response.content.iter_any():
-            for event in reader.feed(data):
+            for event in attach_comments(reader.feed(data)):
+                if event.data:
+                    allow_body(response, MAX_EVENT_BYTES)
                 self._message_sink.submit(
                     ReplyEvent(attempt.attempt_id, event.event_id, event.raw)
                 )
--- a/figshunt/gateway/_runner_channels.py
+++ b/figshunt/gateway/_runner_channels.py
@@ -7,6 +7,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from figshunt.runtime import BoundedConnector
+
 # Runners accept connections within a few ms, and TCP retransmits a lost first
 # packet only after a second. After this timeout there is still time to try another
 # runner.
@@ -47,7 +49,7 @@
         self.expires_s = 0.0
         self._protocol: ResponseHandler | None = None
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=BoundedConnector(
                 limit=1, keepalive_timeout=IDLE_TIMEOUT_S + 5, force_close=False
             ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -1,5 +1,6 @@
-"""Logging, metrics, event streams and timers that all daemons share."""
+"""Logging, metrics, event streams, connections and timers of all daemons."""
 
+from figshunt.runtime._bounded_connector import BoundedConnector, allow_body
 from figshunt.runtime._event_log import (
     EventLog,
     KeyValueDestination,
@@ -8,9 +9,11 @@
     open_log,
 )
 from figshunt.runtime._event_stream import (
+    MAX_EVENT_BYTES,
     EventBatch,
     EventStreamReader,
     ServerSentEvent,
+    attach_comments,
     join_events,
 )
 from figshunt.runtime._log_rate_limit import LogRateLimit
@@ -19,16 +22,20 @@
 from figshunt.runtime._wake_timer import WakeTimer
 
 __all__ = [
+    "BoundedConnector",
     "EventBatch",
     "EventLog",
     "EventStreamReader",
     "KeyValueDestination",
     "LogOutput",
     "LogRateLimit",
+    "MAX_EVENT_BYTES",
     "MessageSink",
     "Metrics",
     "ServerSentEvent",
     "WakeTimer",
+    "allow_body",
+    "attach_comments",
     "format_value",
     "join_events",
     "open_log",
--- a/figshunt/runtime/_event_stream.py
+++ b/figshunt/runtime/_event_stream.py
@@ -6,6 +6,10 @@
 EVENT_TERMINATOR = b"\n\n"
 DONE_DATA = b"[DONE]"
 
+# A server may send this much between two events with data. It exceeds what a
+# connection receives ahead of the reader, and events are much smaller.
+MAX_EVENT_BYTES = 512 * 1024
+
 
 @dataclass(frozen=True, slots=True)
 class ServerSentEvent:
@@ -34,13 +38,34 @@
 
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
         """Append bytes and yield each event that they complete."""
+        # What was received before contains no terminator except for its start.
+        search_start = max(0, len(self._buffer) - len(EVENT_TERMINATOR) + 1)
         self._buffer += data
-        while (end := self._buffer.find(EVENT_TERMINATOR)) >= 0:
+        while (end := self._buffer.find(EVENT_TERMINATOR, search_start)) >= 0:
             raw = bytes(self._buffer[: end + len(EVENT_TERMINATOR)])
             del self._buffer[: len(raw)]
+            search_start = 0
             yield _parse_event(raw)
 
 
+def attach_comments(events: Iterable[ServerSentEvent]) -> Iterator[ServerSentEvent]:
+    """Join the bytes of events without id and data with those of the next event.
+
+    An endless series of comments thus costs little. Those at the end are yielded
+    as one event.
+    """
+    comments: list[bytes] = []
+    for event in events:
+        if event.event_id is None and not event.data:
+            comments.append(event.raw)
+            continue
+        raw = b"".join([*comments, event.raw])
+        comments.clear()
+        yield ServerSentEvent(raw, event.event_id, event.data)
+    if comments:
+        yield ServerSentEvent(b"".join(comments), None, b"")
+
+
 @dataclass(frozen=True, slots=True)
 class EventBatch:
     """Consecutive token events that arrived together, as received.
@@ -58,6 +83,8 @@
 def join_events(events: Iterable[ServerSentEvent], offset: int) -> Iterator[EventBatch]:
     """Join events into batches without gaps, which are cheaper to handle.
 
+    An event without id and data is a comment and doesn't count as a token.
+
     :param offset: tokens before the first event, used for events without an id.
     """
     raw_events: list[bytes] = []
@@ -80,7 +107,8 @@
                 raw_events = []
             first_offset = offset = event.event_id
         raw_events.append(event.raw)
-        offset += 1
+        if event.data or event.event_id is not None:
+            offset += 1
     if raw_events:
         yield EventBatch(
             b"".join(raw_events), offset - first_offset, first_offset, is_done=False
--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -6,7 +6,14 @@
 from mode import Service
 from yarl import URL
 
-from figshunt.runtime import EventStreamReader, MessageSink, join_events
+from figshunt.runtime import (
+    MAX_EVENT_BYTES,
+    BoundedConnector,
+    EventStreamReader,
+    MessageSink,
+    allow_body,
+    join_events,
+)
 from figshunt.types import (
     AnswerHead,
     AttemptChunk,
@@ -44,7 +51,7 @@
     async def on_start(self) -> None:
         """Open the client session."""
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            connector=BoundedConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             auto_decompress=False,
         )
@@ -131,8 +138,11 @@
     ) -> None:
         reader = EventStreamReader()
         offset = effect.resume_offset
+        allow_body(response, MAX_EVENT_BYTES)
         async for data in response.content.iter_any():
             for batch in join_events(reader.feed(data), offset):
+                if batch.tokens:
+                    allow_body(response, MAX_EVENT_BYTES)
                 offset = batch.offset + batch.tokens
                 self._message_sink.submit(
                     AttemptChunk(
@@ -153,7 +163,9 @@
         self, effect: StartAttempt, response: aiohttp.ClientResponse
     ) -> None:
         offset = 0
+        allow_body(response, MAX_EVENT_BYTES)
         async for data in response.content.iter_chunked(READ_CHUNK_BYTES):
+            allow_body(response, MAX_EVENT_BYTES)
             self._message_sink.submit(AttemptChunk(effect.attempt_id, data, 0, offset))
             offset += len(data)
         self._message_sink.submit(AttemptFinished(effect.attempt_id, 0))
--- a/figshunt/standins/__init__.py
+++ b/figshunt/standins/__init__.py
@@ -11,6 +11,7 @@
     BatchProfile,
     ContinuousBatch,
 )
+from figshunt.standins._endless_runner import EndlessRunner
 from figshunt.standins._host_list import (
     HostListService,
 )
@@ -61,6 +62,7 @@
     "ConfigurationMode",
     "ConfigurationService",
     "ContinuousBatch",
+    "EndlessRunner",
     "EngineProfile",
     "HostListService",
     "LoadHistory",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -387,3 +387,60 @@
         "can_read_store": True,
     }
     return HostStatus(**(fields | overrides))
+
+
+# Memory that a daemon may use for control, which bounds what it may receive of an
+# endless answer.
+MAX_ENDLESS_BYTES = 64 * 1024 * 1024
+
+# Answers that never end, each as its start and the bytes that follow again and
+# again. The bytes of the heads and bodies are no part of a valid answer.
+ENDLESS_HEADS = {
+    "status line": (b"HTTP/1.1 200 ", b"x"),
+    "header line": (b"HTTP/1.1 200 OK\r\nX-Name: ", b"x"),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"X-Name: x\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "blank lines": (b"", b"\r\n"),
+    "no protocol": (b"", b"x"),
+}
+ENDLESS_EVENTS = {
+    "event": (b"data: ", b"x"),
+    "lines of one event": (b"", b"data: x\n"),
+    "comments": (b"", b":\n\n"),
+}
+
+
+def build_endless_answer(
+    content_type: str, start: bytes = b"", chunk_start: bytes | None = None
+) -> bytes:
+    """Return the start of an answer whose body has no known length.
+
+    :param chunk_start: the start of a chunk, for a body that is sent in chunks.
+    """
+    headers = [
+        b"HTTP/1.1 200 OK",
+        b"Content-Type: " + content_type.encode(),
+        b"X-Figshunt-Attempt-Id: a1",
+        b"X-Figshunt-Server-Stamp: stamp",
+    ]
+    if chunk_start is not None:
+        headers.append(b"Transfer-Encoding: chunked")
+        start = chunk_start + start
+    return b"\r\n".join([*headers, b"", start])
+
+
+def build_endless_answers() -> dict[str, tuple[bytes, bytes]]:
+    """Return answers of a runner in trouble by what never ends in them."""
+    plain, events = "application/json", "text/event-stream"
+    bodies = {
+        "body": (build_endless_answer(plain), b"x"),
+        "chunk": (build_endless_answer(plain, chunk_start=b"FFFFFFFFFF\r\n"), b"x"),
+        "chunks": (build_endless_answer(plain, chunk_start=b""), b"1\r\nx\r\n"),
+        "chunk extension": (build_endless_answer(plain, chunk_start=b"1;"), b"x"),
+        "trailers": (build_endless_answer(plain, chunk_start=b"0\r\n"), b"X-A: x\r\n"),
+    }
+    streams = {
+        name: (build_endless_answer(events, start), repeated)
+        for name, (start, repeated) in ENDLESS_EVENTS.items()
+    }
+    return ENDLESS_HEADS | bodies | streams
--- /dev/null
+++ b/tests/gateway/test_endless_answers.py
@@ -0,0 +1,83 @@
+"""Answers of runners in trouble that never end."""
+
+import unittest
+
+from figshunt.dispatch import CallAttemptFailed, StartCallAttempt
+from figshunt.gateway._answer_buffers import (
+    MAX_ANSWER_BYTES,
+    MAX_BUFFERED_BYTES,
+    AnswerBuffers,
+    AnswerTooLargeError,
+)
+from figshunt.gateway._runner_caller import RunnerCaller
+from figshunt.platform import PlatformCallCodec
+from figshunt.standins import EndlessRunner
+from figshunt.types import AttemptFailure, AttemptId, RunnerId
+from tests.builders import MAX_ENDLESS_BYTES, build_call, build_endless_answers
+from tests.gateway.fixture import wait_until
+from tests.recording_sink import RecordingSink
+
+
+class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a host that reads an endless answer until it has no memory."""
+
+    async def asyncSetUp(self) -> None:
+        self.sink = RecordingSink()
+        self.caller = RunnerCaller(PlatformCallCodec(), self.sink)
+        await self.caller.start()
+        self.addAsyncCleanup(self.caller.stop)
+
+    async def test_endless_answer_is_cut_off(self) -> None:
+        for name, (start, repeated) in build_endless_answers().items():
+            with self.subTest(name):
+                self.sink.messages.clear()
+                runner = EndlessRunner(start, repeated)
+                await runner.start()
+                self.caller.start_attempt(self.build_attempt(runner, name))
+                try:
+                    await wait_until(
+                        lambda: bool(self.sink.messages_of(CallAttemptFailed))
+                    )
+                    await wait_until(lambda: not runner.open_connections)
+                finally:
+                    await runner.stop()
+                (failure,) = self.sink.messages_of(CallAttemptFailed)
+                self.assertIs(AttemptFailure.PROTOCOL, failure.failure)
+                self.assertLess(runner.sent_bytes, MAX_ENDLESS_BYTES)
+
+    def build_attempt(self, runner: EndlessRunner, name: str) -> StartCallAttempt:
+        return StartCallAttempt(
+            attempt_id=AttemptId(name),
+            runner_id=RunnerId("e1"),
+            address=runner.address,
+            call=build_call(headers=(("X-Figshunt-Attempt-Id", "a1"),)),
+            team=None,
+            time_limit_ms=10_000,
+            priority=0,
+            resume_after=None,
+        )
+
+
+class AnswerBuffersTest(unittest.TestCase):
+    """Guards against many endless answers that together take all memory."""
+
+    def test_small_answers_are_received_beside_endless_ones(self) -> None:
+        buffers = AnswerBuffers()
+        answers = MAX_BUFFERED_BYTES // MAX_ANSWER_BYTES * 2
+        for number in range(answers):
+            buffers.grow(AttemptId(f"endless-{number}"), MAX_ANSWER_BYTES // 2)
+        buffers.grow(AttemptId("small"), 1_000)
+        with self.assertRaises(AnswerTooLargeError):
+            buffers.grow(AttemptId("endless-0"), 1_000)
+        buffers.release(AttemptId("endless-0"))
+        buffers.grow(AttemptId("endless-1"), 1_000)
+
+    def test_single_answer_is_limited(self) -> None:
+        buffers = AnswerBuffers()
+        buffers.grow(AttemptId("a"), MAX_ANSWER_BYTES)
+        with self.assertRaises(AnswerTooLargeError):
+            buffers.grow(AttemptId("a"), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/recording_sink.py
@@ -0,0 +1,24 @@
+"""A message sink for tests of services without a core."""
+
+from typing import TypeVar
+
+from figshunt.types import Message
+
+MessageType = TypeVar("MessageType", bound=Message)
+
+
+class RecordingSink:
+    """Records the messages that a service passes to the core."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+
+    def submit(self, message: Message) -> None:
+        """Record a message."""
+        self.messages.append(message)
+
+    def messages_of(self, message_type: type[MessageType]) -> list[MessageType]:
+        """Return the recorded messages of one type."""
+        return [
+            message for message in self.messages if isinstance(message, message_type)
+        ]
--- a/tests/runtime/test_event_stream.py
+++ b/tests/runtime/test_event_stream.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from figshunt.runtime import EventBatch, EventStreamReader, join_events
+from figshunt.runtime import (
+    EventBatch,
+    EventStreamReader,
+    ServerSentEvent,
+    attach_comments,
+    join_events,
+)
 
 DONE = b"data: [DONE]\n\n"
 
@@ -26,6 +32,12 @@
                 [EventBatch(event_1 + event_2, 2, 1, False)],
             ),
             ("end", [event_1, DONE], 1, [EventBatch(event_1 + DONE, 1, 1, True)]),
+            (
+                "comments",
+                [event_1, b":\n\n", event_2],
+                1,
+                [EventBatch(event_1 + b":\n\n" + event_2, 2, 1, False)],
+            ),
             ("end alone", [DONE], 7, [EventBatch(DONE, 0, 7, True)]),
             (
                 "without ids",
@@ -69,3 +81,18 @@
             events = [event for chunk in chunks for event in reader.feed(chunk)]
             self.assertEqual(b"".join(event.raw for event in events), data)
             self.assertEqual([event.event_id for event in events], [0, 1, None])
+
+
+class AttachCommentsTest(unittest.TestCase):
+    """Guards against one message for each comment of an endless series."""
+
+    def test_comments_are_joined_with_the_next_event(self) -> None:
+        comment, event = b":\n\n", build_event(1)
+        events = EventStreamReader().feed(comment * 3 + event + comment * 2)
+        self.assertEqual(
+            [
+                ServerSentEvent(comment * 3 + event, 1, b"x"),
+                ServerSentEvent(comment * 2, None, b""),
+            ],
+            list(attach_comments(events)),
+        )
