Add runners that never end their answers, and larger fleets, to the soak

Cause: no run with real processes covered answers without end, and the soak had three hosts only.

Change: each plan has one fault in which a runner sends bytes that are no answer until the connection is closed; it is drawn apart, so that the other faults of earlier seeds stay as they were. After the faults no host may have used more memory than the smallest known hosts have. python -m tests.soak takes the number of hosts; they learn of each other from at most three.

--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -9,6 +9,7 @@
 from figshunt.standins._web_standin import LOOPBACK, WebStandin
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
+ENDLESS_WRITE_BYTES = 64 * 1024
 
 
 class RunnerBehaviour(Enum):
@@ -19,7 +20,8 @@
     never responds and ``CLOSE`` aborts the connection instead of responding.
     ``BREAK_STREAM`` closes the connection after two events of a stream, within
     the third one. ``ANSWER_TWICE`` sends a second response that belongs to no
-    request.
+    request. ``NEVER_END`` sends bytes that are no events or answer until the
+    connection is closed.
     """
 
     SERVE = "serve"
@@ -29,6 +31,7 @@
     BREAK_STREAM = "break_stream"
     CLOSE = "close"
     ANSWER_TWICE = "answer_twice"
+    NEVER_END = "never_end"
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +123,10 @@
             request.transport.abort()
         if self.behaviour is RunnerBehaviour.FAIL:
             return web.Response(status=500, headers=headers, text="failed")
-        if request.headers.get("X-Figshunt-Token-Counts") is not None:
+        is_stream = request.headers.get("X-Figshunt-Token-Counts") is not None
+        if self.behaviour is RunnerBehaviour.NEVER_END:
+            return await self._send_without_end(request, headers, is_stream)
+        if is_stream:
             return await self._stream(request, headers)
         response = web.Response(headers=headers, text=f"served by {self.runner_id}")
         if self.behaviour is RunnerBehaviour.ANSWER_TWICE:
@@ -149,6 +155,15 @@
         await response.write_eof()
         return response
 
+    async def _send_without_end(
+        self, request: web.Request, headers: dict[str, str], is_stream: bool
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers=headers)
+        response.content_type = "text/event-stream" if is_stream else "text/plain"
+        await response.prepare(request)
+        while True:
+            await response.write(b"x" * ENDLESS_WRITE_BYTES)
+
     async def _write_second_response(self, request: web.Request) -> None:
         await asyncio.sleep(self._event_interval_ms / 1000)
         if request.transport is not None:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,19 +5,26 @@
 
 import defopt
 
-from tests.soak import run_soak
+from tests.soak import DEFAULT_HOST_COUNT, run_soak
 
 
-def soak(*, first: int = 1, seeds: int = 50, seconds: float = 8.0) -> int:
+def soak(
+    *,
+    first: int = 1,
+    seeds: int = 50,
+    seconds: float = 8.0,
+    hosts: int = DEFAULT_HOST_COUNT,
+) -> int:
     """Run one soak for each of a range of seeds and print the results.
 
     :param first: first seed of the range.
     :param seeds: number of seeds.
     :param seconds: period in each soak within which faults start.
+    :param hosts: number of host processes in each soak.
     """
     failed = 0
     for seed in range(first, first + seeds):
-        report = asyncio.run(run_soak(seed, seconds))
+        report = asyncio.run(run_soak(seed, seconds, hosts))
         failed += bool(report.violations)
         print(f"seed={seed} violations={len(report.violations)} {report.results}")
         for violation in report.violations:
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 import signal
 import socket
 import tempfile
@@ -13,7 +14,10 @@
 from tests.harness import FaultProxy, ManagedProcess, start_module
 from tests.soak._plan import Fault, FaultKind
 
-HOST_COUNT = 3
+DEFAULT_HOST_COUNT = 3
+
+# The platform names at most this many hosts from which a host learns of all others.
+SEED_COUNT = 3
 SLOW_LINK_DELAY_MS = 300
 START_TIMEOUT_S = 30.0
 
@@ -24,6 +28,7 @@
     FaultKind.RUNNER_CLOSES: RunnerBehaviour.CLOSE,
     FaultKind.RUNNER_BREAKS_STREAMS: RunnerBehaviour.BREAK_STREAM,
     FaultKind.RUNNER_ANSWERS_TWICE: RunnerBehaviour.ANSWER_TWICE,
+    FaultKind.RUNNER_NEVER_ENDS: RunnerBehaviour.NEVER_END,
 }
 
 
@@ -96,6 +101,14 @@
         )
         self.front_port = int(match[1])
 
+    def peak_memory_bytes(self) -> int:
+        """Return the largest resident memory that the process has had."""
+        assert self.process is not None
+        status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        match = re.search(r"VmHWM:\s+(\d+) kB", status)
+        assert match is not None
+        return int(match[1]) * 1024
+
     @property
     def is_restarting(self) -> bool:
         """Return whether a restart is in progress."""
@@ -123,7 +136,7 @@
 class SoakFleet:
     """Entry hosts, runners and a store, and the injection of faults into them."""
 
-    def __init__(self) -> None:
+    def __init__(self, host_count: int) -> None:
         self.store = PlatformStore()
         self.runners = [
             *(ProxiedRunner(f"e{number}", "engines") for number in range(3)),
@@ -132,7 +145,7 @@
         self._directory = tempfile.TemporaryDirectory()
         ports = (find_free_port(socket.SOCK_DGRAM), find_free_port(socket.SOCK_STREAM))
         directory = Path(self._directory.name)
-        self.hosts = [Host(index, directory, ports) for index in range(HOST_COUNT)]
+        self.hosts = [Host(index, directory, ports) for index in range(host_count)]
         self._version = 3
 
     async def start(self) -> None:
@@ -142,7 +155,7 @@
             await runner.start()
             self.list_runner(runner)
         self.store.put("op/config", build_document(self._version))
-        seeds = [f"{host.ip}:1" for host in self.hosts]
+        seeds = [f"{host.ip}:1" for host in self.hosts[:SEED_COUNT]]
         for host in self.hosts:
             await host.store_proxy.start()
             host.store_proxy.target_port = self.store.port
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -12,8 +12,8 @@
     """The kinds of faults; each fault ends by itself after a time.
 
     Plans are drawn from the members in their order, so adding, removing or moving
-    a member changes the plan of every seed. The last word of the value of a link
-    fault selects how the link is disrupted.
+    a member changes the plan of every seed, except for ``EXTRA_KINDS``. The last
+    word of the value of a link fault selects how the link is disrupted.
     """
 
     HOST_KILLED = "host_killed"
@@ -38,6 +38,12 @@
     RUNNER_BREAKS_STREAMS = "runner_breaks_streams"
     RUNNER_ANSWERS_TWICE = "runner_answers_twice"
     RUNNER_UNLISTED = "runner_unlisted"
+    RUNNER_NEVER_ENDS = "runner_never_ends"
+
+
+# Kinds that were added later. Each is drawn once for a plan, from a random source of
+# its own, so that the other faults of earlier seeds remain the same.
+EXTRA_KINDS = (FaultKind.RUNNER_NEVER_ENDS,)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,14 +63,19 @@
 def draw_plan(seed: int, period_s: float, faults_per_s: float = 2.0) -> list[Fault]:
     """Return the faults of a seed, sorted by their start; they may overlap."""
     rng = random.Random(seed)
-    kinds = list(FaultKind)
+    kinds = [kind for kind in FaultKind if kind not in EXTRA_KINDS]
     faults = [
-        Fault(
-            start_s=rng.uniform(0, period_s),
-            duration_s=rng.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S),
-            kind=rng.choice(kinds),
-            target=rng.randrange(1_000),
-        )
-        for _ in range(int(period_s * faults_per_s))
+        _draw_fault(rng, period_s, kinds) for _ in range(int(period_s * faults_per_s))
     ]
+    extra_rng = random.Random(f"{seed} extra")
+    faults += [_draw_fault(extra_rng, period_s, [kind]) for kind in EXTRA_KINDS]
     return sorted(faults, key=lambda fault: fault.start_s)
+
+
+def _draw_fault(rng: random.Random, period_s: float, kinds: list[FaultKind]) -> Fault:
+    return Fault(
+        start_s=rng.uniform(0, period_s),
+        duration_s=rng.uniform(MIN_FAULT_DURATION_S, MAX_FAULT_DURATION_S),
+        kind=rng.choice(kinds),
+        target=rng.randrange(1_000),
+    )
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from tests.soak._callers import DEADLINE_S, Callers
-from tests.soak._fleet import SoakFleet, run_faults
+from tests.soak._fleet import DEFAULT_HOST_COUNT, SoakFleet, run_faults
 from tests.soak._plan import draw_plan
 
 CALLER_COUNT = 12
@@ -17,6 +17,10 @@
 RECOVERY_CHECK_INTERVAL_S = 0.3
 
 
+# Memory of the smallest hosts of known deployments.
+MAX_HOST_MEMORY_BYTES = 150 * 1024 * 1024
+
+
 @dataclass(frozen=True, slots=True)
 class SoakReport:
     """The result of one soak.
@@ -29,12 +33,15 @@
     results: Counter[str]
 
 
-async def run_soak(seed: int, period_s: float) -> SoakReport:
+async def run_soak(
+    seed: int, period_s: float, hosts: int = DEFAULT_HOST_COUNT
+) -> SoakReport:
     """Run entry hosts under the faults of a seed and check them afterwards.
 
     :param period_s: period within which faults start.
+    :param hosts: number of host processes.
     """
-    fleet = SoakFleet()
+    fleet = SoakFleet(hosts)
     callers = Callers(fleet, seed)
     try:
         await fleet.start()
@@ -43,6 +50,7 @@
         callers.stop()
         await load
         await _check_recovery(fleet, callers)
+        _check_memory(fleet, callers)
         callers.check_executions()
     finally:
         await fleet.stop()
@@ -60,6 +68,13 @@
                     )
 
 
+def _check_memory(fleet: SoakFleet, callers: Callers) -> None:
+    for host in fleet.hosts:
+        peak_bytes = host.peak_memory_bytes()
+        if peak_bytes > MAX_HOST_MEMORY_BYTES:
+            callers.violations.append(f"{host.name} used {peak_bytes} bytes of memory")
+
+
 async def _recovers(
     callers: Callers, session: aiohttp.ClientSession, url: str, kind: str
 ) -> bool:
