--- a/figshunt/dispatch/_priority_scale.py
+++ b/figshunt/dispatch/_priority_scale.py
@@ -25,6 +25,7 @@
         self._route_ranks = {
             urgency: rank for rank, urgency in enumerate(sorted(route_urgencies))
         }
+        # With more route urgencies than levels, neighbours share a level.
         levels_per_urgency = PRIORITY_LEVELS // (max_urgency + 1)
         self._stride = max(1, min(len(self._route_ranks), levels_per_urgency))
 
--- a/figshunt/dispatch/_team_filter.py
+++ b/figshunt/dispatch/_team_filter.py
@@ -73,12 +73,14 @@
                 pool=self._choose_pool(route),
                 team=team.name if team else None,
                 urgency=urgency,
-                priority=self._scale(configuration).priority(urgency, route.urgency),
+                priority=self._scale_for(configuration).priority(
+                    urgency, route.urgency
+                ),
                 deadline_ms=call.received.monotonic_ms + _time_limit_ms(call, route),
             )
         )
 
-    def _scale(self, configuration: Configuration) -> PriorityScale:
+    def _scale_for(self, configuration: Configuration) -> PriorityScale:
         """Return the priority scale, which changes only with the configuration."""
         if (
             self._priority_scale is None
--- a/figshunt/standins/_endless_runner.py
+++ b/figshunt/standins/_endless_runner.py
@@ -52,7 +52,10 @@
                 self.sent_bytes += len(self._repeated)
                 # Lets the peer run, which shares the event loop in tests.
                 await asyncio.sleep(0)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        except asyncio.CancelledError:
+            # The stream library logs a cancelled handler as an error.
             pass
         finally:
             self.open_connections -= 1
