Share the recording message sink of the service tests

Cause: the tests of endless answers brought a second class that records messages for the core.

Change: tests/recording_sink.py has the one that the tests of the watchers had, with typed results.

--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -15,14 +15,14 @@
 from figshunt.types import AttemptFailure, AttemptId, RunnerId
 from tests.builders import MAX_ENDLESS_BYTES, build_call, build_endless_answers
 from tests.gateway.fixture import wait_until
-from tests.recording_sink import RecordingSink
+from tests.recording_sink import RecordingMessageSink
 
 
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a host that reads an endless answer until it has no memory."""
 
     async def asyncSetUp(self) -> None:
-        self.sink = RecordingSink()
+        self.sink = RecordingMessageSink()
         self.caller = RunnerCaller(PlatformCallCodec(), self.sink)
         await self.caller.start()
         self.addAsyncCleanup(self.caller.stop)
@@ -35,13 +35,11 @@
                 await runner.start()
                 self.caller.start_attempt(self.build_attempt(runner, name))
                 try:
-                    await wait_until(
-                        lambda: bool(self.sink.messages_of(CallAttemptFailed))
-                    )
+                    await wait_until(lambda: bool(self.sink.of_type(CallAttemptFailed)))
                     await wait_until(lambda: not runner.open_connections)
                 finally:
                     await runner.stop()
-                (failure,) = self.sink.messages_of(CallAttemptFailed)
+                (failure,) = self.sink.of_type(CallAttemptFailed)
                 self.assertIs(AttemptFailure.PROTOCOL, failure.failure)
                 self.assertLess(runner.sent_bytes, MAX_ENDLESS_BYTES)
 
--- a/tests/recording_sink.py
+++ b/tests/recording_sink.py
@@ -7,7 +7,7 @@
 MessageType = TypeVar("MessageType", bound=Message)
 
 
-class RecordingSink:
+class RecordingMessageSink:
     """Records the messages that a service passes to the core."""
 
     def __init__(self) -> None:
@@ -17,7 +17,7 @@
         """Record a message."""
         self.messages.append(message)
 
-    def messages_of(self, message_type: type[MessageType]) -> list[MessageType]:
+    def of_type(self, message_type: type[MessageType]) -> list[MessageType]:
         """Return the recorded messages of one type."""
         return [
             message for message in self.messages if isinstance(message, message_type)
--- a/tests/services/test_endless_answers.py
+++ b/tests/services/test_endless_answers.py
@@ -11,7 +11,7 @@
     build_request,
 )
 from tests.gateway.fixture import wait_until
-from tests.recording_sink import RecordingSink
+from tests.recording_sink import RecordingMessageSink
 
 # Bodies of these answers are passed on as they arrive, until the time limit.
 FORWARDED_BODIES = ("body", "chunk", "chunks")
@@ -21,7 +21,7 @@
     """Guards against a daemon that reads an endless answer until it has no memory."""
 
     async def asyncSetUp(self) -> None:
-        self.sink = RecordingSink()
+        self.sink = RecordingMessageSink()
         self.client = RunnerClient(self.sink)
         await self.client.start()
         self.addAsyncCleanup(self.client.stop)
@@ -58,7 +58,7 @@
         )
         self.client.start_attempt(attempt)
         try:
-            await wait_until(lambda: bool(self.sink.messages_of(AttemptFailed)))
+            await wait_until(lambda: bool(self.sink.of_type(AttemptFailed)))
             await wait_until(lambda: not runner.open_connections)
         finally:
             await runner.stop()
--- a/tests/services/test_watchers.py
+++ b/tests/services/test_watchers.py
@@ -21,7 +21,6 @@
     HostListReceived,
     HostState,
     LoadReported,
-    Message,
     RunnerId,
     SystemClock,
     TableServiceRead,
@@ -29,26 +28,12 @@
     TablesRefused,
 )
 from tests.builders import build_documents
+from tests.recording_sink import RecordingMessageSink
 
 REPEATED_REPORTS = 20
 HOST = {"name": "runner-1", "data_centre": "accra-1", "state": "live"}
 
 
-class RecordingMessageSink:
-    """Records the messages that a watcher passes to the core."""
-
-    def __init__(self) -> None:
-        self.messages: list[Message] = []
-
-    def submit(self, message: Message) -> None:
-        self.messages.append(message)
-
-    def of_type(self, message_type: type[Message]) -> list[Message]:
-        return [
-            message for message in self.messages if isinstance(message, message_type)
-        ]
-
-
 async def wait_until(condition: Callable[[], object]) -> None:
     async with asyncio.timeout(10):
         while not condition():
