--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from tests.soak._callers import DEADLINE_S, Callers
-from tests.soak._fleet import DEFAULT_HOST_COUNT, SoakFleet, run_faults
+from tests.soak._fleet import DEFAULT_HOST_COUNT, Host, SoakFleet, run_faults
 from tests.soak._plan import draw_plan
 
 CALLER_COUNT = 12
@@ -62,7 +62,7 @@
     async with aiohttp.ClientSession(timeout=timeout) as session:
         for host in fleet.hosts:
             for kind in ("chat", "book", "look"):
-                if not await _recovers(callers, session, host.url, kind):
+                if not await _recovers(callers, session, host, kind):
                     callers.violations.append(
                         f"{host.name} did not recover: no {kind} request was served"
                     )
@@ -76,12 +76,12 @@
 
 
 async def _recovers(
-    callers: Callers, session: aiohttp.ClientSession, url: str, kind: str
+    callers: Callers, session: aiohttp.ClientSession, host: Host, kind: str
 ) -> bool:
     attempts = int(RECOVERY_TIMEOUT_S / RECOVERY_CHECK_INTERVAL_S)
     for attempt in range(attempts):
-        request_id = f"{kind}-after-{url[-5:]}-{attempt}"
-        if await callers.send(session, url, kind, request_id) == "200":
+        request_id = f"{kind}-after-{host.name}-{attempt}"
+        if await callers.send(session, host.url, kind, request_id) == "200":
             return True
         await asyncio.sleep(RECOVERY_CHECK_INTERVAL_S)
     return False
