Trust a refusal only if it identifies the request

Cause: CallAttemptFilter looked at the verdicts "refused" and "wrong runner" before it looked at the id of the answer, and the decoder kept the last of several ids. A runner that wrote an earlier refusal once more on a kept connection made a booking that it was running go to a second runner, or made its caller read "not run, try again". Shown over sockets by test_late_copy_of_a_refusal_does_not_refuse_the_next_request (503 instead of 502 before). A status by which callers conclude that nothing ran (408, 421, 429, 503) was also forwarded without the runner's statement. Ruled out: runners that refuse without an id.

Change: A refusal counts only if its id, the only one in the head, is the request's. Without the statement, such a status is an invalid answer. A refusal is never a stream. The connection isn't used again after an answer to another request, as the next answer on it may be this request's. The stand-in echoes ids in refusals and can repeat one. One assertion changed: 503 without the statement has a verdict of its own, which is stricter than "failed" (it is never forwarded).

--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -64,6 +64,8 @@
     AttemptFailure.CANCELLED: CallAttemptResult.ABANDONED,
 }
 
+REFUSAL_VERDICTS = frozenset({ReplyVerdict.REFUSED, ReplyVerdict.WRONG_RUNNER})
+
 
 class CallAttemptFilter:
     """Owns the attempts in flight.
@@ -168,14 +170,14 @@
         if attempt is None:
             return
         head = reply.head
-        if head.verdict is ReplyVerdict.REFUSED:
-            yield from self._handle_refusal(attempt, head, now)
-        elif head.verdict is ReplyVerdict.WRONG_RUNNER:
+        is_refusal = head.verdict in REFUSAL_VERDICTS
+        if is_refusal and head.matches_request:
             yield from self._handle_refusal(attempt, head, now)
-        elif not head.has_receipt or not head.matches_request:
+        elif not _is_own_answer(head):
+            # A refusal of an earlier request says nothing about this one.
             detail = (
-                f"answer with status {head.status} has no receipt or belongs to"
-                " another request"
+                f"answer with status {head.status} has no receipt, belongs to"
+                " another request, or refuses without saying that nothing ran"
             )
             yield from self._retry_or_fail(
                 attempt, CallAttemptResult.INVALID_ANSWER, detail, now
@@ -235,7 +237,7 @@
         if attempt is None:
             return
         head = reply.head
-        if not head.has_receipt or not head.matches_request:
+        if not _is_own_answer(head):
             detail = (
                 f"stream with status {head.status} has no receipt or belongs to"
                 " another request"
@@ -453,3 +455,12 @@
                 is_wrong_runner,
             )
         )
+
+
+def _is_own_answer(head: ReplyHead) -> bool:
+    """Return whether the head starts an answer of the runner to this request."""
+    return (
+        head.has_receipt
+        and head.matches_request
+        and head.verdict in (ReplyVerdict.ANSWERED, ReplyVerdict.FAILED)
+    )
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -18,12 +18,17 @@
 
 
 class ReplyVerdict(Enum):
-    """The outcome of a request according to the status of the answer."""
+    """The outcome of a request according to the status and headers of the answer.
+
+    ``UNPROVEN_REFUSAL`` is a status by which callers conclude that the request did
+    not run, without the runner's statement that it didn't.
+    """
 
     ANSWERED = "answered"
     FAILED = "failed"
     REFUSED = "refused"
     WRONG_RUNNER = "wrong_runner"
+    UNPROVEN_REFUSAL = "unproven_refusal"
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -82,7 +82,7 @@
 
     async def _send_call(self, attempt: StartCallAttempt) -> None:
         channel = await self._channels.acquire(attempt.address)
-        is_complete = False
+        is_reusable = False
         try:
             async with channel.request(
                 attempt.call.method,
@@ -93,8 +93,10 @@
                 allow_redirects=False,
             ) as response:
                 channel.record_response(response)
-                await self._read_response(attempt, channel, response)
-                is_complete = True
+                head = await self._read_response(attempt, channel, response)
+                # After an answer to another request, the next one may be this
+                # request's.
+                is_reusable = head.matches_request
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._report_failure(
                 attempt, AttemptFailure.REFUSED, error, SendState.UNSENT
@@ -106,7 +108,7 @@
         except OSError as error:
             self._report_failure(attempt, AttemptFailure.CONNECTION_LOST, error)
         finally:
-            if is_complete:
+            if is_reusable:
                 await self._channels.release(channel)
             else:
                 await channel.close()
@@ -116,16 +118,17 @@
         attempt: StartCallAttempt,
         channel: Channel,
         response: aiohttp.ClientResponse,
-    ) -> None:
+    ) -> ReplyHead:
         head = self._codec.decode_head(
             attempt, response.status, _list_headers(response)
         )
         if head.is_stream:
             await self._read_events(attempt, channel, head, response)
-            return
+            return head
         body = await self._read_body(attempt, response)
         self._check_not_reset(channel, response)
         self._message_sink.submit(ReplyComplete(attempt.attempt_id, head, body))
+        return head
 
     async def _read_body(
         self, attempt: StartCallAttempt, response: aiohttp.ClientResponse
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -25,6 +25,7 @@
     LENGTH_HINT,
     LOWEST_PRIORITY,
     NOT_EXECUTED,
+    NOT_RUN_STATUSES,
     PRIORITY,
     PROMPT_PARTS,
     REMAINING_TIME_MS,
@@ -108,7 +109,10 @@
         request_id = dict(
             (name.lower(), value) for name, value in attempt.call.headers
         ).get(REQUEST_ID.lower())
-        is_success = 200 <= status < 300
+        answered_ids = {
+            value for name, value in pairs if name.lower() == REQUEST_ID.lower()
+        }
+        verdict = _decode_verdict(status, by_name)
         content_type = by_name.get("content-type", "")
         return ReplyHead(
             status=status,
@@ -117,10 +121,14 @@
                 for name, value in pairs
                 if name.lower() not in CONNECTION_HEADERS
             ),
-            verdict=_decode_verdict(status, by_name),
+            verdict=verdict,
             has_receipt=SERVER_STAMP.lower() in by_name,
-            matches_request=by_name.get(REQUEST_ID.lower()) == request_id,
-            is_stream=is_success and content_type.startswith(EVENT_STREAM_TYPE),
+            # An answer with two different ids identifies no request.
+            matches_request=answered_ids == ({request_id} if request_id else set()),
+            is_stream=(
+                verdict is ReplyVerdict.ANSWERED
+                and content_type.startswith(EVENT_STREAM_TYPE)
+            ),
             retry_after_ms=_decode_seconds_as_ms(by_name.get(RETRY_AFTER.lower())),
         )
 
@@ -180,6 +188,8 @@
         return ReplyVerdict.WRONG_RUNNER
     if NOT_EXECUTED.lower() in by_name:
         return ReplyVerdict.REFUSED
+    if status in NOT_RUN_STATUSES:
+        return ReplyVerdict.UNPROVEN_REFUSAL
     return ReplyVerdict.ANSWERED if 200 <= status < 300 else ReplyVerdict.FAILED
 
 
--- a/figshunt/platform/_headers.py
+++ b/figshunt/platform/_headers.py
@@ -55,4 +55,6 @@
 
 LOWEST_PRIORITY = 9
 WRONG_RUNNER_STATUS = 421
+# Callers conclude from these that the request did not run.
+NOT_RUN_STATUSES = frozenset({408, WRONG_RUNNER_STATUS, 429, 503})
 EVENT_STREAM_TYPE = "text/event-stream"
--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -20,7 +20,8 @@
     never responds and ``CLOSE`` aborts the connection instead of responding.
     ``BREAK_STREAM`` closes the connection after two events of a stream, within
     the third one. ``ANSWER_TWICE`` sends a second response that belongs to no
-    request. ``NEVER_END`` sends bytes that are no events or answer until the
+    request. ``REPEAT_REFUSAL`` runs the request but sends the refusal of an earlier
+    request on the same connection once more before the answer. ``NEVER_END`` sends bytes that are no events or answer until the
     connection is closed.
     """
 
@@ -31,6 +32,7 @@
     BREAK_STREAM = "break_stream"
     CLOSE = "close"
     ANSWER_TWICE = "answer_twice"
+    REPEAT_REFUSAL = "repeat_refusal"
     NEVER_END = "never_end"
 
 
@@ -63,6 +65,7 @@
         self.behaviour = RunnerBehaviour.SERVE
         self.received_requests: list[ReceivedRequest] = []
         self.cancelled = 0
+        self._refused_ids_by_connection: dict[object, str] = {}
         self._events = events
         self._event_interval_ms = event_interval_ms
 
@@ -93,10 +96,14 @@
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         expected_runner_id = request.headers.get("X-Figshunt-Expect-Instance")
+        request_id = request.headers.get("X-Figshunt-Attempt-Id", "")
+        headers = {"X-Figshunt-Attempt-Id": request_id}
         if expected_runner_id is not None and expected_runner_id != self.runner_id:
-            return web.Response(status=421)
+            return web.Response(status=421, headers=headers)
         if self.behaviour is RunnerBehaviour.REFUSE:
-            return web.Response(status=503, headers={"X-Figshunt-Not-Executed": "1"})
+            self._refused_ids_by_connection[request.protocol] = request_id
+            headers["X-Figshunt-Not-Executed"] = "1"
+            return web.Response(status=503, headers=headers)
         self.received_requests.append(
             ReceivedRequest(
                 request.method,
@@ -121,6 +128,8 @@
             await asyncio.Event().wait()
         if self.behaviour is RunnerBehaviour.CLOSE and request.transport is not None:
             request.transport.abort()
+        if self.behaviour is RunnerBehaviour.REPEAT_REFUSAL:
+            self._repeat_refusal(request)
         if self.behaviour is RunnerBehaviour.FAIL:
             return web.Response(status=500, headers=headers, text="failed")
         is_stream = request.headers.get("X-Figshunt-Token-Counts") is not None
@@ -164,6 +173,16 @@
         while True:
             await response.write(b"x" * ENDLESS_WRITE_BYTES)
 
+    def _repeat_refusal(self, request: web.Request) -> None:
+        refused_id = self._refused_ids_by_connection.get(request.protocol)
+        if refused_id is not None and request.transport is not None:
+            request.transport.write(
+                b"HTTP/1.1 503 Service Unavailable\r\n"
+                b"X-Figshunt-Not-Executed: 1\r\n"
+                b"X-Figshunt-Attempt-Id: %s\r\n"
+                b"Content-Length: 0\r\n\r\n" % refused_id.encode()
+            )
+
     async def _write_second_response(self, request: web.Request) -> None:
         await asyncio.sleep(self._event_interval_ms / 1000)
         if request.transport is not None:
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -126,6 +126,39 @@
                 self.assertEqual([], select_effects(effects, AnswerComplete))
                 self.assertEqual(502, select_effects(effects, AnswerError)[0].status)
 
+    def test_refusal_of_another_request_does_not_prove_that_this_one_did_not_run(
+        self,
+    ) -> None:
+        """A late copy of an earlier refusal says nothing about this request."""
+        for status, verdict in (
+            (503, ReplyVerdict.REFUSED),
+            (421, ReplyVerdict.WRONG_RUNNER),
+        ):
+            with self.subTest(verdict):
+                driver = build_booking_driver()
+                driver.call(BOOKING)
+                head = build_reply_head(
+                    status, verdict=verdict, has_receipt=False, matches_request=False
+                )
+                effects = driver.handle(
+                    ReplyComplete(driver.last_attempt().attempt_id, head, b"")
+                )
+                self.assertEqual([], select_effects(effects, StartCallAttempt))
+                (error,) = select_effects(effects, AnswerError)
+                self.assertEqual(502, error.status)
+                self.assertIsNone(error.retry_after_ms)
+
+    def test_refusing_status_without_statement_is_not_forwarded(self) -> None:
+        """The caller would take the status for a promise that nothing ran."""
+        driver = build_booking_driver()
+        driver.call(BOOKING)
+        head = build_reply_head(503, verdict=ReplyVerdict.UNPROVEN_REFUSAL)
+        effects = driver.handle(
+            ReplyComplete(driver.last_attempt().attempt_id, head, b"busy")
+        )
+        self.assertEqual([], select_effects(effects, AnswerComplete))
+        self.assertEqual(502, select_effects(effects, AnswerError)[0].status)
+
     def test_runner_error_with_receipt_is_forwarded(self) -> None:
         driver = build_booking_driver()
         driver.call(BOOKING)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -88,6 +88,24 @@
             self.assertGreater(float(response.headers["Retry-After"]), 0)
         self.assertEqual([], self.received_targets())
 
+    async def test_late_copy_of_a_refusal_does_not_refuse_the_next_request(
+        self,
+    ) -> None:
+        """Guards against a second run, and against a false "not run"."""
+        self.set_behaviour(RunnerBehaviour.REFUSE)
+        async with self.fixture.request("POST", "/book/1", "r1") as response:
+            self.assertEqual(503, response.status)
+        self.set_behaviour(RunnerBehaviour.REPEAT_REFUSAL)
+        async with self.fixture.request("POST", "/book/2", "r2") as response:
+            self.assertEqual(502, response.status)
+            self.assertNotIn("Retry-After", response.headers)
+        self.assertEqual(["/book/2"], self.received_targets())
+        self.set_behaviour(RunnerBehaviour.SERVE)
+        for request_id in ("r3", "r4"):
+            async with self.fixture.request("POST", "/book/3", request_id) as response:
+                self.assertEqual(200, response.status)
+                self.assertEqual(request_id, response.headers["X-Figshunt-Attempt-Id"])
+
     async def test_lost_booking_runs_once_and_has_no_retry_after(self) -> None:
         self.set_behaviour(RunnerBehaviour.CLOSE)
         async with self.fixture.request("POST", "/book/1") as response:
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -94,7 +94,11 @@
         cases = (
             (200, (), ReplyVerdict.ANSWERED),
             (500, (), ReplyVerdict.FAILED),
-            (503, (), ReplyVerdict.FAILED),
+            (503, (), ReplyVerdict.UNPROVEN_REFUSAL),
+            (429, (), ReplyVerdict.UNPROVEN_REFUSAL),
+            (408, (), ReplyVerdict.UNPROVEN_REFUSAL),
+            (504, (), ReplyVerdict.FAILED),
+            (200, (not_run,), ReplyVerdict.REFUSED),
             (503, (not_run,), ReplyVerdict.REFUSED),
             (400, (not_run,), ReplyVerdict.REFUSED),
             (421, (), ReplyVerdict.WRONG_RUNNER),
@@ -109,6 +113,16 @@
         self.assertTrue(self.decode_head(200, own).matches_request)
         self.assertFalse(self.decode_head(200, other).matches_request)
         self.assertFalse(self.decode_head(200).matches_request)
+        self.assertFalse(self.decode_head(200, other, own).matches_request)
+        self.assertFalse(self.decode_head(200, own, other).matches_request)
+
+    def test_refusal_is_never_a_stream(self) -> None:
+        head = self.decode_head(
+            200,
+            ("Content-Type", "text/event-stream"),
+            ("X-Figshunt-Not-Executed", "1"),
+        )
+        self.assertFalse(head.is_stream)
 
     def test_refusal_has_request_id_and_retry_after(self) -> None:
         headers = self.codec.encode_refusal(self.decode(), 250)
