Treat a skipped event id as a lost event

Cause: the attempt filter accepted any increasing id, so events 1, 2 and 5 reached the caller as a complete stream.

Change: once two ids in a row were consecutive, the next one has to be so too, also after a resume. Otherwise the attempt has failed: the stream is resumed after the last event or broken off. Ids with other steps only have to increase, as before.

--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -72,8 +72,8 @@
     ``possible_runs`` counts the runners that may have run it, ``refusals`` the
     attempts that certainly did not run, and ``tried_runner_ids`` lists the runners
     of both. ``last_event_id`` is the id of the last event that was forwarded to
-    the caller. ``answer_started`` is set once the answer to the caller has
-    started.
+    the caller. ``has_consecutive_ids`` is known from the second id on.
+    ``answer_started`` is set once the answer to the caller has started.
     """
 
     call: Call
@@ -87,6 +87,7 @@
     refusals: int = 0
     tried_runner_ids: tuple[RunnerId, ...] = ()
     last_event_id: int | None = None
+    has_consecutive_ids: bool | None = None
     answer_started: bool = False
 
     @property
@@ -101,3 +102,23 @@
             possible_runs=self.possible_runs + 1,
             tried_runner_ids=(*self.tried_runner_ids, runner_id),
         )
+
+    def may_follow(self, event_id: int) -> bool:
+        """Return whether an event may be forwarded after the last one.
+
+        Ids increase. If they were consecutive so far, a skipped id is a lost event.
+        """
+        if self.last_event_id is None:
+            return True
+        if self.has_consecutive_ids:
+            return event_id == self.last_event_id + 1
+        return event_id > self.last_event_id
+
+    def with_event(self, event_id: int) -> "RoutedCall":
+        """Return a copy after an event was forwarded."""
+        has_consecutive_ids = self.has_consecutive_ids
+        if self.last_event_id is not None and has_consecutive_ids is None:
+            has_consecutive_ids = event_id == self.last_event_id + 1
+        return replace(
+            self, last_event_id=event_id, has_consecutive_ids=has_consecutive_ids
+        )
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -258,20 +258,14 @@
             return
         routed = attempt.routed
         if event.event_id is not None:
-            if (
-                routed.last_event_id is not None
-                and event.event_id <= routed.last_event_id
-            ):
-                detail = (
-                    f"got event id {event.event_id}, expected an id greater than"
-                    f" {routed.last_event_id}"
-                )
+            if not routed.may_follow(event.event_id):
+                detail = f"got event id {event.event_id} after {routed.last_event_id}"
                 yield CancelCallAttempt(attempt.attempt_id, CancelReason.PROTOCOL)
                 yield from self._retry_or_fail(
                     attempt, CallAttemptResult.INVALID_ANSWER, detail, now
                 )
                 return
-            attempt.routed = replace(routed, last_event_id=event.event_id)
+            attempt.routed = routed.with_event(event.event_id)
         if not attempt.has_first_event:
             attempt.has_first_event = True
             waited_ms = now.monotonic_ms - attempt.started_ms
--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -20,9 +20,9 @@
     never responds and ``CLOSE`` aborts the connection instead of responding.
     ``BREAK_STREAM`` closes the connection after two events of a stream, within
     the third one. ``ANSWER_TWICE`` sends a second response that belongs to no
-    request. ``REPEAT_REFUSAL`` runs the request but sends the refusal of an earlier
-    request on the same connection once more before the answer. ``NEVER_END`` sends bytes that are no events or answer until the
-    connection is closed.
+    request. ``REPEAT_REFUSAL`` runs the request, but first sends the refusal of
+    an earlier request on the same connection once more. ``NEVER_END`` sends
+    bytes that are no events or answer until the connection is closed.
     """
 
     SERVE = "serve"
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -299,6 +299,80 @@
         self.assertEqual([], select_effects(effects, AnswerEvent))
         self.assertEqual(1, len(select_effects(effects, AnswerAbort)))
 
+    def test_missing_event_breaks_a_stream_that_cannot_resume(self) -> None:
+        """Ids that were consecutive and then skip one show that an event is lost."""
+        driver = build_stream_driver(repeatability=Repeatability.RUN_ONCE)
+        self.start_stream(driver)
+        self.send_event(driver, 1)
+        self.send_event(driver, 2)
+        effects = self.send_event(driver, 5)
+        self.assertEqual([], select_effects(effects, AnswerEvent))
+        self.assertEqual(1, len(select_effects(effects, CancelCallAttempt)))
+        self.assertEqual(1, len(select_effects(effects, AnswerAbort)))
+        self.assertEqual([], driver.effects_of(AnswerEnd))
+
+    def test_missing_event_is_fetched_from_another_runner(self) -> None:
+        driver = build_stream_driver()
+        self.start_stream(driver)
+        self.send_event(driver, 1)
+        self.send_event(driver, 2)
+        self.send_event(driver, 5)
+        self.assertEqual(2, driver.last_attempt().resume_after)
+        self.start_answer(driver)
+        for event_id in (3, 4, 5):
+            self.send_event(driver, event_id)
+        self.assertEqual(
+            [b"id: %d\n\n" % event_id for event_id in (1, 2, 3, 4, 5)],
+            [event.data for event in driver.effects_of(AnswerEvent)],
+        )
+
+    def test_resumed_stream_may_not_skip_events(self) -> None:
+        driver = build_stream_driver(max_runners=2)
+        self.start_stream(driver)
+        self.send_event(driver, 1)
+        self.send_event(driver, 2)
+        self.lose_connection(driver)
+        self.start_answer(driver)
+        effects = self.send_event(driver, 4)
+        self.assertEqual([], select_effects(effects, AnswerEvent))
+        self.assertEqual(1, len(select_effects(effects, AnswerAbort)))
+
+    def test_ids_that_are_not_consecutive_only_have_to_increase(self) -> None:
+        driver = build_stream_driver(repeatability=Repeatability.RUN_ONCE)
+        self.start_stream(driver)
+        for event_id in (10, 14, 15, 22):
+            self.send_event(driver, event_id)
+        self.assertEqual(4, len(driver.effects_of(AnswerEvent)))
+
+    def test_error_of_the_next_runner_does_not_enter_a_started_stream(self) -> None:
+        """Guards against error text in a stream, and against a false end of it."""
+        cases = {
+            "error": build_reply_head(500),
+            "plain success": build_reply_head(200),
+            "refusal": build_reply_head(
+                503, verdict=ReplyVerdict.REFUSED, has_receipt=False
+            ),
+            "unproven refusal": build_reply_head(
+                503, verdict=ReplyVerdict.UNPROVEN_REFUSAL
+            ),
+        }
+        for name, head in cases.items():
+            with self.subTest(name):
+                driver = build_stream_driver(max_runners=2)
+                self.start_stream(driver)
+                self.send_event(driver, 1)
+                self.lose_connection(driver)
+                driver.handle(
+                    ReplyComplete(driver.last_attempt().attempt_id, head, b"no")
+                )
+                driver.advance(100)
+                self.assertEqual(1, len(driver.effects_of(AnswerAbort)))
+                self.assertEqual(1, len(driver.effects_of(AnswerStart)))
+                self.assertEqual(1, len(driver.effects_of(AnswerEvent)))
+                self.assertEqual([], driver.effects_of(AnswerComplete))
+                self.assertEqual([], driver.effects_of(AnswerError))
+                self.assertEqual([], driver.effects_of(AnswerEnd))
+
     def test_events_of_ended_attempt_are_dropped(self) -> None:
         driver = build_stream_driver()
         self.start_stream(driver)
@@ -314,10 +388,6 @@
         self.assertEqual(7, driver.last_attempt().resume_after)
 
 
-if __name__ == "__main__":
-    unittest.main()
-
-
 class CallSentLogTest(unittest.TestCase):
     """Guards against logs that don't tell why an engine put a request back."""
 
@@ -335,3 +405,7 @@
         ]
         self.assertEqual([1, 1], [line["priority"] for line in lines])
         self.assertEqual([0, 1], [line["known_streams"] for line in lines])
+
+
+if __name__ == "__main__":
+    unittest.main()
