Keep the next runner's error out of a stream that has started

Cause: the attempt filter of cells took any head that came after a resume for the head of the same answer, and passed on what followed. A stream that broke off and was resumed at a runner which answered 500 contained the text of the error; if no event had been sent before, the error ended the stream as if it were complete. An answer that isn't a stream was resumed from its start after it had been passed on in part.

Change: the filter keeps the head that the caller has received. Another attempt may continue it only if both are successful streams of events, and only such an answer is resumed.

An assertion of test_service_levels reads the renamed field; what it asserts is the same.

--- a/figshunt/request/_attempt_filter.py
+++ b/figshunt/request/_attempt_filter.py
@@ -49,8 +49,8 @@
     """One attempt in flight.
 
     ``delivered_tokens`` counts the tokens sent to the caller over all attempts
-    of the request. ``head_sent`` is set once the head of the answer has been
-    sent, by this attempt or an earlier one.
+    of the request. ``sent_head`` is the head of the answer that the caller has
+    received, from this attempt or an earlier one.
     """
 
     attempt_id: AttemptId
@@ -58,11 +58,16 @@
     routed: RoutedRequest
     started_ms: int
     lease_ends_ms: int
-    head_sent: bool
+    sent_head: AnswerHead | None
     delivered_tokens: int
     bytes_received: int = 0
     first_token_ms: int | None = None
 
+    @property
+    def head_sent(self) -> bool:
+        """Return whether the caller has received the head of the answer."""
+        return self.sent_head is not None
+
 
 class AttemptFilter:
     """Keeps the attempts in flight and forwards their data to the callers.
@@ -91,7 +96,7 @@
         self._retry_budget = retry_budget
         self._attempts_by_id: dict[AttemptId, Attempt] = {}
         self._attempt_ids_by_request: dict[RequestId, AttemptId] = {}
-        self._head_sent: set[RequestId] = set()
+        self._sent_heads_by_request: dict[RequestId, AnswerHead] = {}
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
@@ -99,7 +104,7 @@
             case AttemptPlanned():
                 yield from self._start_attempt(message, now)
             case AnswerHead():
-                yield from self._forward_head(message)
+                yield from self._forward_head(message, now)
             case AttemptChunk():
                 yield from self._forward_chunk(message, now)
             case AttemptFinished():
@@ -112,7 +117,7 @@
                 yield from self._cancel_attempt(request_id, now)
             case RequestEnded(routed):
                 yield message
-                self._head_sent.discard(routed.request_id)
+                self._sent_heads_by_request.pop(routed.request_id, None)
             case TimerDue():
                 yield from self._expire_attempts(now)
 
@@ -133,7 +138,7 @@
             routed=routed,
             started_ms=now.monotonic_ms,
             lease_ends_ms=planned.lease_ends_ms,
-            head_sent=routed.request_id in self._head_sent,
+            sent_head=self._sent_heads_by_request.get(routed.request_id),
             delivered_tokens=routed.resume_offset,
         )
         self._attempt_ids_by_request[routed.request_id] = planned.attempt_id
@@ -148,16 +153,22 @@
             timeout_ms=planned.lease_ends_ms - now.monotonic_ms,
         )
 
-    def _forward_head(self, head: AnswerHead) -> Iterable[Output]:
+    def _forward_head(self, head: AnswerHead, now: Moment) -> Iterable[Output]:
         attempt = self._attempts_by_id.get(head.attempt_id)
         if attempt is None:
             yield self._count_dropped("head")
             return
-        if attempt.head_sent:
-            return
-        self._attempts_by_id[head.attempt_id] = replace(attempt, head_sent=True)
-        self._head_sent.add(attempt.routed.request_id)
-        yield StartAnswer(attempt.routed.request_id, head.status, head.content_type)
+        if attempt.sent_head is None:
+            self._attempts_by_id[head.attempt_id] = replace(attempt, sent_head=head)
+            self._sent_heads_by_request[attempt.routed.request_id] = head
+            yield StartAnswer(attempt.routed.request_id, head.status, head.content_type)
+        elif not head.continues(attempt.sent_head):
+            # The body would become a part of the answer that was started.
+            detail = (
+                f"runner answered {head.status} {head.content_type} to a request for"
+                " the rest of a stream"
+            )
+            yield from self._fail_protocol_violation(attempt, detail, now)
 
     def _forward_chunk(self, chunk: AttemptChunk, now: Moment) -> Iterable[Output]:
         attempt = self._attempts_by_id.get(chunk.attempt_id)
@@ -288,6 +299,8 @@
             pool is not None
             and pool.kind is PoolKind.ENGINE
             and attempt.routed.request.stream
+            and attempt.sent_head is not None
+            and attempt.sent_head.is_event_stream
         )
 
     def _cancel_attempt(self, request_id: RequestId, now: Moment) -> Iterable[Output]:
--- a/figshunt/types/_request_messages.py
+++ b/figshunt/types/_request_messages.py
@@ -15,6 +15,8 @@
 from figshunt.types._request import Request, RoutedRequest
 from figshunt.types._states import AttemptFailure, RunOutcome, SendState
 
+EVENT_STREAM_TYPE = "text/event-stream"
+
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived(Message):
@@ -73,6 +75,16 @@
     status: int
     content_type: str
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Return whether a successful answer with a stream of events follows."""
+        media_type = self.content_type.partition(";")[0].strip().lower()
+        return 200 <= self.status < 300 and media_type == EVENT_STREAM_TYPE
+
+    def continues(self, first: "AnswerHead") -> bool:
+        """Return whether the answer may continue the stream that ``first`` started."""
+        return self.is_event_stream and first.is_event_stream
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptChunk(Message):
--- a/tests/request/test_attempt_filter.py
+++ b/tests/request/test_attempt_filter.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 from collections import defaultdict
+from dataclasses import replace
+from typing import Any
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,6 +17,7 @@
     AttemptFailed,
     AttemptFailure,
     AttemptFinished,
+    AttemptId,
     EndAnswer,
     FailAnswer,
     HostName,
@@ -47,7 +50,7 @@
         self.clock = ManualClock()
         seat = SeatNumber(0)
         self.core = Core(HostName("host-0"), seat, (seat,), random.Random(1))
-        self.in_flight: list[Message] = []
+        self.in_flight: list[Any] = []
         self.runs: defaultdict[str, int] = defaultdict(int)
         self.received: defaultdict[str, list[bytes]] = defaultdict(list)
         self.ends: defaultdict[str, list[EndAnswer | FailAnswer]] = defaultdict(list)
@@ -63,7 +66,7 @@
                 case EndAnswer(request_id) | FailAnswer(request_id):
                     self.ends[request_id].append(effect)
 
-    def answer(self, start: StartAttempt) -> list[Message]:
+    def answer(self, start: StartAttempt) -> list[Any]:
         """Return an answer from its resume offset, then a connection failure."""
         attempt_id = start.attempt_id
         owner = start.request.request_id
@@ -122,6 +125,62 @@
                 self.handle_message(message)
         self.check()
 
+    def start_broken_stream(self, *chunks: AttemptChunk) -> AttemptId:
+        """Start a stream, break it off, and return the id of the next attempt."""
+        self.start(idempotent=True)
+        self.handle_message(build_request_arrived(self.clock.now(), 0))
+        first_attempt_id = self.in_flight[0].attempt_id
+        self.handle_message(AnswerHead(first_attempt_id, 200, "text/event-stream"))
+        for chunk in chunks:
+            self.handle_message(replace(chunk, attempt_id=first_attempt_id))
+        self.in_flight.clear()
+        self.handle_message(
+            AttemptFailed(
+                first_attempt_id,
+                AttemptFailure.CONNECTION_LOST,
+                SendState.MAY_HAVE_ARRIVED,
+            )
+        )
+        return self.in_flight[0].attempt_id
+
+    def test_error_of_the_next_runner_does_not_enter_a_started_stream(self) -> None:
+        """Guards against error text in a stream, and against a false end of it."""
+        token = AttemptChunk(AttemptId(""), b"token", 1, 0)
+        for name, chunks in {"after an event": (token,), "before": ()}.items():
+            for status, content_type in ((500, "text/plain"), (200, "text/plain")):
+                with self.subTest(name, status=status):
+                    self.setUp()
+                    attempt_id = self.start_broken_stream(*chunks)
+                    for message in (
+                        AnswerHead(attempt_id, status, content_type),
+                        AttemptChunk(attempt_id, b"error text", 0, 0),
+                        AttemptFinished(attempt_id, 0),
+                    ):
+                        self.handle_message(message)
+                    self.assertEqual(
+                        [chunk.data for chunk in chunks], self.received["request-0"]
+                    )
+                    for end in self.ends["request-0"]:
+                        self.assertIsInstance(end, FailAnswer)
+
+    def test_answer_that_is_no_stream_is_not_resumed(self) -> None:
+        """Guards against the start of one answer followed by a whole second one."""
+        self.start(idempotent=True)
+        self.handle_message(build_request_arrived(self.clock.now(), 0))
+        attempt_id = self.in_flight[0].attempt_id
+        self.handle_message(AnswerHead(attempt_id, 200, "application/json"))
+        self.handle_message(AttemptChunk(attempt_id, b'{"text": ', 0, 0))
+        self.handle_message(
+            AttemptFailed(
+                attempt_id,
+                AttemptFailure.CONNECTION_LOST,
+                SendState.MAY_HAVE_ARRIVED,
+            )
+        )
+        self.assertEqual(self.runs["request-0"], 1)
+        (end,) = self.ends["request-0"]
+        self.assertIsInstance(end, FailAnswer)
+
     def test_non_idempotent_request_starts_once(self) -> None:
         """Guards against a retry of a request that must not run twice."""
         self.start(idempotent=False)
--- a/tests/request/test_service_levels.py
+++ b/tests/request/test_service_levels.py
@@ -271,7 +271,7 @@
             if outcome.failure is not None and outcome.started_ms is not None:
                 self.assertNotEqual(outcome.failure.outcome.value, "not_run")
         self.assertFalse(fleet.attempts)
-        self.assertFalse(fleet.core.attempts._head_sent)
+        self.assertFalse(fleet.core.attempts._sent_heads_by_request)
         for work in fleet.core.schedule._work_by_pool.values():
             self.assertEqual((len(work), work.highest_tier()), (0, None))
         if not strict:
