Let a request that was suspended finish in its class's share

Cause: in overload a class with the default floor (2 in 100 of the slot time) was given a slot, used up its share within a part of one request, and was suspended for a higher tier; the request met its deadline before the next turn. Of 103 requests of such a class none was completed.

Change: a request that was suspended once and gets a slot again because its class is below its floor may not be suspended again.

The example is kept in the test. 37 tests of service levels, policies and schedule pass.

--- a/figshunt/policy/_tiered_fair.py
+++ b/figshunt/policy/_tiered_fair.py
@@ -12,10 +12,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ActiveService:
-    """Charged slot time and start time of a chosen request that holds a slot."""
+    """Charged slot time and start time of a chosen request that holds a slot.
+
+    ``is_protected`` is set if it may not be preempted.
+    """
 
     expected_ms: int
     started_ms: int
+    is_protected: bool = False
 
 
 @dataclass(slots=True)
@@ -73,9 +77,14 @@
         assert next_request is not None
         routed, expected_ms = next_request
         self._index.discard(routed.request_id)
+        # A class whose floor is smaller than its requests would never complete one
+        # if each were suspended as soon as the floor is used up.
+        is_protected = routed.preemptions > 0 and queues.shares.is_below_floor(
+            route, now.monotonic_ms
+        )
         queues.shares.record_start(route, expected_ms, now.monotonic_ms)
         self._services_by_id[routed.request_id] = ActiveService(
-            expected_ms, now.monotonic_ms
+            expected_ms, now.monotonic_ms, is_protected
         )
         return routed
 
@@ -161,6 +170,8 @@
         service = self._services_by_id.get(running.request_id)
         if running.tier <= waiting_request.tier or service is None:
             return False
+        if service.is_protected:
+            return False
         remaining_ms = service.expected_ms - (now.monotonic_ms - service.started_ms)
         shares = self._pool_queues(running.pool).shares
         return not shares.is_below_floor(
--- a/tests/request/test_service_levels.py
+++ b/tests/request/test_service_levels.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from typing import Any
 
-from hypothesis import Phase, given, settings
+from hypothesis import Phase, example, given, settings
 from hypothesis import strategies as st
 
 from benchmarks.virtual_fleet import Outcome, VirtualFleet
@@ -224,6 +224,9 @@
         bound=st.sampled_from((4, 32)),
         strict=st.booleans(),
     )
+    # Every request of a class with the default floor was suspended until its
+    # deadline.
+    @example(seed=1323, limit=2, load=3.0, bound=32, strict=False)
     def test_tiers_under_mixed_load(
         self, seed: int, limit: int, load: float, bound: int, strict: bool
     ) -> None:
