Survive unexpected errors in the core, the store reader and datagrams

Cause: an exception in a filter lost the effects yielded before it, answers included; at TimerDue it also ended the timers of the host for good, and a caller waited until its own limit. The reader of the store knew SourceError only: an item without a revision raised ValueError outside of it and the host never read the store again. A datagram with an infinite number raised OverflowError.

Change: Pipeline raises FilterError, which carries the effects so far, after the other messages are processed. Both daemons apply these, log the traceback at a limited rate, and answer the caller whose request failed. The reader, the mirror's reader and the runner's client treat any error as a failure of that read or attempt. Any error in a datagram is a ValueError.

--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -15,6 +15,7 @@
     AnswerEvent,
     AnswerStart,
     BroadcastStatus,
+    CallArrived,
     CancelCallAttempt,
     DispatchCore,
     HostStatus,
@@ -32,15 +33,18 @@
     build_metrics_listener,
     build_readiness_listener,
 )
-from figshunt.runtime import EventLog, Metrics, WakeTimer
+from figshunt.pipeline import FilterError
+from figshunt.runtime import EventLog, Metrics, UnexpectedErrorLog, WakeTimer
 from figshunt.types import (
     Clock,
     CountEvent,
     Effect,
+    ErrorCode,
     FigshuntError,
     LogEvent,
     Message,
     ObserveDuration,
+    Step,
     TimerDue,
     WakeAt,
 )
@@ -73,6 +77,7 @@
         self._settings = settings
         self._clock = clock
         self._log = EventLog({"host": settings.host})
+        self._error_log = UnexpectedErrorLog(self._log, clock)
         self._incarnation = clock.now().wall_ms
         self._is_draining = False
         self._metrics = Metrics()
@@ -192,8 +197,20 @@
         self._log.write("settings_invalid", "error", detail=error)
 
     def submit(self, message: Message) -> None:
-        """Process one message synchronously and apply its effects."""
-        for effect in self.core.handle(message, self._clock.now()):
+        """Process one message synchronously and apply its effects.
+
+        A caller whose request made the core fail is answered; the request may have
+        been sent before that.
+        """
+        try:
+            effects = self.core.handle(message, self._clock.now())
+        except FilterError as error:
+            effects = error.effects
+            self._error_log.write(error, Step.DAEMON, message=type(message).__name__)
+            if isinstance(message, CallArrived):
+                call_id = message.call.call_id
+                effects.append(AnswerError(call_id, ErrorCode.INTERNAL, 500))
+        for effect in effects:
             self._apply(effect)
 
     def _apply(self, effect: Effect) -> None:
--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -10,7 +10,7 @@
 
 from figshunt.directory import PublishedItem
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
-from figshunt.runtime import EventLog
+from figshunt.runtime import EventLog, UnexpectedErrorLog
 from figshunt.types import Clock, Step
 
 # Mean delay between attempts while the source fails. It is short, so that
@@ -84,6 +84,7 @@
         self._count_hosts = count_hosts
         self._clock = clock
         self._log = log
+        self._error_log = UnexpectedErrorLog(log, clock)
         self._random = random_source
         self._has_listing = False
         self._failing_since_ms: int | None = None
@@ -110,10 +111,18 @@
                 self._has_listing = False
                 self._log.write("history_lost", step=Step.STORE.value, detail=error)
             except SourceError as error:
-                self._record_failure(started_ms)
-                self._items.set_available(ItemOrigin.STORE, False, str(error))
-                wait_ms = RETRY_DELAY_MS * (0.5 + self._random.random())
-                await asyncio.sleep(wait_ms / 1000)
+                await self._pause(started_ms, str(error))
+            except Exception as error:
+                # What the store sends may not be what was agreed on.
+                self._error_log.write(error, Step.STORE)
+                await self._pause(started_ms, f"{type(error).__name__}: {error}")
+
+    async def _pause(self, started_ms: int, detail: str) -> None:
+        """Record that the store can't be read, and wait before the next attempt."""
+        self._record_failure(started_ms)
+        self._items.set_available(ItemOrigin.STORE, False, detail)
+        wait_ms = RETRY_DELAY_MS * (0.5 + self._random.random())
+        await asyncio.sleep(wait_ms / 1000)
 
     async def _read_once(self) -> None:
         if self._has_listing:
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -7,7 +7,7 @@
 from mode import Service
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, serve
-from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.exceptions import ConnectionClosed
 
 from figshunt.dispatch import HostStatus
 from figshunt.gateway._mirror_codec import decode_items, encode_items
@@ -132,7 +132,8 @@
                 continue
             try:
                 await self._read(peer)
-            except (OSError, TimeoutError, ValueError, WebSocketException) as error:
+            except Exception as error:
+                # A peer that is gone or out of date may lead to any error.
                 detail = f"{type(error).__name__}: {error}"
                 self._items.set_available(ItemOrigin.PEER, False, detail)
                 self._log.write(
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -107,6 +107,9 @@
             self._report_failure(attempt, AttemptFailure.PROTOCOL, error)
         except OSError as error:
             self._report_failure(attempt, AttemptFailure.CONNECTION_LOST, error)
+        except Exception as error:
+            # The caller would wait for its deadline if the attempt didn't end.
+            self._report_failure(attempt, AttemptFailure.PROTOCOL, error)
         finally:
             if is_reusable:
                 await self._channels.release(channel)
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -65,7 +65,11 @@
                 for runner_id, backlog_ms in queues
             ),
         )
-    except (cbor2.CBORDecodeError, TypeError, IndexError, EOFError) as error:
+    except ValueError:
+        raise
+    except Exception as error:
+        # Anyone who reaches the port can send bytes, and the decoder may raise
+        # almost anything at them.
         raise ValueError(f"malformed host status: {error}") from error
 
 
--- a/figshunt/pipeline/__init__.py
+++ b/figshunt/pipeline/__init__.py
@@ -6,6 +6,7 @@
     Output,
 )
 from figshunt.pipeline._pipeline import (
+    FilterError,
     Pipeline,
 )
 from figshunt.pipeline._wake_queue import (
@@ -15,6 +16,7 @@
 __all__ = [
     "Feedback",
     "Filter",
+    "FilterError",
     "Output",
     "Pipeline",
     "WakeQueue",
--- a/figshunt/pipeline/_pipeline.py
+++ b/figshunt/pipeline/_pipeline.py
@@ -7,6 +7,18 @@
 from figshunt.types import Effect, Message, Moment
 
 
+class FilterError(Exception):
+    """A filter failed unexpectedly while it handled a message.
+
+    ``effects`` are those that were yielded before; the rest is lost.
+    """
+
+    def __init__(self, failed_message: Message, effects: list[Effect]) -> None:
+        super().__init__(f"a filter failed at {type(failed_message).__name__}")
+        self.failed_message = failed_message
+        self.effects = effects
+
+
 class Pipeline:
     """Passes each message through the filters, depth first.
 
@@ -24,11 +36,20 @@
         """Process a message and all feedback that results from it.
 
         :returns: the effects, in the order in which they were yielded.
+        :raises FilterError: if a filter failed; the other messages are processed.
         """
         effects: list[Effect] = []
+        failure: FilterError | None = None
         self._feedback.append(message)
         while self._feedback:
-            self._forward(self._feedback.popleft(), 0, now, effects)
+            next_message = self._feedback.popleft()
+            try:
+                self._forward(next_message, 0, now, effects)
+            except Exception as error:
+                failure = FilterError(next_message, effects)
+                failure.__cause__ = error
+        if failure is not None:
+            raise failure
         return effects
 
     def _forward(
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -19,6 +19,7 @@
 from figshunt.runtime._log_rate_limit import LogRateLimit
 from figshunt.runtime._message_sink import MessageSink
 from figshunt.runtime._metrics import Metrics
+from figshunt.runtime._unexpected_error_log import UnexpectedErrorLog
 from figshunt.runtime._wake_timer import WakeTimer
 
 __all__ = [
@@ -33,6 +34,7 @@
     "MessageSink",
     "Metrics",
     "ServerSentEvent",
+    "UnexpectedErrorLog",
     "WakeTimer",
     "allow_body",
     "attach_comments",
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -7,7 +7,8 @@
 from mode import Service
 
 from figshunt.core import Core
-from figshunt.runtime import EventLog, Metrics, WakeTimer
+from figshunt.pipeline import FilterError
+from figshunt.runtime import EventLog, Metrics, UnexpectedErrorLog, WakeTimer
 from figshunt.services._admin_listener import AdminListener
 from figshunt.services._caller_listener import CallerListener
 from figshunt.services._core_view import CoreView
@@ -26,12 +27,15 @@
     CountEvent,
     Effect,
     EndAnswer,
+    ErrorCode,
     FailAnswer,
     IncarnationNumber,
     LogEvent,
     Message,
     ObserveDuration,
     RecordAudit,
+    RequestArrived,
+    RunOutcome,
     SendAnswer,
     SendPeer,
     SetReady,
@@ -60,6 +64,7 @@
         self._settings = settings
         self._clock = clock
         self._log = EventLog({"host": settings.host})
+        self._error_log = UnexpectedErrorLog(self._log, clock)
         self.core = Core(settings.host, settings.seat, settings.seats, random_source)
         self._metrics = Metrics()
         self.caller_listener = CallerListener(
@@ -152,8 +157,27 @@
         return self._settings.limits.body_timeout_ms + deadline_ms
 
     def submit(self, message: Message) -> None:
-        """Process one message synchronously and execute its effects."""
-        for effect in self.core.handle(message, self._clock.now()):
+        """Process one message synchronously and execute its effects.
+
+        A caller whose request made the core fail is answered; the request may have
+        been sent before that.
+        """
+        try:
+            effects = self.core.handle(message, self._clock.now())
+        except FilterError as error:
+            effects = error.effects
+            self._error_log.write(error, Step.DAEMON, message=type(message).__name__)
+            if isinstance(message, RequestArrived):
+                effects.append(
+                    FailAnswer(
+                        message.request.request_id,
+                        ErrorCode.INTERNAL,
+                        Step.DAEMON,
+                        RunOutcome.MAY_HAVE_RUN,
+                        "internal error",
+                    )
+                )
+        for effect in effects:
             self._execute(effect)
 
     def _execute(self, effect: Effect) -> None:
