Read published items from the peer with the newest copy

Cause: a host that starts and doesn't read the store yet took its items from any peer that said it could read the store. A peer whose watch hangs says so for up to 10 s with an old revision: a runner that had left, or a key that was withdrawn, was in use again on the new host.

Change: only the peers with the newest revision are candidates.

Measured: test_host_started_again_reads_the_newest_copy fails before.

A host whose only known peers are old ones still starts with their copy until its own first read, as it can't know better.

--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -146,24 +146,25 @@
         is_behind = self._is_behind()
         if self._items.is_available(ItemOrigin.STORE) and not is_behind:
             return None
-        candidates = [
+        candidates = self._newest(
             status
             for status in self._statuses()
             if status.can_read_store and status.revision >= self._items.revision
-        ]
+        )
         if not candidates and not self._items.revision:
-            candidates = self._newest_peers()
+            # A host that starts while no host can read the store uses the items
+            # that its peers read last, as they do themselves.
+            candidates = self._newest(self._statuses())
         return self._random.choice(candidates).address if candidates else None
 
-    def _newest_peers(self) -> list[HostStatus]:
-        """Return the peers with the newest revision, whether current or not.
+    def _newest(self, statuses: Iterable[HostStatus]) -> list[HostStatus]:
+        """Return the peers with the newest revision.
 
-        A host that starts while no host can read the store uses the items that
-        its peers read last, as they do themselves.
+        An older copy may have runners that have left and keys that were withdrawn.
         """
-        statuses = [status for status in self._statuses() if status.revision]
-        newest_revision = max((status.revision for status in statuses), default=0)
-        return [status for status in statuses if status.revision == newest_revision]
+        peers = [status for status in statuses if status.revision]
+        newest_revision = max((status.revision for status in peers), default=0)
+        return [status for status in peers if status.revision == newest_revision]
 
     async def _read(self, peer: str) -> None:
         async with connect(
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -103,6 +103,23 @@
         await wait_until(lambda: self.own_items.revision == 5)
         self.assertFalse(self.own_items.is_available(ItemOrigin.PEER))
 
+    async def test_host_started_again_reads_the_newest_copy(self) -> None:
+        """A peer with an older copy may have runners and keys that are gone."""
+        statuses = [
+            build_host_status("old", address="10.0.0.1", revision=3),
+            build_host_status("new", address="10.0.0.2", revision=5),
+            build_host_status("older", address="10.0.0.3", revision=1),
+        ]
+        for number in range(8):
+            reader = MirrorReader(
+                build_items(),
+                1,
+                lambda: statuses,
+                EventLog({}),
+                random.Random(number),
+            )
+            self.assertEqual("10.0.0.2", reader._choose_peer())
+
     async def test_reader_disconnects_from_a_peer_that_lost_the_store(self) -> None:
         await self.start_reader()
         await wait_until(lambda: self.own_items.is_available(ItemOrigin.PEER))
