Don't take comments in a stream for progress

Cause: an event without id and data moved the time at which a stream counts as stalled, and counted as its first event. A runner that sent a comment now and then kept a resumable stream until the deadline.

Change: comments are passed on and change nothing else.

Measured: test_stream_of_comments_counts_as_stalled fails before. Streams that are sound and five times slower than their target, on a route that can't resume or with no runner left, weren't cut before either (tests).

--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -266,6 +266,10 @@
                 )
                 return
             attempt.routed = routed.with_event(event.event_id)
+        if event.is_comment:
+            # A runner can send comments while it makes no progress.
+            yield AnswerEvent(routed.call_id, event.data)
+            return
         if not attempt.has_first_event:
             attempt.has_first_event = True
             waited_ms = now.monotonic_ms - attempt.started_ms
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -124,11 +124,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplyEvent(Message):
-    """A complete event of a stream, as received."""
+    """A complete event of a stream, as received.
+
+    ``is_comment`` is set if it has neither an id nor data.
+    """
 
     attempt_id: AttemptId
     event_id: int | None
     data: bytes = field(repr=False)
+    is_comment: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -161,7 +161,9 @@
                 if event.data:
                     allow_body(response, MAX_EVENT_BYTES)
                 self._message_sink.submit(
-                    ReplyEvent(attempt.attempt_id, event.event_id, event.raw)
+                    ReplyEvent(
+                        attempt.attempt_id, event.event_id, event.raw, event.is_comment
+                    )
                 )
         self._check_not_reset(channel, response)
         if reader.pending_bytes:
--- a/figshunt/runtime/_event_stream.py
+++ b/figshunt/runtime/_event_stream.py
@@ -19,6 +19,11 @@
     event_id: int | None
     data: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event has neither an id nor data."""
+        return self.event_id is None and not self.data
+
     @property
     def is_done(self) -> bool:
         """Return whether this event marks the end of a complete stream."""
@@ -56,7 +61,7 @@
     """
     comments: list[bytes] = []
     for event in events:
-        if event.event_id is None and not event.data:
+        if event.is_comment:
             comments.append(event.raw)
             continue
         raw = b"".join([*comments, event.raw])
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -373,6 +373,61 @@
                 self.assertEqual([], driver.effects_of(AnswerError))
                 self.assertEqual([], driver.effects_of(AnswerEnd))
 
+    def send_comment(self, driver: CoreDriver) -> list[Effect]:
+        return driver.handle(
+            ReplyEvent(driver.last_attempt().attempt_id, None, b":\n\n", True)
+        )
+
+    def test_stream_of_comments_counts_as_stalled(self) -> None:
+        """A byte now and then is no progress: the request goes to another runner."""
+        driver = build_stream_driver()
+        self.start_stream(driver)
+        self.send_event(driver, 1)
+        first_runner_id = driver.last_attempt().runner_id
+        for _ in range(30):
+            driver.advance(100)
+            if driver.last_attempt().runner_id != first_runner_id:
+                break
+            self.send_comment(driver)
+        self.assertNotEqual(first_runner_id, driver.last_attempt().runner_id)
+        self.assertEqual(1, driver.last_attempt().resume_after)
+
+    def test_stream_of_comments_ends_at_the_deadline(self) -> None:
+        driver = build_stream_driver(repeatability=Repeatability.RUN_ONCE)
+        self.start_stream(driver)
+        self.send_event(driver, 1)
+        waited_ms = 0
+        while not driver.effects_of(AnswerAbort):
+            self.send_comment(driver)
+            driver.advance(100)
+            waited_ms += 100
+            self.assertLessEqual(waited_ms, build_published_route().timeout_ms)
+        self.assertEqual([], driver.effects_of(AnswerEnd))
+        self.assertEqual(1, len(driver.effects_of(CancelCallAttempt)))
+
+    def test_slow_stream_that_cannot_resume_is_not_cut(self) -> None:
+        """Events that come five times slower than the target are late, not lost."""
+        driver = build_stream_driver(
+            repeatability=Repeatability.RUN_ONCE, gap_target_ms=100
+        )
+        self.start_stream(driver)
+        for event_id in range(1, 9):
+            driver.advance(500)
+            self.send_event(driver, event_id)
+        driver.handle(ReplyEnded(driver.last_attempt().attempt_id))
+        self.assertEqual(8, len(driver.effects_of(AnswerEvent)))
+        self.assertEqual(1, len(driver.effects_of(AnswerEnd)))
+        self.assertEqual([], driver.effects_of(CancelCallAttempt))
+
+    def test_slow_stream_is_not_cut_once_no_other_runner_is_left(self) -> None:
+        driver = build_stream_driver(gap_target_ms=100, max_runners=1)
+        self.start_stream(driver)
+        for event_id in range(1, 6):
+            driver.advance(900)
+            self.send_event(driver, event_id)
+        self.assertEqual(5, len(driver.effects_of(AnswerEvent)))
+        self.assertEqual([], driver.effects_of(CancelCallAttempt))
+
     def test_events_of_ended_attempt_are_dropped(self) -> None:
         driver = build_stream_driver()
         self.start_stream(driver)
