Test late copies, truncated answers and a planned stop under load

Cause: three of the operators' reports had no test that brings them about on an entry host: a second copy of an answer on a connection in use again, an answer or a stream that breaks off halfway, and a stop while requests are being sent and streamed on kept connections.

Change: the stand-in repeats an answer, truncates one and resets one; callers use their connections until the host closes them.

--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -1,6 +1,8 @@
 """Stand-in for a runner that speaks the platform's protocol."""
 
 import asyncio
+import socket
+import struct
 from dataclasses import dataclass
 from enum import Enum
 
@@ -21,8 +23,11 @@
     ``BREAK_STREAM`` closes the connection after two events of a stream, within
     the third one. ``ANSWER_TWICE`` sends a second response that belongs to no
     request. ``REPEAT_REFUSAL`` runs the request, but first sends the refusal of
-    an earlier request on the same connection once more. ``NEVER_END`` sends
-    bytes that are no events or answer until the connection is closed.
+    an earlier request on the same connection once more; ``REPEAT_ANSWER`` does
+    the same with an answer. ``TRUNCATE`` closes the connection within an answer
+    whose length it has announced, and ``RESET`` resets it within an answer that
+    ends with the connection. ``NEVER_END`` sends bytes that are no events or
+    answer until the connection is closed.
     """
 
     SERVE = "serve"
@@ -33,6 +38,9 @@
     CLOSE = "close"
     ANSWER_TWICE = "answer_twice"
     REPEAT_REFUSAL = "repeat_refusal"
+    REPEAT_ANSWER = "repeat_answer"
+    TRUNCATE = "truncate"
+    RESET = "reset"
     NEVER_END = "never_end"
 
 
@@ -66,8 +74,9 @@
         self.received_requests: list[ReceivedRequest] = []
         self.cancelled = 0
         self._refused_ids_by_connection: dict[object, str] = {}
+        self._answered_ids_by_connection: dict[object, str] = {}
         self._events = events
-        self._event_interval_ms = event_interval_ms
+        self.event_interval_ms = event_interval_ms
 
     @property
     def address(self) -> str:
@@ -130,6 +139,10 @@
             request.transport.abort()
         if self.behaviour is RunnerBehaviour.REPEAT_REFUSAL:
             self._repeat_refusal(request)
+        if self.behaviour is RunnerBehaviour.REPEAT_ANSWER:
+            self._repeat_answer(request)
+        if self.behaviour in (RunnerBehaviour.TRUNCATE, RunnerBehaviour.RESET):
+            await self._send_part(request)
         if self.behaviour is RunnerBehaviour.FAIL:
             return web.Response(status=500, headers=headers, text="failed")
         is_stream = request.headers.get("X-Figshunt-Token-Counts") is not None
@@ -137,6 +150,9 @@
             return await self._send_without_end(request, headers, is_stream)
         if is_stream:
             return await self._stream(request, headers)
+        self._answered_ids_by_connection[request.protocol] = headers[
+            "X-Figshunt-Attempt-Id"
+        ]
         response = web.Response(headers=headers, text=f"served by {self.runner_id}")
         if self.behaviour is RunnerBehaviour.ANSWER_TWICE:
             self.run_in_background(self._write_second_response(request))
@@ -150,7 +166,7 @@
         await response.prepare(request)
         first_number = int(request.headers.get("Last-Event-Id", "-1")) + 1
         for number in range(first_number, self._events):
-            await asyncio.sleep(self._event_interval_ms / 1000)
+            await asyncio.sleep(self.event_interval_ms / 1000)
             await response.write(b"id: %d\ndata: token\n\n" % number)
             breaks_stream = self.behaviour is RunnerBehaviour.BREAK_STREAM
             if (
@@ -183,7 +199,36 @@
                 b"Content-Length: 0\r\n\r\n" % refused_id.encode()
             )
 
+    def _repeat_answer(self, request: web.Request) -> None:
+        answered_id = self._answered_ids_by_connection.get(request.protocol)
+        if answered_id is not None and request.transport is not None:
+            request.transport.write(
+                b"HTTP/1.1 200 OK\r\n"
+                b"X-Figshunt-Server-Stamp: stamp\r\n"
+                b"X-Figshunt-Attempt-Id: %s\r\n"
+                b"Content-Length: 7\r\n\r\nanother" % answered_id.encode()
+            )
+
+    async def _send_part(self, request: web.Request) -> None:
+        """Send a part of an answer and close the connection, or reset it."""
+        assert request.transport is not None
+        is_reset = self.behaviour is RunnerBehaviour.RESET
+        length = b"" if is_reset else b"Content-Length: 100\r\n"
+        request.transport.write(
+            b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+            b"X-Figshunt-Server-Stamp: stamp\r\n"
+            b"X-Figshunt-Attempt-Id: %s\r\n%s\r\nhalf"
+            % (request.headers["X-Figshunt-Attempt-Id"].encode(), length)
+        )
+        # The part has to arrive before the connection ends.
+        await asyncio.sleep(0.05)
+        if is_reset:
+            linger = struct.pack("ii", 1, 0)
+            connection = request.transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        request.transport.close()
+
     async def _write_second_response(self, request: web.Request) -> None:
-        await asyncio.sleep(self._event_interval_ms / 1000)
+        await asyncio.sleep(self.event_interval_ms / 1000)
         if request.transport is not None:
             request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore")
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -106,6 +106,42 @@
                 self.assertEqual(200, response.status)
                 self.assertEqual(request_id, response.headers["X-Figshunt-Attempt-Id"])
 
+    async def test_late_copy_of_an_answer_reaches_no_other_caller(self) -> None:
+        """Guards against the answer of another request on a kept connection."""
+        for number in range(4):
+            path = f"/look/{number}"
+            async with self.fixture.request("GET", path, "r1") as response:
+                self.assertEqual(200, response.status)
+        self.set_behaviour(RunnerBehaviour.REPEAT_ANSWER)
+        async with self.fixture.request("POST", "/book/1", "r2") as response:
+            self.assertEqual(502, response.status)
+            self.assertNotIn("another", await response.text())
+        async with self.fixture.request("GET", "/look/5", "r3") as response:
+            self.assertNotIn("another", await response.text())
+            if response.status == 200:
+                self.assertEqual("r3", response.headers["X-Figshunt-Attempt-Id"])
+
+    async def test_answer_that_broke_off_is_no_success(self) -> None:
+        for behaviour in (RunnerBehaviour.TRUNCATE, RunnerBehaviour.RESET):
+            with self.subTest(behaviour):
+                self.set_behaviour(behaviour)
+                async with self.fixture.request("POST", "/book/1") as response:
+                    self.assertEqual(502, response.status)
+
+    async def test_stream_that_broke_off_does_not_look_complete(self) -> None:
+        """Guards against the final chunk after a stream that can't be resumed."""
+        document = build_document(version=9)
+        document["routes"][0]["resumable"] = False
+        self.fixture.store.put("op/config", document)
+        configuration = self.fixture.daemon.core.directory
+        await wait_until(
+            lambda: getattr(configuration.configuration, "version", 0) == 9
+        )
+        self.set_behaviour(RunnerBehaviour.BREAK_STREAM)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with self.fixture.stream() as response:
+                await response.read()
+
     async def test_lost_booking_runs_once_and_has_no_retry_after(self) -> None:
         self.set_behaviour(RunnerBehaviour.CLOSE)
         async with self.fixture.request("POST", "/book/1") as response:
--- a/tests/integration/test_gateway_process.py
+++ b/tests/integration/test_gateway_process.py
@@ -1,17 +1,20 @@
 """An entry host process between callers and stand-ins of the platform."""
 
+import asyncio
 import signal
 import tempfile
 import unittest
 from pathlib import Path
 
 import aiohttp
+from yarl import URL
 
 from figshunt.standins import PlatformRunner, PlatformStore
 from tests.gateway.fixture import (
     CALLER_API_KEY,
     LOOPBACK,
     build_document,
+    wait_until,
     write_settings,
 )
 from tests.harness import ManagedProcess, start_module
@@ -65,6 +68,69 @@
         self.assertIn("id: 19", body)
         self.assertEqual(0, await process.wait())
 
+    async def test_planned_stop_under_load_cuts_off_no_request(self) -> None:
+        """Guards against accepted requests that are cut off without an answer.
+
+        Callers use their connections until the host closes them. One request is
+        still being sent when the signal comes.
+        """
+        self.runner.event_interval_ms = 20
+        process, url = await self.start_gateway()
+        callers = [
+            asyncio.create_task(self.call_until_closed(url, number))
+            for number in range(8)
+        ]
+        reader, writer = await asyncio.open_connection(LOOPBACK, URL(url).port)
+        lines = [f"{name}: {value}" for name, value in HEADERS.items()]
+        head = "\r\n".join(["POST /chat/1 HTTP/1.1", *lines, "Content-Length: 2"])
+        writer.write(f"{head}\r\n\r\n{{".encode())
+        await writer.drain()
+        await wait_until(lambda: len(self.runner.received_requests) > 16)
+        process.signal(signal.SIGTERM)
+        await process.wait_for_line("event=drain_started")
+        writer.write(b"}")
+        answer = await reader.read()
+        writer.close()
+        self.assertIn(b"id: 19", answer)
+        results = await asyncio.gather(*callers)
+        self.assertEqual(0, await process.wait())
+        run_ids = {
+            request.header("X-Figshunt-Attempt-Id")
+            for request in self.runner.received_requests
+        }
+        self.assertEqual(0, self.runner.cancelled)
+        for answered_ids, cut_off_id in results:
+            self.assertTrue(answered_ids)
+            self.assertNotIn(cut_off_id, run_ids)
+
+    async def call_until_closed(
+        self, url: str, caller: int
+    ) -> tuple[list[str], str | None]:
+        """Send requests on one connection until the host closes it.
+
+        :returns: the ids of the requests with a whole answer, and that of a request
+            that crossed the close of the connection.
+        """
+        answered_ids: list[str] = []
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=1)
+        ) as session:
+            while True:
+                request_id = f"{caller}-{len(answered_ids)}"
+                headers = HEADERS | {"X-Figshunt-Attempt-Id": request_id}
+                try:
+                    async with session.post(
+                        url, headers=headers, data=b"{}"
+                    ) as response:
+                        body = await response.text()
+                except aiohttp.ClientConnectorError:
+                    return answered_ids, None
+                except (aiohttp.ClientError, OSError):
+                    return answered_ids, request_id
+                self.assertEqual(200, response.status)
+                self.assertIn("id: 19", body)
+                answered_ids.append(request_id)
+
     async def test_sighup_reloads_settings_but_ignores_invalid_ones(self) -> None:
         """Guards against a reload of an invalid file that stops the service."""
         process, url = await self.start_gateway()
