Bound the calls of a large fleet to the store

Change: the pause after a failure is 10 ms for each known host, at most a second; changes are gathered for 5 ms a host, at most half a second, and a host of a large fleet reads from a peer once it has been behind for longer than that.

--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -14,8 +14,11 @@
 from figshunt.types import Clock, Step
 
 # Mean delay between attempts while the source fails. It is short, so that
-# changes are seen soon after an outage.
-RETRY_DELAY_MS = 150
+# changes are seen soon after an outage, but grows with the number of hosts, so that
+# all of them together make a bounded number of calls per second.
+MIN_RETRY_DELAY_MS = 150
+RETRY_DELAY_MS_PER_HOST = 10
+MAX_RETRY_DELAY_MS = 1_000
 
 # A change must take effect within 2 s, even if a watch was cut without an error, so
 # with few hosts each watch ends after this time.
@@ -29,7 +32,9 @@
 # Each call to the store has a price, so with many hosts each one waits this long
 # before its next watch and reads several changes at once. This is shorter than
 # the time after which a host with an older revision reads from a peer.
-BATCH_DELAY_MS = 200
+MIN_BATCH_DELAY_MS = 200
+BATCH_DELAY_MS_PER_HOST = 5
+MAX_BATCH_DELAY_MS = 500
 
 # An entry that is removed within the lapse window after an outage of at least this
 # length may have expired because its runner couldn't renew it.
@@ -121,8 +126,7 @@
         """Record that the store can't be read, and wait before the next attempt."""
         self._record_failure(started_ms)
         self._items.set_available(ItemOrigin.STORE, False, detail)
-        wait_ms = RETRY_DELAY_MS * (0.5 + self._random.random())
-        await asyncio.sleep(wait_ms / 1000)
+        await asyncio.sleep(self._retry_delay_ms() / 1000)
 
     async def _read_once(self) -> None:
         if self._has_listing:
@@ -135,7 +139,16 @@
         apply_listing(listing.items, listing.revision, self._record_success())
         self._has_listing = True
         if listing.items and self._count_hosts() >= LARGE_FLEET_HOSTS:
-            await asyncio.sleep(BATCH_DELAY_MS / 1000)
+            await asyncio.sleep(self._batch_delay_ms() / 1000)
+
+    def _batch_delay_ms(self) -> int:
+        delay_ms = BATCH_DELAY_MS_PER_HOST * self._count_hosts()
+        return min(MAX_BATCH_DELAY_MS, max(MIN_BATCH_DELAY_MS, delay_ms))
+
+    def _retry_delay_ms(self) -> float:
+        delay_ms = RETRY_DELAY_MS_PER_HOST * self._count_hosts()
+        mean_delay_ms = min(MAX_RETRY_DELAY_MS, max(MIN_RETRY_DELAY_MS, delay_ms))
+        return mean_delay_ms * (0.5 + self._random.random())
 
     def _watch_wait_ms(self) -> int:
         """Return how long the next watch may wait for a change.
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -10,6 +10,7 @@
 from websockets.exceptions import ConnectionClosed
 
 from figshunt.dispatch import HostStatus
+from figshunt.gateway._directory_reader import LARGE_FLEET_HOSTS
 from figshunt.gateway._mirror_codec import decode_items, encode_items
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._settings import Address
@@ -26,9 +27,11 @@
 CONNECT_TIMEOUT_S = 0.7
 
 # Interval of the check whether a mirror is needed, and how many checks in a row must
-# find a newer revision on a peer before this host reads from one.
+# find a newer revision on a peer before this host reads from one. In a large fleet
+# hosts gather changes for up to half a second before they read them.
 CHECK_INTERVAL_S = 0.1
 MIN_BEHIND_CHECKS = 3
+LARGE_FLEET_BEHIND_CHECKS = 7
 
 
 class MirrorListener(Service):
@@ -207,4 +210,6 @@
             self._behind_checks += 1
         else:
             self._behind_checks = 0
-        return self._behind_checks >= MIN_BEHIND_CHECKS
+        is_large = len(current_revisions) >= LARGE_FLEET_HOSTS
+        min_checks = LARGE_FLEET_BEHIND_CHECKS if is_large else MIN_BEHIND_CHECKS
+        return self._behind_checks >= min_checks
--- a/tests/gateway/test_directory_reader.py
+++ b/tests/gateway/test_directory_reader.py
@@ -20,7 +20,7 @@
     PublishedItems,
     SourceError,
 )
-from figshunt.gateway._directory_reader import BATCH_DELAY_MS
+from figshunt.gateway._directory_reader import MIN_BATCH_DELAY_MS
 from figshunt.runtime import EventLog
 from figshunt.types import DataCentreName, ManualClock, Message, RunnerId
 
@@ -210,7 +210,20 @@
         ]
         await self.read(Listing((), 5), *changes, hosts=40)
         elapsed_s = asyncio.get_running_loop().time() - started_s
-        self.assertGreaterEqual(elapsed_s, 2 * BATCH_DELAY_MS / 1000)
+        self.assertGreaterEqual(elapsed_s, 2 * MIN_BATCH_DELAY_MS / 1000)
+
+    async def test_calls_of_a_large_fleet_are_bounded_while_the_store_fails(
+        self,
+    ) -> None:
+        """Guards against hundreds of calls per second, each of which has a price."""
+        hosts = 80
+        max_fleet_calls_per_s = 250
+        failures = [SourceError("reset")] * 6
+        started_s = asyncio.get_running_loop().time()
+        await self.read(*failures, Listing((), 5), hosts=hosts)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        calls_per_s = hosts * len(failures) / elapsed_s
+        self.assertLess(calls_per_s, max_fleet_calls_per_s)
 
     async def test_few_hosts_watch_again_without_delay(self) -> None:
         changes = [
@@ -220,7 +233,7 @@
         started_s = asyncio.get_running_loop().time()
         await self.read(Listing((), 5), *changes, hosts=5)
         elapsed_s = asyncio.get_running_loop().time() - started_s
-        self.assertLess(elapsed_s, 100 * BATCH_DELAY_MS / 1000)
+        self.assertLess(elapsed_s, 100 * MIN_BATCH_DELAY_MS / 1000)
 
 
 if __name__ == "__main__":
