Tell peers of silent runners

Cause: each host found a runner that had fallen silent by losing two calls to it, and again after each pause.

Change: a host that leaves a runner alone says so. Others do the same once two hosts have said it, for a random longer time, unless the runner answered them within the last second. Afterwards it gets one call at a time until it answers, as before.

--- a/figshunt/dispatch/__init__.py
+++ b/figshunt/dispatch/__init__.py
@@ -39,6 +39,7 @@
     ReplyHead,
     ReplyStarted,
     ReplyVerdict,
+    SilenceNotice,
 )
 from figshunt.dispatch._peer_filter import PeerFilter, PeersView
 from figshunt.dispatch._placement_filter import PlacementFilter
@@ -94,5 +95,6 @@
     "RoutedCall",
     "RunnerModel",
     "SharedBounds",
+    "SilenceNotice",
     "StartCallAttempt",
 ]
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -3,7 +3,12 @@
 from dataclasses import dataclass, field
 
 from figshunt.dispatch._call import Call
-from figshunt.dispatch._messages import PlacementNotice, QueueNotice, ReplyHead
+from figshunt.dispatch._messages import (
+    PlacementNotice,
+    QueueNotice,
+    ReplyHead,
+    SilenceNotice,
+)
 from figshunt.types import (
     AttemptId,
     CancelReason,
@@ -107,6 +112,7 @@
     placements: tuple[PlacementNotice, ...] = ()
     crash_reports: tuple[tuple[Fingerprint, str], ...] = ()
     queues: tuple[QueueNotice, ...] = ()
+    silences: tuple[SilenceNotice, ...] = ()
 
 
 AnswerEffect = (
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -218,6 +218,17 @@
     backlog_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceNotice:
+    """A host leaves a runner alone that is silent or unreachable.
+
+    ``exclusion_ms`` is the time for which it does so.
+    """
+
+    runner_id: RunnerId
+    exclusion_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """The status that a host sends to its peers.
@@ -240,17 +251,23 @@
     placements: tuple[PlacementNotice, ...] = ()
     crash_reports: tuple[tuple[Fingerprint, str], ...] = ()
     queues: tuple[QueueNotice, ...] = ()
+    silences: tuple[SilenceNotice, ...] = ()
 
     @property
     def notice_count(self) -> int:
         """Return the number of notices of all kinds."""
-        return len(self.placements) + len(self.crash_reports) + len(self.queues)
+        return (
+            len(self.placements)
+            + len(self.crash_reports)
+            + len(self.queues)
+            + len(self.silences)
+        )
 
     def without_notices(self) -> "HostStatus":
         """Return the status alone."""
         if not self.notice_count:
             return self
-        return replace(self, placements=(), crash_reports=(), queues=())
+        return replace(self, placements=(), crash_reports=(), queues=(), silences=())
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -25,6 +25,7 @@
     FirstEventSeen,
     PeerStatusReceived,
     PlacementNotice,
+    SilenceNotice,
 )
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._refusal import refuse_call
@@ -35,6 +36,7 @@
     AttemptId,
     DataCentreName,
     ErrorCode,
+    HostName,
     LogEvent,
     LogValue,
     Message,
@@ -51,6 +53,10 @@
 FIRST_EXCLUSION_MS = 250
 MAX_EXCLUSION_MS = 2_000
 
+# Exclusions that other hosts tell of are longer by this factor, up to the maximum.
+TOLD_EXCLUSION_FACTOR = 2
+MAX_TOLD_EXCLUSION_MS = 4_000
+
 # Applies when the process at a runner's address answers that it is another
 # runner: the directory entry is stale and should be removed soon.
 WRONG_RUNNER_EXCLUSION_MS = 3_000
@@ -151,6 +157,8 @@
                     self._fleet.record_placement(notice, now)
                 for queue in status.queues:
                     self._fleet.record_backlog(queue, now)
+                for silence in status.silences:
+                    yield from self._record_silence(status.host, silence, now)
             case TimerDue():
                 yield from self._place_held_calls(now)
                 yield message
@@ -294,6 +302,9 @@
             exclusion_ms = WRONG_RUNNER_EXCLUSION_MS
         if exclusion_ms:
             model.exclude(now.monotonic_ms + exclusion_ms)
+            if not attempt.is_wrong_runner:
+                notice = SilenceNotice(attempt.runner_id, exclusion_ms)
+                yield BroadcastStatus(silences=(notice,))
             fields: dict[str, LogValue] = {
                 "runner": attempt.runner_id,
                 "for_ms": exclusion_ms,
@@ -301,6 +312,29 @@
             }
             yield LogEvent("runner_excluded", self.step, fields)
 
+    def _record_silence(
+        self, host: HostName, notice: SilenceNotice, now: Moment
+    ) -> Iterable[Output]:
+        """Leave a runner alone that other hosts found silent.
+
+        The time is random and longer than theirs, so that only a few hosts at a time
+        try whether the runner answers again.
+        """
+        model = self._fleet.find(notice.runner_id)
+        if model is None:
+            return
+        factor = TOLD_EXCLUSION_FACTOR * (1 + self._random.random())
+        exclusion_ms = min(MAX_TOLD_EXCLUSION_MS, int(notice.exclusion_ms * factor))
+        until_ms = now.monotonic_ms + exclusion_ms
+        if model.report_silence(host, until_ms, now.monotonic_ms):
+            fields: dict[str, LogValue] = {
+                "runner": notice.runner_id,
+                "for_ms": exclusion_ms,
+                "result": "told",
+                "peer": host,
+            }
+            yield LogEvent("runner_excluded", self.step, fields)
+
     def _hold_or_refuse(
         self, routed: RoutedCall, has_untried_runners: bool, now: Moment
     ) -> Iterable[Output]:
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -5,7 +5,7 @@
 
 from figshunt.dispatch._prefill_queue import PrefillQueue
 from figshunt.dispatch._prefix_cache import PrefixCache
-from figshunt.types import AttemptId, RunnerId
+from figshunt.types import AttemptId, HostName, RunnerId
 
 # Prefill rate of an engine and time to first token of an empty prompt. Both are
 # priors that the observed slowness of a runner corrects.
@@ -45,6 +45,15 @@
 SILENCE_MS = 250
 SILENT_ATTEMPTS = 2
 
+# A runner that answered this host within this time is not left alone on the word of
+# others: their connections to it may be at fault.
+OWN_ANSWER_MS = 1_000
+
+# This many hosts have to report a runner as silent within this time. One host may
+# have lost its own connections.
+SILENCE_REPORTS = 2
+SILENCE_REPORT_MS = 3_000
+
 SLOWNESS_BOUNDS = (0.5, 12.0)
 
 
@@ -82,6 +91,7 @@
         self.exclusions = 0
         self._last_response_ms = 0
         self._silent_attempts = 0
+        self._silence_reports_ms: dict[HostName, int] = {}
         self.fetchable_from_ms = 0
         self._prefill_share = 0.0
         self._long_prefill_share = 0.0
@@ -196,6 +206,30 @@
         self.excluded_until_ms = max(self.excluded_until_ms, until_ms)
         self.exclusions += 1
 
+    def report_silence(self, host: HostName, until_ms: int, now_ms: int) -> bool:
+        """Exclude the runner until then if enough other hosts left it alone.
+
+        When the exclusion ends, it gets one call at a time until it answers.
+
+        :returns: whether the runner is excluded by this report.
+        """
+        self._silence_reports_ms[host] = now_ms
+        self._silence_reports_ms = {
+            reporter: reported_ms
+            for reporter, reported_ms in self._silence_reports_ms.items()
+            if now_ms - reported_ms <= SILENCE_REPORT_MS
+        }
+        has_answered = (
+            self._last_response_ms and now_ms - self._last_response_ms < OWN_ANSWER_MS
+        )
+        reports = len(self._silence_reports_ms) + (self._silent_attempts > 0)
+        if has_answered or reports < SILENCE_REPORTS:
+            return False
+        was_available = self.excluded_until_ms <= now_ms
+        self.excluded_until_ms = max(self.excluded_until_ms, until_ms)
+        self.exclusions = max(1, self.exclusions)
+        return was_available
+
     def restart(self, cold_until_ms: int, kv_tokens: int) -> None:
         """Reset what was learned about the previous process of the runner."""
         self.prefix_cache = PrefixCache(kv_tokens)
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -13,6 +13,7 @@
     PeerStatusReceived,
     PlacementNotice,
     QueueNotice,
+    SilenceNotice,
 )
 from figshunt.exchange import Outgoing, StatusExchange
 from figshunt.gateway._status_codec import decode_bundle, encode_bundle
@@ -67,6 +68,7 @@
         self._placements: list[PlacementNotice] = []
         self._crash_reports: list[tuple[Fingerprint, str]] = []
         self._queues_by_runner: dict[RunnerId, QueueNotice] = {}
+        self._silences_by_runner: dict[RunnerId, SilenceNotice] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_timer: asyncio.TimerHandle | None = None
         self._forward_timer: asyncio.TimerHandle | None = None
@@ -96,12 +98,15 @@
         self._exchange.set_seeds(seeds)
 
     def schedule_notices(self, effect: BroadcastStatus) -> None:
-        """Add placements, crashes and runners' backlogs to the next batch."""
+        """Add notices to the next batch."""
         self._placements.extend(effect.placements)
         self._crash_reports.extend(effect.crash_reports)
         self._queues_by_runner.update(
             (notice.runner_id, notice) for notice in effect.queues
         )
+        self._silences_by_runner.update(
+            (notice.runner_id, notice) for notice in effect.silences
+        )
         if self._flush_timer is None:
             self._flush_timer = asyncio.get_running_loop().call_later(
                 BATCH_DELAY_MS / 1000, self._flush
@@ -164,17 +169,21 @@
         crash_reports, self._crash_reports = self._crash_reports, []
         queues = list(self._queues_by_runner.values())
         self._queues_by_runner = {}
-        while placements or crash_reports or queues:
+        silences = list(self._silences_by_runner.values())
+        self._silences_by_runner = {}
+        while placements or crash_reports or queues or silences:
             status = replace(
                 self._build_own_status(),
                 placements=tuple(placements[:MAX_PLACEMENTS_PER_STATUS]),
                 crash_reports=tuple(crash_reports[:MAX_CRASHES_PER_STATUS]),
                 queues=tuple(queues[:MAX_QUEUES_PER_STATUS]),
+                silences=tuple(silences[:MAX_QUEUES_PER_STATUS]),
             )
             self._send(self._exchange.send_notices(status, self._now()))
             placements = placements[MAX_PLACEMENTS_PER_STATUS:]
             crash_reports = crash_reports[MAX_CRASHES_PER_STATUS:]
             queues = queues[MAX_QUEUES_PER_STATUS:]
+            silences = silences[MAX_QUEUES_PER_STATUS:]
         self._schedule_forward()
 
     def _schedule_forward(self) -> None:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -11,6 +11,7 @@
     PlacementNotice,
     PromptPart,
     QueueNotice,
+    SilenceNotice,
 )
 from figshunt.exchange import Bundle, BundlePurpose
 from figshunt.types import DataCentreName, Fingerprint, HostName, RunnerId
@@ -69,12 +70,14 @@
         [_encode_placement(notice) for notice in status.placements],
         [list(crash) for crash in status.crash_reports],
         [[notice.runner_id, notice.backlog_ms] for notice in status.queues],
+        [[notice.runner_id, notice.exclusion_ms] for notice in status.silences],
     ]
 
 
 def _decode_status(fields: list[Any]) -> HostStatus:
     host, incarnation, address, version, revision, *rest = fields
-    can_read_store, data_centre, known_hosts, placements, crash_reports, queues = rest
+    can_read_store, data_centre, known_hosts, *notices = rest
+    placements, crash_reports, queues, silences = notices
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -93,6 +96,10 @@
             QueueNotice(RunnerId(str(runner_id)), int(backlog_ms))
             for runner_id, backlog_ms in queues
         ),
+        silences=tuple(
+            SilenceNotice(RunnerId(str(runner_id)), int(exclusion_ms))
+            for runner_id, exclusion_ms in silences
+        ),
     )
 
 
--- a/tests/dispatch/test_placement_filter.py
+++ b/tests/dispatch/test_placement_filter.py
@@ -12,6 +12,7 @@
     ReplyComplete,
     ReplyEvent,
     ReplyStarted,
+    SilenceNotice,
     StartCallAttempt,
 )
 from figshunt.types import LogEvent, PoolName, RunnerId
@@ -179,3 +180,66 @@
         self.send_to("b1", 1)
         self.driver.advance(400)
         self.assertLess(1, len(self.send_burst()))
+
+
+class ToldSilenceTest(unittest.TestCase):
+    """Guards against a fleet in which each host loses calls to find a silent runner."""
+
+    def setUp(self) -> None:
+        self.driver = CoreDriver(
+            build_published_runner("b1", "bookings", slots=4),
+            build_published_runner("b2", "bookings", slots=4, data_centre="b"),
+            configuration=build_configuration(
+                build_run_once_route(max_runners=1, timeout_ms=300)
+            ),
+        )
+
+    def send(self, number: int) -> str:
+        """Send a call, answer it, and return the runner that got it."""
+        self.driver.call(build_call(f"r{number}", "/book/1"))
+        attempt = self.driver.last_attempt()
+        self.driver.handle(ReplyComplete(attempt.attempt_id, build_reply_head(), b""))
+        return attempt.runner_id
+
+    def tell(self, *hosts: str) -> None:
+        for host in hosts:
+            notice = SilenceNotice(RunnerId("b1"), 1_000)
+            status = build_host_status(host, silences=(notice,))
+            self.driver.handle(PeerStatusReceived(status))
+
+    def test_silence_reported_by_two_hosts_keeps_calls_away(self) -> None:
+        self.tell("h2", "h3")
+        self.assertEqual({"b2"}, {self.send(number) for number in range(8)})
+
+    def test_single_host_is_not_believed(self) -> None:
+        """One host may have lost its own connections."""
+        self.tell("h2", "h2", "h2")
+        self.assertIn("b1", {self.send(number) for number in range(8)})
+
+    def test_runner_that_answers_this_host_is_used_on(self) -> None:
+        self.driver.unlist_runner("b2")
+        self.assertEqual("b1", self.send(0))
+        self.driver.list_runner(build_published_runner("b2", "bookings", slots=4))
+        self.tell("h2", "h3", "h4")
+        self.assertIn("b1", {self.send(number) for number in range(1, 12)})
+
+    def test_runner_is_tried_again_after_the_time(self) -> None:
+        self.tell("h2", "h3")
+        self.driver.advance(4_100)
+        self.assertIn("b1", {self.send(number) for number in range(12)})
+
+    def test_silent_runner_is_told_to_peers(self) -> None:
+        self.driver.unlist_runner("b2")
+        for number in range(2):
+            self.driver.call(build_call(f"r{number}", "/book/1"))
+        self.driver.advance(300)
+        notices = [
+            notice
+            for effect in self.driver.effects_of(BroadcastStatus)
+            for notice in effect.silences
+        ]
+        self.assertEqual([RunnerId("b1")], [notice.runner_id for notice in notices])
+
+
+if __name__ == "__main__":
+    unittest.main()
