--- a/figshunt/exchange/_members.py
+++ b/figshunt/exchange/_members.py
@@ -14,6 +14,10 @@
 # A member is forgotten after this time without a status.
 MEMBER_EXPIRY_MS = 15_000
 
+# More members than this are not recorded. It bounds what datagrams with made-up hosts
+# can add.
+MAX_MEMBERS = 1_000
+
 # What is derived from the list is derived anew after this time, as the cost grows
 # with the fleet and a datagram needs it.
 SUMMARY_INTERVAL_MS = 100
@@ -72,6 +76,8 @@
         known = self._members_by_host.get(status.host)
         if known is not None and known.status.incarnation > status.incarnation:
             return
+        if known is None and len(self) >= MAX_MEMBERS:
+            return
         rank = known.rank if known is not None else relay_rank(status.host)
         self._members_by_host[status.host] = Member(
             status.without_notices(), now_ms, rank
--- a/figshunt/exchange/_status_exchange.py
+++ b/figshunt/exchange/_status_exchange.py
@@ -127,6 +127,7 @@
         ]
         for status in statuses:
             self.members.record(status, now.monotonic_ms)
+        statuses = [status for status in statuses if status.host in self.members]
         if bundle.purpose is BundlePurpose.FORWARD:
             self._queue_forward(bundle.data_centre, statuses)
         if len(statuses) == 1 and statuses[0].host == bundle.sender:
--- a/tests/exchange/test_status_exchange.py
+++ b/tests/exchange/test_status_exchange.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+from figshunt.exchange import Bundle, BundlePurpose
+from figshunt.exchange._members import MAX_MEMBERS
+from tests.builders import build_host_status
 from tests.exchange.fleet import ExchangeFleet, ExchangeHost
 
 START_MS = 6_000
@@ -90,6 +93,18 @@
         for host in fleet.living_hosts:
             self.assertEqual(77, host.exchange.known_hosts(fleet.now))
 
+    def test_made_up_hosts_do_not_fill_the_memory(self) -> None:
+        fleet = ExchangeFleet(5, 4)
+        fleet.run(START_MS)
+        receiver = fleet.hosts[0]
+        for number in range(3 * MAX_MEMBERS):
+            status = build_host_status(f"made-up-{number}")
+            bundle = Bundle(
+                status.host, status.data_centre, BundlePurpose.FORWARD, (status,)
+            )
+            receiver.exchange.receive(bundle, fleet.now)
+        self.assertLessEqual(len(receiver.exchange.members), MAX_MEMBERS)
+
     def test_lossy_links_lose_few_notices_and_no_relay(self) -> None:
         fleet = ExchangeFleet(78, 6)
         fleet.run(START_MS)
