Introduce members only to hosts that lack many of them

Cause: a host whose view lagged by one or two members got the whole list from every host that it sent a heartbeat to; with lossy links each pair of hosts would exchange lists all the time. Found by reading.

Change: a list is sent if more than 15 in 100 are missing. Relays forward the heartbeats of their own data centre to the hosts there too, which brings the rest.

--- a/figshunt/exchange/_status_exchange.py
+++ b/figshunt/exchange/_status_exchange.py
@@ -18,6 +18,7 @@
 
 # A host that knows fewer hosts gets a list of them, at most once in this time.
 INTRODUCTION_INTERVAL_MS = 400
+MAX_MISSING_SHARE = 0.15
 
 
 class StatusExchange:
@@ -150,19 +151,17 @@
     def _queue_forward(
         self, origin: DataCentreName, statuses: Sequence[HostStatus]
     ) -> None:
-        if origin != self._data_centre:
-            self._local_statuses.extend(statuses)
-            return
-        self._remote_statuses.extend(statuses)
-        # The hosts here receive heartbeats from each other.
-        self._local_statuses.extend(
-            status for status in statuses if status.notice_count
-        )
+        self._local_statuses.extend(statuses)
+        if origin == self._data_centre:
+            self._remote_statuses.extend(statuses)
 
     def _introduce_members(self, status: HostStatus, now: Moment) -> list[Outgoing]:
         """Return a list of members for a host that knows fewer of them."""
         now_ms = now.monotonic_ms
-        if status.known_hosts >= self.known_hosts(now):
+        known_hosts = self.known_hosts(now)
+        missing_hosts = known_hosts - status.known_hosts
+        # A few that were not heard of lately are heard of again without a list.
+        if missing_hosts <= known_hosts * MAX_MISSING_SHARE:
             return []
         last_ms = self._introduced_ms_by_host.get(status.host)
         if last_ms is not None and now_ms - last_ms < INTRODUCTION_INTERVAL_MS:
