Share the repeated responses of the stand-in and name a limit for its use

Cause: two methods of the stand-in wrote nearly the same response, and the limit of queues in a status also counted silences. Change: one method; MAX_RUNNER_NOTICES_PER_STATUS.

--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -31,7 +31,7 @@
 # These limits keep a status with its notices below the usual packet size.
 MAX_PLACEMENTS_PER_STATUS = 10
 MAX_CRASHES_PER_STATUS = 10
-MAX_QUEUES_PER_STATUS = 10
+MAX_RUNNER_NOTICES_PER_STATUS = 10
 
 BAD_DATAGRAM_LOG_INTERVAL_MS = 5_000
 
@@ -176,14 +176,14 @@
                 self._build_own_status(),
                 placements=tuple(placements[:MAX_PLACEMENTS_PER_STATUS]),
                 crash_reports=tuple(crash_reports[:MAX_CRASHES_PER_STATUS]),
-                queues=tuple(queues[:MAX_QUEUES_PER_STATUS]),
-                silences=tuple(silences[:MAX_QUEUES_PER_STATUS]),
+                queues=tuple(queues[:MAX_RUNNER_NOTICES_PER_STATUS]),
+                silences=tuple(silences[:MAX_RUNNER_NOTICES_PER_STATUS]),
             )
             self._send(self._exchange.send_notices(status, self._now()))
             placements = placements[MAX_PLACEMENTS_PER_STATUS:]
             crash_reports = crash_reports[MAX_CRASHES_PER_STATUS:]
-            queues = queues[MAX_QUEUES_PER_STATUS:]
-            silences = silences[MAX_QUEUES_PER_STATUS:]
+            queues = queues[MAX_RUNNER_NOTICES_PER_STATUS:]
+            silences = silences[MAX_RUNNER_NOTICES_PER_STATUS:]
         self._schedule_forward()
 
     def _schedule_forward(self) -> None:
--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -138,9 +138,17 @@
         if self.behaviour is RunnerBehaviour.CLOSE and request.transport is not None:
             request.transport.abort()
         if self.behaviour is RunnerBehaviour.REPEAT_REFUSAL:
-            self._repeat_refusal(request)
+            self._repeat_response(
+                request,
+                self._refused_ids_by_connection,
+                b"503 Service Unavailable\r\nX-Figshunt-Not-Executed: 1",
+            )
         if self.behaviour is RunnerBehaviour.REPEAT_ANSWER:
-            self._repeat_answer(request)
+            self._repeat_response(
+                request,
+                self._answered_ids_by_connection,
+                b"200 OK\r\nX-Figshunt-Server-Stamp: stamp",
+            )
         if self.behaviour in (RunnerBehaviour.TRUNCATE, RunnerBehaviour.RESET):
             await self._send_part(request)
         if self.behaviour is RunnerBehaviour.FAIL:
@@ -189,24 +197,15 @@
         while True:
             await response.write(b"x" * ENDLESS_WRITE_BYTES)
 
-    def _repeat_refusal(self, request: web.Request) -> None:
-        refused_id = self._refused_ids_by_connection.get(request.protocol)
-        if refused_id is not None and request.transport is not None:
-            request.transport.write(
-                b"HTTP/1.1 503 Service Unavailable\r\n"
-                b"X-Figshunt-Not-Executed: 1\r\n"
-                b"X-Figshunt-Attempt-Id: %s\r\n"
-                b"Content-Length: 0\r\n\r\n" % refused_id.encode()
-            )
-
-    def _repeat_answer(self, request: web.Request) -> None:
-        answered_id = self._answered_ids_by_connection.get(request.protocol)
-        if answered_id is not None and request.transport is not None:
+    def _repeat_response(
+        self, request: web.Request, ids_by_connection: dict[object, str], start: bytes
+    ) -> None:
+        """Send the response to an earlier request on this connection once more."""
+        earlier_id = ids_by_connection.get(request.protocol)
+        if earlier_id is not None and request.transport is not None:
             request.transport.write(
-                b"HTTP/1.1 200 OK\r\n"
-                b"X-Figshunt-Server-Stamp: stamp\r\n"
-                b"X-Figshunt-Attempt-Id: %s\r\n"
-                b"Content-Length: 7\r\n\r\nanother" % answered_id.encode()
+                b"HTTP/1.1 %s\r\nX-Figshunt-Attempt-Id: %s\r\n"
+                b"Content-Length: 7\r\n\r\nanother" % (start, earlier_id.encode())
             )
 
     async def _send_part(self, request: web.Request) -> None:
