--- a/tests/builders.py
+++ b/tests/builders.py
@@ -348,16 +348,26 @@
     return Call(**(fields | overrides))
 
 
-def build_prompt(tokens: int = 500, *shared: tuple[str, int]) -> Prompt:
+def build_prompt(
+    tokens: int = 500,
+    *shared: tuple[str, int],
+    name: str = "own",
+    output_tokens: int = 100,
+) -> Prompt:
     """Return a prompt of the given shared parts and a part of its own at the end.
 
     :param tokens: the number of tokens of the complete prompt.
     :param shared: the name and the number of tokens of each shared part.
+    :param name: the name of its own part.
+    :param output_tokens: the expected length of the answer.
     """
     shared_parts = tuple(PromptPart(PartId(name), count) for name, count in shared)
     own_tokens = tokens - sum(part.tokens for part in shared_parts)
     return Prompt(
-        tokens, 200, (*shared_parts, PromptPart(PartId("own"), own_tokens)), 100
+        tokens,
+        2 * output_tokens,
+        (*shared_parts, PromptPart(PartId(name), own_tokens)),
+        output_tokens,
     )
 
 
