Add failing tests of prompt parts that crash runners

Change: tests of each, and one of runners that crash together, which passes; what told the hypotheses apart.

--- a/tests/dispatch/test_crash_filter.py
+++ b/tests/dispatch/test_crash_filter.py
@@ -2,16 +2,29 @@
 
 import unittest
 
+from figshunt.directory import Repeatability
 from figshunt.dispatch import (
     AnswerError,
     BroadcastStatus,
     Call,
     CallAttemptFailed,
     PeerStatusReceived,
+    ReplyEnded,
+    ReplyEvent,
+    ReplyStarted,
+    SilenceNotice,
     StartCallAttempt,
 )
-from figshunt.types import AttemptFailure, Fingerprint, SendState
-from tests.builders import build_call, build_host_status, build_published_runner
+from figshunt.types import AttemptFailure, Effect, Fingerprint, SendState
+from tests.builders import (
+    build_call,
+    build_configuration,
+    build_host_status,
+    build_prompt,
+    build_published_route,
+    build_published_runner,
+    build_reply_head,
+)
 from tests.dispatch.driver import CoreDriver, select_effects
 
 
@@ -87,5 +100,143 @@
         )
 
 
+class PromptPartTest(unittest.TestCase):
+    """Guards against a prompt part that crashes one engine after another.
+
+    No two requests with the part are alike.
+    """
+
+    MAX_CRASHES = 5
+
+    def setUp(self) -> None:
+        self.driver = self.build_driver()
+        self.call_count = 0
+
+    def build_driver(self, host: str = "h1") -> CoreDriver:
+        return CoreDriver(
+            *(build_published_runner(f"e{number}") for number in range(12)),
+            configuration=build_configuration(
+                build_published_route("chat"),
+                build_published_route(
+                    "note", repeatability=Repeatability.RUN_ONCE, max_runners=1
+                ),
+            ),
+            host=host,
+        )
+
+    def send(
+        self, *parts: str, route: str = "note", driver: CoreDriver | None = None
+    ) -> list[Effect]:
+        """Send a request with these shared parts and a part of its own."""
+        self.call_count += 1
+        name = f"r{self.call_count}"
+        prompt = build_prompt(1_000, *((part, 200) for part in parts), name=name)
+        call = build_call(name, f"/{route}/1", prompt=prompt)
+        return (driver or self.driver).call(call)
+
+    def is_sent(self, *parts: str, driver: CoreDriver | None = None) -> bool:
+        """Send a request and return whether it reaches a runner."""
+        effects = self.send(*parts, driver=driver)
+        return bool(select_effects(effects, StartCallAttempt))
+
+    def lose(self) -> StartCallAttempt:
+        """Let the latest attempt lose its connection."""
+        attempt = self.driver.last_attempt()
+        self.driver.handle(
+            CallAttemptFailed(
+                attempt.attempt_id,
+                AttemptFailure.CONNECTION_LOST,
+                SendState.MAY_HAVE_ARRIVED,
+                "reset",
+            )
+        )
+        return attempt
+
+    def crash(self, *parts: str) -> None:
+        """Let a request crash its runner, which other requests find gone."""
+        self.send(*parts)
+        self.driver.unlist_runner(self.lose().runner_id)
+        self.driver.advance(1_000)
+
+    def serve(self, *parts: str) -> None:
+        """Let a request succeed."""
+        self.send(*parts)
+        attempt_id = self.driver.last_attempt().attempt_id
+        head = build_reply_head(is_stream=True)
+        self.driver.handle(ReplyStarted(attempt_id, head))
+        self.driver.handle(ReplyEvent(attempt_id, 1, b"id: 1\n\n"))
+        self.driver.handle(ReplyEnded(attempt_id))
+
+    def crash_until_refused(self) -> None:
+        """Crash runners with one part beside sound requests that share another."""
+        for _ in range(self.MAX_CRASHES):
+            self.crash("shared", "deadly")
+            self.serve("shared", "sound")
+
+    def test_part_is_refused_and_other_parts_are_served(self) -> None:
+        self.crash_until_refused()
+        effects = self.send("shared", "deadly")
+        self.assertEqual([], select_effects(effects, StartCallAttempt))
+        self.assertEqual(503, select_effects(effects, AnswerError)[0].status)
+        self.assertTrue(self.is_sent("shared", "other"))
+
+    def test_part_is_refused_wherever_it_stands(self) -> None:
+        self.crash_until_refused()
+        self.assertFalse(self.is_sent("deadly", "other"))
+
+    def test_parts_of_runners_that_crash_together_are_served(self) -> None:
+        attempts = []
+        for _ in range(self.MAX_CRASHES):
+            self.send("shared", "other")
+            attempts.append(self.lose())
+        for attempt in attempts:
+            self.driver.unlist_runner(attempt.runner_id)
+        self.driver.advance(1_000)
+        self.assertTrue(self.is_sent("shared", "other"))
+
+    def test_lost_request_with_a_refused_part_is_not_repeated(self) -> None:
+        self.send("shared", "deadly", route="chat")
+        repeated = self.driver.last_attempt()
+        self.crash_until_refused()
+        self.driver.handle(
+            CallAttemptFailed(
+                repeated.attempt_id,
+                AttemptFailure.CONNECTION_LOST,
+                SendState.MAY_HAVE_ARRIVED,
+                "reset",
+            )
+        )
+        repeats = [
+            attempt
+            for attempt in self.driver.effects_of(StartCallAttempt)
+            if attempt.call.call_id == repeated.call.call_id
+        ]
+        self.assertEqual([repeated], repeats)
+
+    def test_crash_is_confirmed_by_another_host(self) -> None:
+        for _ in range(self.MAX_CRASHES):
+            self.send("shared", "deadly")
+            notice = SilenceNotice(self.lose().runner_id, 250)
+            status = build_host_status(silences=(notice,))
+            self.driver.handle(PeerStatusReceived(status))
+            self.driver.advance(1_000)
+        self.assertFalse(self.is_sent("shared", "deadly"))
+
+    def test_hosts_that_start_later_refuse_the_part(self) -> None:
+        self.crash_until_refused()
+        self.driver.effects.clear()
+        status = build_host_status("newcomer", incarnation=2)
+        self.driver.handle(PeerStatusReceived(status))
+        newcomer = self.build_driver("newcomer")
+        for effect in self.driver.effects_of(BroadcastStatus):
+            newcomer.handle(
+                PeerStatusReceived(
+                    build_host_status("h1", crash_reports=effect.crash_reports)
+                )
+            )
+        self.assertFalse(self.is_sent("shared", "deadly", driver=newcomer))
+        self.assertTrue(self.is_sent("shared", "other", driver=newcomer))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -142,6 +142,22 @@
             async with self.fixture.stream() as response:
                 await response.read()
 
+    async def test_engine_that_ends_within_its_answer_counts_as_crashed(self) -> None:
+        """Guards against repeats of a request under which engines ended."""
+        self.set_behaviour(RunnerBehaviour.BREAK_STREAM)
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            async with self.fixture.stream() as response:
+                await response.read()
+        directory = self.fixture.daemon.core.directory
+        for engine in self.fixture.engines:
+            self.fixture.store.delete(f"servers/{engine.runner_id}")
+        await wait_until(lambda: not directory.runners(PoolName("engines")))
+        self.set_behaviour(RunnerBehaviour.SERVE)
+        self.fixture.register_runners()
+        await wait_until(lambda: len(directory.runners(PoolName("engines"))) == 2)
+        async with self.fixture.stream() as response:
+            self.assertEqual(503, response.status)
+
     async def test_lost_booking_runs_once_and_has_no_retry_after(self) -> None:
         self.set_behaviour(RunnerBehaviour.CLOSE)
         async with self.fixture.request("POST", "/book/1") as response:
