Count engines that end within their answers as crashed

Callers saw: a request under which engines had ended was sent on to others (BUDGET). Cause: when a connection ends within a body, the HTTP library reports an incomplete payload, which counted as a wrong answer. Only lost connections make a request a suspect, so that an engine that had sent its answer's head never counted. Change: an incomplete payload is a lost connection; a body that exceeds what is allowed stays a wrong answer, by an error of its own. Cells count any error of the connection as lost and were right. Measured: test_engine_that_ends_within_its_answer_counts_as_crashed failed before and passes; tests.gateway.test_gateway and test_endless_answers: 22 passed. In logs, the result of such attempts is "lost" instead of "spoiled".

--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -24,6 +24,7 @@
     MAX_EVENT_BYTES,
     EventStreamReader,
     MessageSink,
+    OversizedResponseError,
     allow_body,
     attach_comments,
 )
@@ -103,6 +104,11 @@
             )
         except (aiohttp.ServerConnectionError, aiohttp.ClientOSError) as error:
             self._report_failure(attempt, AttemptFailure.CONNECTION_LOST, error)
+        except OversizedResponseError as error:
+            self._report_failure(attempt, AttemptFailure.PROTOCOL, error)
+        except aiohttp.ClientPayloadError as error:
+            # The connection ended within the body.
+            self._report_failure(attempt, AttemptFailure.CONNECTION_LOST, error)
         except (aiohttp.ClientError, ValueError) as error:
             self._report_failure(attempt, AttemptFailure.PROTOCOL, error)
         except OSError as error:
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -1,6 +1,10 @@
 """Logging, metrics, event streams, connections and timers of all daemons."""
 
-from figshunt.runtime._bounded_connector import BoundedConnector, allow_body
+from figshunt.runtime._bounded_connector import (
+    BoundedConnector,
+    OversizedResponseError,
+    allow_body,
+)
 from figshunt.runtime._event_log import (
     EventLog,
     KeyValueDestination,
@@ -33,6 +37,7 @@
     "MAX_EVENT_BYTES",
     "MessageSink",
     "Metrics",
+    "OversizedResponseError",
     "ServerSentEvent",
     "UnexpectedErrorLog",
     "WakeTimer",
--- a/figshunt/runtime/_bounded_connector.py
+++ b/figshunt/runtime/_bounded_connector.py
@@ -13,6 +13,10 @@
 MAX_HEAD_BYTES = 512 * 1024
 
 
+class OversizedResponseError(aiohttp.ClientPayloadError):
+    """A server sent more of a body than is allowed."""
+
+
 class BoundedResponseHandler(ResponseHandler):
     """A connection that fails if the server sends more than is allowed.
 
@@ -42,7 +46,7 @@
             return
         detail = "server sent more than is allowed"
         if self._payload is not None:
-            self._payload.set_exception(aiohttp.ClientPayloadError(detail))
+            self._payload.set_exception(OversizedResponseError(detail))
         self.set_exception(HttpProcessingError(code=502, message=detail))
         if self.transport is not None:
             self.transport.abort()
