Refuse prompt parts that crash one runner after another

Cause: crashes were counted by the content of a whole request. Requests that share a part are not alike, so that none reached two crashes. Lost requests were repeated without a check, a host waited for a call of its own to find an engine gone, and hosts that started later learned nothing, as reports are sent once. Change: crashes are counted for the content and for each prompt part but the last. Crashes that a refused part explains don't suffice for another one. Repeats are checked, and end as "may have run". A silence told by a peer confirms a crash. What is refused or cleared is told to all, and what is refused again to hosts that start or were not heard, by three others. The test of repeats was changed before it passed for the first time: its request was sent again for a stall, before anything was refused; it is told of the refusal by a peer now.

--- a/figshunt/dispatch/__init__.py
+++ b/figshunt/dispatch/__init__.py
@@ -5,6 +5,7 @@
 from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
 from figshunt.dispatch._core import DispatchCore
 from figshunt.dispatch._crash_filter import CrashFilter
+from figshunt.dispatch._crash_records import Suspect, SuspectKind
 from figshunt.dispatch._effects import (
     AnswerAbort,
     AnswerComplete,
@@ -30,9 +31,11 @@
     CallEnded,
     CallMatched,
     CallRouted,
+    CrashReport,
     FirstEventSeen,
     HostStatus,
     OccupancyNotice,
+    PeerStarted,
     PeerStatusReceived,
     PlacementNotice,
     QueueNotice,
@@ -76,6 +79,7 @@
     "CancelCallAttempt",
     "ColdLimit",
     "CrashFilter",
+    "CrashReport",
     "Demand",
     "DispatchCore",
     "EngineLoad",
@@ -84,6 +88,7 @@
     "OccupancyNotice",
     "PartId",
     "PeerFilter",
+    "PeerStarted",
     "PeerStatusReceived",
     "PeersView",
     "PlacementFilter",
@@ -105,5 +110,7 @@
     "SharedBounds",
     "SilenceNotice",
     "StartCallAttempt",
+    "Suspect",
+    "SuspectKind",
     "has_room",
 ]
--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -40,7 +40,7 @@
                 self.peers,
                 RouteFilter(self.directory),
                 TeamFilter(self.directory, random_source),
-                CrashFilter(),
+                CrashFilter(self.peers),
                 self.placement,
                 self.attempts,
             ]
--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/_crash_filter.py
@@ -1,23 +1,28 @@
-"""Refuses requests whose content has crashed runners."""
+"""Refuses requests whose content or prompt parts have crashed runners."""
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from figshunt.directory import RunnerListed, RunnerUnlisted
-from figshunt.dispatch._effects import BroadcastStatus
+from figshunt.dispatch._call import RoutedCall
+from figshunt.dispatch._crash_records import CrashRecords, Suspect, list_suspects
+from figshunt.dispatch._effects import AnswerAbort, BroadcastStatus
 from figshunt.dispatch._messages import (
     CallAdmitted,
     CallAttemptEnded,
     CallAttemptResult,
+    CallEnded,
     CallRouted,
+    CrashReport,
+    PeerStarted,
     PeerStatusReceived,
 )
+from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._refusal import refuse_call
 from figshunt.pipeline import Output
 from figshunt.types import (
     ErrorCode,
-    Fingerprint,
     LogEvent,
     Message,
     Moment,
@@ -26,90 +31,80 @@
     Step,
 )
 
-# Content is refused after it was running during this many runner crashes. One
-# crash may be caused by another request, but two crashes with the same content
-# are very unlikely to be.
-QUARANTINE_CRASHES = 2
-
 # A lost connection counts as a crash if the runner is found to be gone within
 # this time.
 CRASH_CONFIRMATION_MS = 5_000
 
-# Callers retry such a request within minutes.
-QUARANTINE_MS = 600_000
-MAX_RECORDS = 1_024
 MAX_LOSSES = 512
 
 RETRY_AFTER_MS = 5_000
 
+# Standing facts are told to a new host by this many others, since datagrams may be
+# lost and hosts may be gone.
+TELLERS = 3
+
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLoss:
     """A request whose connection was lost while a runner processed it."""
 
-    fingerprint: Fingerprint
+    suspects: tuple[Suspect, ...]
     runner_id: RunnerId
     lost_ms: int
 
 
-@dataclass(slots=True)
-class CrashRecord:
-    """The runner crashes during which a request content was running."""
-
-    crashes: set[str]
-    last_crash_ms: int
-
-
 class CrashFilter:
-    """Refuses content that was running at two runners when they crashed.
+    """Refuses contents and prompt parts that were running at runners which crashed.
 
     A runner counts as crashed if connections to it were lost and it is then
-    unreachable, listed with a new start time, or no longer listed. Crashes are
-    sent to all peers so that every host refuses the content.
+    unreachable, listed with a new start time, or no longer listed, or if a peer finds
+    it silent or unreachable. Crashes and what is refused are told to all peers, and
+    the latter also to hosts that start later. A request is checked again before it is
+    repeated.
     """
 
     step = Step.QUARANTINE
     accepts: tuple[type[Message], ...] = (
         CallRouted,
+        CallAdmitted,
         CallAttemptEnded,
+        PeerStarted,
         PeerStatusReceived,
         RunnerListed,
         RunnerUnlisted,
     )
 
-    def __init__(self) -> None:
+    def __init__(self, peers: PeersView) -> None:
+        self._peers = peers
         self._losses: deque[ConnectionLoss] = deque(maxlen=MAX_LOSSES)
-        self._records: OrderedDict[Fingerprint, CrashRecord] = OrderedDict()
+        self._records = CrashRecords()
         self._starts_by_runner: dict[RunnerId, int | None] = {}
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
         match message:
             case CallRouted(routed):
-                record = self._records.get(routed.call.fingerprint)
-                if record is None or not self._is_quarantined(record, now):
-                    yield CallAdmitted(routed)
-                    return
-                yield from refuse_call(
-                    routed.call_id,
-                    ErrorCode.QUARANTINED,
-                    self.step,
-                    RunOutcome.NOT_RUN,
-                    retry_after_ms=RETRY_AFTER_MS,
-                    crashes=len(record.crashes),
-                )
+                yield from self._admit(routed, now)
                 return
-            case CallAttemptEnded(_, runner_id, routed, result):
-                if result is CallAttemptResult.LOST:
-                    loss = ConnectionLoss(
-                        routed.call.fingerprint, runner_id, now.monotonic_ms
-                    )
-                    self._losses.append(loss)
-                elif result is CallAttemptResult.UNREACHABLE:
-                    yield from self._record_crash(runner_id, now)
+            case CallAdmitted(routed):
+                yield from self._admit(routed, now)
+                return
+            case PeerStarted():
+                yield from self._tell_quarantined(now)
+                return
+            case CallAttemptEnded():
+                yield from self._record_result(message, now)
             case PeerStatusReceived(status):
-                for fingerprint, crash in status.crash_reports:
-                    self._add_crash(fingerprint, crash, now)
+                for notice in status.silences:
+                    yield from self._record_crash(notice.runner_id, now)
+                for report in status.crash_reports:
+                    time_ms = now.monotonic_ms - report.age_ms
+                    yield from self._add_crash(
+                        report.suspect, report.crash, time_ms, now
+                    )
+                for suspect in status.quarantined:
+                    yield from self._quarantine(suspect, now)
+                self._records.clear(status.cleared)
             case RunnerListed(_, runner_id, runner):
                 start = runner.started_wall_ms if runner else None
                 previous_start = self._starts_by_runner.get(runner_id)
@@ -121,9 +116,46 @@
                 self._starts_by_runner.pop(runner_id, None)
         yield message
 
-    def _is_quarantined(self, record: CrashRecord, now: Moment) -> bool:
-        is_recent = now.monotonic_ms - record.last_crash_ms < QUARANTINE_MS
-        return is_recent and len(record.crashes) >= QUARANTINE_CRASHES
+    def _admit(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
+        """Pass a call on, for the first time or again, or end it."""
+        quarantined = [
+            suspect
+            for suspect in list_suspects(routed.call)
+            if self._records.is_quarantined(suspect, now.monotonic_ms)
+        ]
+        if not quarantined:
+            yield CallAdmitted(routed)
+        elif routed.answer_started:
+            yield AnswerAbort(routed.call_id)
+            yield LogEvent("answer_broken", self.step, {"request": routed.call_id})
+            yield CallEnded(routed)
+        else:
+            may_have_run = bool(routed.possible_runs)
+            yield from refuse_call(
+                routed.call_id,
+                ErrorCode.RUNNER_FAILED if may_have_run else ErrorCode.QUARANTINED,
+                self.step,
+                RunOutcome.MAY_HAVE_RUN if may_have_run else RunOutcome.NOT_RUN,
+                retry_after_ms=None if may_have_run else RETRY_AFTER_MS,
+                suspect=quarantined[0].kind.value,
+                fingerprint=quarantined[0].fingerprint,
+            )
+            yield CallEnded(routed)
+
+    def _record_result(
+        self, attempt: CallAttemptEnded, now: Moment
+    ) -> Iterable[Output]:
+        suspects = tuple(list_suspects(attempt.routed.call))
+        match attempt.result:
+            case CallAttemptResult.LOST:
+                loss = ConnectionLoss(suspects, attempt.runner_id, now.monotonic_ms)
+                self._losses.append(loss)
+            case CallAttemptResult.UNREACHABLE:
+                yield from self._record_crash(attempt.runner_id, now)
+            case CallAttemptResult.SERVED:
+                cleared = self._records.clear(suspects)
+                if cleared:
+                    yield BroadcastStatus(cleared=tuple(cleared))
 
     def _record_crash(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
         since_ms = now.monotonic_ms - CRASH_CONFIRMATION_MS
@@ -135,23 +167,48 @@
             return
         start = self._starts_by_runner.get(runner_id)
         crash = f"{runner_id}/{start}"
-        for loss in recent_losses:
-            self._add_crash(loss.fingerprint, crash, now)
         yield LogEvent(
             "runner_crashed",
             self.step,
             {"runner": runner_id, "requests": len(recent_losses)},
         )
+        lost_ms_by_suspect = {
+            suspect: loss.lost_ms for loss in recent_losses for suspect in loss.suspects
+        }
+        # The suspect that explains the most crashes is judged first.
+        suspects = sorted(
+            lost_ms_by_suspect, key=self._records.count_crashes, reverse=True
+        )
         yield BroadcastStatus(
-            crash_reports=tuple((loss.fingerprint, crash) for loss in recent_losses)
+            crash_reports=tuple(
+                CrashReport(
+                    suspect, crash, now.monotonic_ms - lost_ms_by_suspect[suspect]
+                )
+                for suspect in suspects
+            )
         )
+        for suspect in suspects:
+            yield from self._add_crash(suspect, crash, lost_ms_by_suspect[suspect], now)
 
-    def _add_crash(self, fingerprint: Fingerprint, crash: str, now: Moment) -> None:
-        record = self._records.setdefault(
-            fingerprint, CrashRecord(set(), now.monotonic_ms)
-        )
-        record.crashes.add(crash)
-        record.last_crash_ms = now.monotonic_ms
-        self._records.move_to_end(fingerprint)
-        while len(self._records) > MAX_RECORDS:
-            self._records.popitem(last=False)
+    def _add_crash(
+        self, suspect: Suspect, crash: str, time_ms: int, now: Moment
+    ) -> Iterable[Output]:
+        if not self._records.record_crash(suspect, crash, time_ms):
+            return
+        yield from self._quarantine(suspect, now)
+        cleared = self._records.clear(self._records.find_explained(suspect))
+        yield BroadcastStatus(quarantined=(suspect,), cleared=tuple(cleared))
+
+    def _quarantine(self, suspect: Suspect, now: Moment) -> Iterable[Output]:
+        if self._records.quarantine(suspect, now.monotonic_ms):
+            yield LogEvent(
+                "quarantined",
+                self.step,
+                {"suspect": suspect.kind.value, "fingerprint": suspect.fingerprint},
+            )
+
+    def _tell_quarantined(self, now: Moment) -> Iterable[Output]:
+        """Tell what is refused, as a host has started or was not heard for a while."""
+        quarantined = self._records.quarantined(now.monotonic_ms)
+        if quarantined and self._peers.is_among_first(TELLERS):
+            yield BroadcastStatus(quarantined=quarantined)
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass, field
 
 from figshunt.dispatch._call import Call
+from figshunt.dispatch._crash_records import Suspect
 from figshunt.dispatch._messages import (
+    CrashReport,
     OccupancyNotice,
     PlacementNotice,
     QueueNotice,
@@ -15,7 +17,6 @@
     CancelReason,
     Effect,
     ErrorCode,
-    Fingerprint,
     RequestId,
     RunnerId,
     TeamName,
@@ -111,10 +112,12 @@
     """Send this host's status to its peers, together with these notices."""
 
     placements: tuple[PlacementNotice, ...] = ()
-    crash_reports: tuple[tuple[Fingerprint, str], ...] = ()
+    crash_reports: tuple[CrashReport, ...] = ()
     queues: tuple[QueueNotice, ...] = ()
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
+    quarantined: tuple[Suspect, ...] = ()
+    cleared: tuple[Suspect, ...] = ()
 
 
 AnswerEffect = (
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -5,11 +5,11 @@
 
 from figshunt.directory import PublishedRoute, PublishedRunner
 from figshunt.dispatch._call import Call, PromptPart, RoutedCall
+from figshunt.dispatch._crash_records import Suspect
 from figshunt.types import (
     AttemptFailure,
     AttemptId,
     DataCentreName,
-    Fingerprint,
     HostName,
     Message,
     RequestId,
@@ -242,12 +242,24 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A suspect was running at a runner that crashed ``age_ms`` ago.
+
+    ``crash`` identifies the runner's process.
+    """
+
+    suspect: Suspect
+    crash: str
+    age_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """The status that a host sends to its peers.
 
-    ``crash_reports`` pairs the fingerprint of content that was running at a crashed
-    runner with the identity of that runner process. ``version`` is the version
+    ``quarantined`` are contents and prompt parts that are refused, ``cleared`` parts
+    with which a request succeeded. ``version`` is the version
     of the configuration in force, ``revision`` the store revision up to which
     the host has all published items. ``can_read_store`` is set if the host can read
     the store itself. ``known_hosts`` is how many hosts it knows to live.
@@ -262,10 +274,12 @@
     data_centre: DataCentreName
     known_hosts: int = 1
     placements: tuple[PlacementNotice, ...] = ()
-    crash_reports: tuple[tuple[Fingerprint, str], ...] = ()
+    crash_reports: tuple[CrashReport, ...] = ()
     queues: tuple[QueueNotice, ...] = ()
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
+    quarantined: tuple[Suspect, ...] = ()
+    cleared: tuple[Suspect, ...] = ()
 
     @property
     def notice_count(self) -> int:
@@ -276,6 +290,8 @@
             + len(self.queues)
             + len(self.silences)
             + len(self.occupancies)
+            + len(self.quarantined)
+            + len(self.cleared)
         )
 
     def without_notices(self) -> "HostStatus":
@@ -289,6 +305,8 @@
             queues=(),
             silences=(),
             occupancies=(),
+            quarantined=(),
+            cleared=(),
         )
 
 
@@ -299,6 +317,13 @@
     status: HostStatus
 
 
+@dataclass(frozen=True, slots=True)
+class PeerStarted(Message):
+    """A peer is heard for the first time, after a restart, or after a silence."""
+
+    host: HostName
+
+
 @dataclass(frozen=True, slots=True)
 class FirstEventSeen(Message):
     """The first event of an attempt arrived, ``waited_ms`` after its start.
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/_peer_filter.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from figshunt.dispatch._cold_limit import HostRank
-from figshunt.dispatch._messages import HostStatus, PeerStatusReceived
+from figshunt.dispatch._messages import HostStatus, PeerStarted, PeerStatusReceived
 from figshunt.pipeline import Output
 from figshunt.types import (
     HostName,
@@ -38,6 +38,9 @@
     def is_heard(self, host: HostName) -> bool:
         """Return whether a peer sent a status lately."""
 
+    def is_among_first(self, count: int) -> bool:
+        """Return whether this host is one of so many that act for all."""
+
 
 class PeerFilter:
     """Stores the latest status of each peer.
@@ -67,6 +70,13 @@
         """Return whether a peer sent a status lately."""
         return host in self._statuses_by_host and host not in self._lost_hosts
 
+    def is_among_first(self, count: int) -> bool:
+        """Return whether this host is one of so many that act for all.
+
+        Hosts that hear the same peers agree on them.
+        """
+        return sum(1 for host in self.statuses() if host < self._host) < count
+
     def rank(self, now: Moment) -> HostRank:
         """Return this host's rank among the hosts that share a bound.
 
@@ -107,6 +117,7 @@
                 "incarnation": status.incarnation,
             }
             yield LogEvent("peer_heard", self.step, fields)
+            yield PeerStarted(status.host)
         yield PeerStatusReceived(status)
 
     def _expire_silent_peers(self, now: Moment) -> Iterable[Output]:
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -4,22 +4,25 @@
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import replace
+from typing import Any
 
 from mode import Service
 
 from figshunt.dispatch import (
     BroadcastStatus,
+    CrashReport,
     HostStatus,
     OccupancyNotice,
     PeerStatusReceived,
     PlacementNotice,
     QueueNotice,
     SilenceNotice,
+    Suspect,
 )
 from figshunt.exchange import Outgoing, StatusExchange
 from figshunt.gateway._status_codec import decode_bundle, encode_bundle
 from figshunt.runtime import EventLog, LogRateLimit, MessageSink
-from figshunt.types import Clock, Fingerprint, Moment, RunnerId, Step
+from figshunt.types import Clock, Moment, RunnerId, Step
 
 # Notices and forwarded statuses are delayed by this much, so that one datagram
 # carries several.
@@ -29,10 +32,8 @@
 # Mean interval between the statuses that a host sends even without notices.
 HEARTBEAT_INTERVAL_MS = 500
 
-# These limits keep a status with its notices below the usual packet size.
-MAX_PLACEMENTS_PER_STATUS = 10
-MAX_CRASHES_PER_STATUS = 10
-MAX_RUNNER_NOTICES_PER_STATUS = 10
+# Notices of one kind in a status, which keep it below the usual packet size.
+MAX_NOTICES_PER_STATUS = 10
 
 BAD_DATAGRAM_LOG_INTERVAL_MS = 5_000
 
@@ -67,7 +68,9 @@
         self._random = random_source
         self._bad_datagram_limit = LogRateLimit(clock, BAD_DATAGRAM_LOG_INTERVAL_MS)
         self._placements: list[PlacementNotice] = []
-        self._crash_reports: list[tuple[Fingerprint, str]] = []
+        self._crash_reports: list[CrashReport] = []
+        self._quarantined: list[Suspect] = []
+        self._cleared: list[Suspect] = []
         self._queues_by_runner: dict[RunnerId, QueueNotice] = {}
         self._silences_by_runner: dict[RunnerId, SilenceNotice] = {}
         self._occupancies_by_runner: dict[tuple[RunnerId, int], OccupancyNotice] = {}
@@ -103,6 +106,8 @@
         """Add notices to the next batch."""
         self._placements.extend(effect.placements)
         self._crash_reports.extend(effect.crash_reports)
+        self._quarantined.extend(effect.quarantined)
+        self._cleared.extend(effect.cleared)
         self._queues_by_runner.update(
             (notice.runner_id, notice) for notice in effect.queues
         )
@@ -171,30 +176,39 @@
         if self._flush_timer is not None:
             self._flush_timer.cancel()
         self._flush_timer = None
-        placements, self._placements = self._placements, []
-        crash_reports, self._crash_reports = self._crash_reports, []
-        queues = list(self._queues_by_runner.values())
+        pending = self._take_pending()
+        while any(pending.values()):
+            fields: dict[str, Any] = {
+                name: tuple(notices[:MAX_NOTICES_PER_STATUS])
+                for name, notices in pending.items()
+            }
+            status = replace(self._build_own_status(), **fields)
+            self._send(self._exchange.send_notices(status, self._now()))
+            pending = {
+                name: notices[MAX_NOTICES_PER_STATUS:]
+                for name, notices in pending.items()
+            }
+        self._schedule_forward()
+
+    def _take_pending(self) -> dict[str, list[Any]]:
+        """Return the queued notices by the names of their fields."""
+        pending: dict[str, list[Any]] = {
+            "placements": self._placements,
+            "crash_reports": self._crash_reports,
+            "quarantined": self._quarantined,
+            "cleared": self._cleared,
+            "queues": list(self._queues_by_runner.values()),
+            "silences": list(self._silences_by_runner.values()),
+            "occupancies": list(self._occupancies_by_runner.values()),
+        }
+        self._placements = []
+        self._crash_reports = []
+        self._quarantined = []
+        self._cleared = []
         self._queues_by_runner = {}
-        silences = list(self._silences_by_runner.values())
         self._silences_by_runner = {}
-        occupancies = list(self._occupancies_by_runner.values())
         self._occupancies_by_runner = {}
-        while placements or crash_reports or queues or silences or occupancies:
-            status = replace(
-                self._build_own_status(),
-                placements=tuple(placements[:MAX_PLACEMENTS_PER_STATUS]),
-                crash_reports=tuple(crash_reports[:MAX_CRASHES_PER_STATUS]),
-                queues=tuple(queues[:MAX_RUNNER_NOTICES_PER_STATUS]),
-                silences=tuple(silences[:MAX_RUNNER_NOTICES_PER_STATUS]),
-                occupancies=tuple(occupancies[:MAX_RUNNER_NOTICES_PER_STATUS]),
-            )
-            self._send(self._exchange.send_notices(status, self._now()))
-            placements = placements[MAX_PLACEMENTS_PER_STATUS:]
-            crash_reports = crash_reports[MAX_CRASHES_PER_STATUS:]
-            queues = queues[MAX_RUNNER_NOTICES_PER_STATUS:]
-            silences = silences[MAX_RUNNER_NOTICES_PER_STATUS:]
-            occupancies = occupancies[MAX_RUNNER_NOTICES_PER_STATUS:]
-        self._schedule_forward()
+        return pending
 
     def _schedule_forward(self) -> None:
         if self._forward_timer is None and self._exchange.has_pending:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -1,11 +1,13 @@
 """CBOR encoding of the datagrams between hosts."""
 
+from collections.abc import Sequence
 from ipaddress import ip_address
 from typing import Any
 
 import cbor2
 
 from figshunt.dispatch import (
+    CrashReport,
     HostStatus,
     OccupancyNotice,
     PartId,
@@ -13,6 +15,8 @@
     PromptPart,
     QueueNotice,
     SilenceNotice,
+    Suspect,
+    SuspectKind,
 )
 from figshunt.exchange import Bundle, BundlePurpose
 from figshunt.types import DataCentreName, Fingerprint, HostName, RunnerId
@@ -69,20 +73,26 @@
         status.data_centre,
         status.known_hosts,
         [_encode_placement(notice) for notice in status.placements],
-        [list(crash) for crash in status.crash_reports],
+        [
+            [*_encode_suspect(report.suspect), report.crash, report.age_ms]
+            for report in status.crash_reports
+        ],
         [[notice.runner_id, notice.backlog_ms] for notice in status.queues],
         [[notice.runner_id, notice.exclusion_ms] for notice in status.silences],
         [
             [notice.runner_id, notice.priority, notice.requests, notice.tokens]
             for notice in status.occupancies
         ],
+        [_encode_suspect(suspect) for suspect in status.quarantined],
+        [_encode_suspect(suspect) for suspect in status.cleared],
     ]
 
 
 def _decode_status(fields: list[Any]) -> HostStatus:
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
-    placements, crash_reports, queues, silences, occupancies = notices
+    placements, crash_reports, queues, silences, occupancies, *suspects = notices
+    quarantined, cleared = suspects
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -94,8 +104,8 @@
         known_hosts=int(known_hosts),
         placements=tuple(_decode_placement(entry) for entry in placements),
         crash_reports=tuple(
-            (Fingerprint(str(fingerprint)), str(crash))
-            for fingerprint, crash in crash_reports
+            CrashReport(_decode_suspect((kind, fingerprint)), str(crash), int(age_ms))
+            for kind, fingerprint, crash, age_ms in crash_reports
         ),
         queues=tuple(
             QueueNotice(RunnerId(str(runner_id)), int(backlog_ms))
@@ -111,9 +121,20 @@
             )
             for runner_id, priority, requests, tokens in occupancies
         ),
+        quarantined=tuple(_decode_suspect(entry) for entry in quarantined),
+        cleared=tuple(_decode_suspect(entry) for entry in cleared),
     )
 
 
+def _encode_suspect(suspect: Suspect) -> list[str]:
+    return [suspect.kind.value, suspect.fingerprint]
+
+
+def _decode_suspect(fields: Sequence[Any]) -> Suspect:
+    kind, fingerprint = fields
+    return Suspect(SuspectKind(kind), Fingerprint(str(fingerprint)))
+
+
 def _encode_placement(notice: PlacementNotice) -> list[Any]:
     return [
         notice.runner_id,
--- a/tests/dispatch/test_crash_filter.py
+++ b/tests/dispatch/test_crash_filter.py
@@ -14,6 +14,8 @@
     ReplyStarted,
     SilenceNotice,
     StartCallAttempt,
+    Suspect,
+    SuspectKind,
 )
 from figshunt.types import AttemptFailure, Effect, Fingerprint, SendState
 from tests.builders import (
@@ -184,6 +186,14 @@
         self.crash_until_refused()
         self.assertFalse(self.is_sent("deadly", "other"))
 
+    def test_part_that_came_with_the_refused_one_is_served_again(self) -> None:
+        for _ in range(3):
+            self.crash("companion", "deadly")
+        for _ in range(2):
+            self.crash("other", "deadly")
+        self.assertFalse(self.is_sent("other", "deadly"))
+        self.assertTrue(self.is_sent("companion", "other"))
+
     def test_parts_of_runners_that_crash_together_are_served(self) -> None:
         attempts = []
         for _ in range(self.MAX_CRASHES):
@@ -197,7 +207,9 @@
     def test_lost_request_with_a_refused_part_is_not_repeated(self) -> None:
         self.send("shared", "deadly", route="chat")
         repeated = self.driver.last_attempt()
-        self.crash_until_refused()
+        suspect = Suspect(SuspectKind.PART, Fingerprint("deadly"))
+        status = build_host_status(quarantined=(suspect,))
+        self.driver.handle(PeerStatusReceived(status))
         self.driver.handle(
             CallAttemptFailed(
                 repeated.attempt_id,
@@ -231,7 +243,11 @@
         for effect in self.driver.effects_of(BroadcastStatus):
             newcomer.handle(
                 PeerStatusReceived(
-                    build_host_status("h1", crash_reports=effect.crash_reports)
+                    build_host_status(
+                        "h1",
+                        crash_reports=effect.crash_reports,
+                        quarantined=effect.quarantined,
+                    )
                 )
             )
         self.assertFalse(self.is_sent("shared", "deadly", driver=newcomer))
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -9,7 +9,14 @@
 import cbor2
 
 from figshunt.directory import PublishedItem
-from figshunt.dispatch import CallArrived, DispatchCore
+from figshunt.dispatch import (
+    CallArrived,
+    CrashReport,
+    DispatchCore,
+    OccupancyNotice,
+    Suspect,
+    SuspectKind,
+)
 from figshunt.exchange import Bundle, BundlePurpose
 from figshunt.gateway import DirectoryReader, Listing, PublishedItems
 from figshunt.gateway._status_codec import STATUS_FORMAT, decode_bundle, encode_bundle
@@ -18,11 +25,13 @@
 from figshunt.types import (
     DataCentreName,
     Effect,
+    Fingerprint,
     HostName,
     LogEvent,
     ManualClock,
     Message,
     Moment,
+    RunnerId,
     Step,
     TimerDue,
 )
@@ -164,6 +173,20 @@
         self.decode(b"\x81" * 1_000)
         self.decode(cbor2.dumps([STATUS_FORMAT]))
 
+    def test_notices_are_decoded_as_they_were_encoded(self) -> None:
+        part = Suspect(SuspectKind.PART, Fingerprint("p1"))
+        content = Suspect(SuspectKind.CONTENT, Fingerprint("c1"))
+        status = build_host_status(
+            crash_reports=(CrashReport(part, "e1/1000", 250),),
+            quarantined=(part, content),
+            cleared=(part,),
+            occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
+        )
+        bundle = Bundle(
+            HostName("h2"), DataCentreName("a"), BundlePurpose.INFORM, (status,)
+        )
+        self.assertEqual(bundle, decode_bundle(encode_bundle(bundle)))
+
     def decode(self, data: bytes) -> Bundle | None:
         try:
             return decode_bundle(data)
