Treat odd entries of runners as malformed

Callers saw (reported by another operator): one odd entry in the list of runners ended machines again and again, or stopped them following the list. Cause: a deeply nested entry raises a RecursionError and an infinite number an OverflowError, which the decoder let through, so that each read of the list failed. Ports out of range, addresses that are none, and numbers of any size were accepted. Change: these entries name no runner, like other malformed ones, and the others hold; an odd configuration is reported as unreadable.

--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 from collections.abc import Iterable, Mapping
+from ipaddress import ip_address
 from typing import Any
 
 from figshunt.directory import (
@@ -30,8 +31,23 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 RUNNER_PREFIX = "servers/"
+MAX_PORT = 65_535
 LISTED_PREFIXES = ("op/", RUNNER_PREFIX)
 
+# Errors of values that another writer may have left. Deeply nested JSON raises a
+# RecursionError, an infinite number an OverflowError.
+_MALFORMED_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+# Largest integer that every JSON writer represents exactly.
+_MAX_INTEGER = 2**53
+
 _IS_LEAVING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -72,7 +88,7 @@
             },
             teams_by_key_sha256=_decode_teams(document.get("tenants") or ()),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except _MALFORMED_ERRORS as error:
         detail = f"{type(error).__name__}: {error}"
         return ConfigurationUnreadable(revision, detail)
     return ConfigurationPublished(revision, configuration)
@@ -153,8 +169,7 @@
         for name in ("service", "addr", "zone"):
             if not isinstance(fields[name], str):
                 return None
-        ip, _, port = fields["addr"].rpartition(":")
-        if not ip or not port.isdigit():
+        if not _is_socket_address(fields["addr"]):
             return None
         return PublishedRunner(
             runner_id=runner_id,
@@ -166,11 +181,20 @@
             cold_left_ms=_decode_int(fields.get("coldLeftMs", 0)),
             started_wall_ms=None if start_time is None else _decode_int(start_time),
         )
-    except (ValueError, KeyError, TypeError, AttributeError):
+    except _MALFORMED_ERRORS:
         return None
 
 
+def _is_socket_address(address: str) -> bool:
+    ip, _, port = address.rpartition(":")
+    ip_address(ip)
+    return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+
+
 def _decode_int(value: object) -> int:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"expected a number, got {value!r}")
-    return int(value)
+    number = int(value)
+    if not 0 <= number <= _MAX_INTEGER:
+        raise ValueError(f"expected a number from 0 to {_MAX_INTEGER}")
+    return number
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -98,6 +98,40 @@
                 assert isinstance(message, RunnerListed)
                 self.assertIsNone(message.runner)
 
+    def test_odd_entries_of_another_writer_have_no_runner(self) -> None:
+        text = json.dumps(ENTRY)
+        nested = "[" * 100_000 + "]" * 100_000
+        cases = {
+            "nested value": nested,
+            "nested field": text.replace("64", nested),
+            "nested unknown field": text.replace('"seq": 4', f'"seq": {nested}'),
+            "infinite slots": text.replace("64", "1e999"),
+            "huge slots": text.replace("64", "9" * 400),
+            "negative slots": text.replace("64", "-1"),
+            "infinite cold time": text.replace("1500", "1e999"),
+            "huge cold time": text.replace("1500", "9" * 400),
+            "infinite start": text.replace("1700000000000", "1e999"),
+            "huge start": text.replace("1700000000000", "9" * 400),
+            "port 0": text.replace(":80", ":0"),
+            "port out of range": text.replace(":80", ":65536"),
+            "port with other digits": text.replace(":80", ":\u0668"),
+            "port with a sign": text.replace(":80", ":+80"),
+            "host that is no address": text.replace("10.0.0.9", "10.0.0.999"),
+        }
+        for name, value in cases.items():
+            with self.subTest(name):
+                odd, sound = PlatformItemCodec().decode(
+                    [
+                        PublishedItem("servers/odd", 8, value.encode()),
+                        PublishedItem("servers/sound", 9, text.encode()),
+                    ],
+                    False,
+                )
+                assert isinstance(odd, RunnerListed)
+                assert isinstance(sound, RunnerListed)
+                self.assertIsNone(odd.runner)
+                self.assertIsNotNone(sound.runner)
+
     def test_entry_that_is_not_utf8_has_no_runner(self) -> None:
         (message,) = PlatformItemCodec().decode(
             [PublishedItem("servers/i", 9, b"\xff{")], False
@@ -149,6 +183,13 @@
         for value in ([], {"version": 1}, CONFIGURATION | {"routes": [{}]}):
             self.assertIsInstance(decode("op/config", value), ConfigurationUnreadable)
 
+    def test_odd_configuration_is_reported(self) -> None:
+        nested = "[" * 100_000 + "]" * 100_000
+        for value in (nested, json.dumps(CONFIGURATION).replace("360", nested)):
+            item = PublishedItem("op/config", 9, value.encode())
+            (message,) = PlatformItemCodec().decode([item], False)
+            self.assertIsInstance(message, ConfigurationUnreadable)
+
 
 if __name__ == "__main__":
     unittest.main()
