Make the decision on room at an engine cheap

Change: demand is kept in a list by priority instead of a map of objects; the tokens that are cached are looked up only if memory is short; what is outdated is looked for every 0.5 s; held calls are tried only if a notice frees places; notices of ended requests wait 60 ms for others. The ends of streams are a heap, and the recently sent tokens of a prompt are counted once for a call and not once for each runner. A priority out of range makes a datagram malformed.

--- a/figshunt/dispatch/__init__.py
+++ b/figshunt/dispatch/__init__.py
@@ -18,7 +18,6 @@
     CancelCallAttempt,
     StartCallAttempt,
 )
-from figshunt.dispatch._engine_bounds import has_room
 from figshunt.dispatch._engine_load import Demand, EngineLoad
 from figshunt.dispatch._messages import (
     CallAbandoned,
@@ -112,5 +111,4 @@
     "StartCallAttempt",
     "Suspect",
     "SuspectKind",
-    "has_room",
 ]
--- a/figshunt/dispatch/_engine_bounds.py
+++ b/figshunt/dispatch/_engine_bounds.py
@@ -6,8 +6,10 @@
 same size.
 """
 
+from math import inf
+
 from figshunt.directory import EngineLimits, PublishedRunner
-from figshunt.dispatch._engine_load import Demand, EngineLoad
+from figshunt.dispatch._engine_load import EngineLoad
 
 # A request leaves this share of an engine free for each more urgent priority that is in
 # flight there, so that an urgent request finds a place although hosts learn of each
@@ -15,26 +17,21 @@
 LEVEL_RESERVE = 0.05
 
 
-def has_room(
-    load: EngineLoad,
-    runner: PublishedRunner,
-    engine: EngineLimits,
-    priority: int,
-    demand: Demand,
-) -> bool:
-    """Return whether an engine has a slot and memory for a request.
+def find_free_tokens(
+    load: EngineLoad, runner: PublishedRunner, engine: EngineLimits, priority: int
+) -> float | None:
+    """Return the KV cache tokens that a request may take, or ``None`` without a slot.
 
     The request sees only those that are at least as urgent, as an engine admits it
     before the others and preempts them for it. It leaves no place free that a less
-    urgent one which waits at the engine would take.
+    urgent one which waits at the engine would take. An empty engine takes any request.
     """
-    ahead = load.ahead_of(priority)
-    if ahead.requests == 0:
-        return True
+    requests = load.requests_ahead(priority)
+    if requests == 0:
+        return inf
     share = 1.0
     if not load.has_less_urgent(priority):
         share -= LEVEL_RESERVE * load.count_more_urgent_levels(priority)
-    return (
-        ahead.requests < runner.slots * share
-        and ahead.tokens + demand.tokens <= engine.kv_tokens * share
-    )
+    if requests >= runner.slots * share:
+        return None
+    return engine.kv_tokens * share - load.tokens_ahead(priority)
--- a/figshunt/dispatch/_engine_load.py
+++ b/figshunt/dispatch/_engine_load.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from figshunt.dispatch._priority_scale import PRIORITY_LEVELS
 from figshunt.types import HostName
 
 # What a host told is dropped after this long, as its last datagram may be lost. It
@@ -42,39 +43,41 @@
     """
 
     def __init__(self) -> None:
-        self._own_by_priority: dict[int, Demand] = {}
+        self.requests = 0
+        self._requests_by_level = [0] * PRIORITY_LEVELS
+        self._tokens_by_level = [0] * PRIORITY_LEVELS
+        self._own_by_level = [NO_DEMAND] * PRIORITY_LEVELS
         self._told_by_host: dict[HostName, dict[int, ToldDemand]] = {}
-        self._total_by_priority: dict[int, Demand] = {}
 
     def add(self, priority: int, demand: Demand) -> Demand:
         """Add a request of this host and return this host's demand at the priority."""
-        own = self._own_by_priority.get(priority, NO_DEMAND) + demand
-        self._own_by_priority[priority] = own
-        self._change_total(priority, demand)
+        own = self._own_by_level[priority] + demand
+        self._own_by_level[priority] = own
+        self._change(priority, demand)
         return own
 
     def remove(self, priority: int, demand: Demand) -> Demand:
         """Remove a request that was added, and return the rest at the priority."""
-        own = self._own_by_priority.get(priority, NO_DEMAND) - demand
-        self._own_by_priority[priority] = own
-        self._change_total(priority, NO_DEMAND - demand)
-        return own
+        return self.add(priority, NO_DEMAND - demand)
 
     def record_told(
         self, host: HostName, priority: int, demand: Demand, now_ms: int
-    ) -> None:
-        """Replace the demand of another host at one priority."""
-        told_by_priority = self._told_by_host.setdefault(host, {})
-        previous = told_by_priority.get(priority)
-        if previous is not None:
-            self._change_total(priority, NO_DEMAND - previous.demand)
-        self._change_total(priority, demand)
-        told_by_priority[priority] = ToldDemand(demand, now_ms)
+    ) -> bool:
+        """Replace the demand of another host at one priority.
+
+        :returns: whether that frees places.
+        """
+        told_by_level = self._told_by_host.setdefault(host, {})
+        previous = told_by_level.get(priority)
+        change = demand - previous.demand if previous else demand
+        self._change(priority, change)
+        told_by_level[priority] = ToldDemand(demand, now_ms)
+        return change.requests < 0
 
     def forget(self, host: HostName) -> None:
         """Drop what another host told."""
         for priority, told in self._told_by_host.pop(host, {}).items():
-            self._change_total(priority, NO_DEMAND - told.demand)
+            self._change(priority, NO_DEMAND - told.demand)
 
     def forget_all(self) -> None:
         """Drop what all other hosts told."""
@@ -83,40 +86,31 @@
 
     def expire(self, now_ms: int) -> None:
         """Drop what was told too long ago."""
-        for host, told_by_priority in tuple(self._told_by_host.items()):
-            for priority, told in tuple(told_by_priority.items()):
+        for host, told_by_level in tuple(self._told_by_host.items()):
+            for priority, told in tuple(told_by_level.items()):
                 if now_ms - told.told_ms > TOLD_DEMAND_MS:
-                    self._change_total(priority, NO_DEMAND - told.demand)
-                    del told_by_priority[priority]
-            if not told_by_priority:
+                    self._change(priority, NO_DEMAND - told.demand)
+                    del told_by_level[priority]
+            if not told_by_level:
                 del self._told_by_host[host]
 
-    def total(self) -> Demand:
-        """Return the demand of all requests."""
-        return sum(self._total_by_priority.values(), NO_DEMAND)
-
-    def ahead_of(self, priority: int) -> Demand:
-        """Return the demand of the requests that are at least as urgent."""
-        return sum(
-            (
-                demand
-                for level, demand in self._total_by_priority.items()
-                if level <= priority
-            ),
-            NO_DEMAND,
-        )
+    def requests_ahead(self, priority: int) -> int:
+        """Return how many requests are at least as urgent."""
+        return sum(self._requests_by_level[: priority + 1])
+
+    def tokens_ahead(self, priority: int) -> int:
+        """Return the KV cache tokens of the requests that are at least as urgent."""
+        return sum(self._tokens_by_level[: priority + 1])
 
     def has_less_urgent(self, priority: int) -> bool:
         """Return whether a less urgent request is in flight."""
-        return any(level > priority for level in self._total_by_priority)
+        return any(self._requests_by_level[priority + 1 :])
 
     def count_more_urgent_levels(self, priority: int) -> int:
         """Return at how many more urgent priorities requests are in flight."""
-        return sum(level < priority for level in self._total_by_priority)
-
-    def _change_total(self, priority: int, change: Demand) -> None:
-        total = self._total_by_priority.get(priority, NO_DEMAND) + change
-        if total == NO_DEMAND:
-            self._total_by_priority.pop(priority, None)
-        else:
-            self._total_by_priority[priority] = total
+        return sum(1 for requests in self._requests_by_level[:priority] if requests)
+
+    def _change(self, priority: int, change: Demand) -> None:
+        self.requests += change.requests
+        self._requests_by_level[priority] += change.requests
+        self._tokens_by_level[priority] += change.tokens
--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -6,7 +6,7 @@
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
 from figshunt.dispatch._effects import BroadcastStatus
-from figshunt.dispatch._engine_bounds import has_room
+from figshunt.dispatch._engine_bounds import find_free_tokens
 from figshunt.dispatch._engine_load import Demand
 from figshunt.dispatch._messages import (
     FirstEventSeen,
@@ -49,6 +49,9 @@
 # to update the slowness.
 MAX_SLOWNESS_SAMPLE_MS = 400
 
+# Looking for outdated occupancies at all runners takes a while.
+EXPIRY_INTERVAL_MS = 500
+
 # Assumed KV cache size of a runner whose pool is not published yet.
 DEFAULT_KV_TOKENS = 100_000
 
@@ -70,6 +73,7 @@
         self._models_by_runner: dict[RunnerId, RunnerModel] = {}
         self._starts_by_runner: dict[RunnerId, int | None] = {}
         self._incarnations_by_host: dict[HostName, int] = {}
+        self._next_expiry_ms = 0
 
     def find(self, runner_id: RunnerId) -> RunnerModel | None:
         """Return the model of a runner, or ``None`` if there is none."""
@@ -110,25 +114,32 @@
         own = model.load.remove(attempt.priority, attempt.demand)
         return _occupancy_notice(runner_id, attempt.priority, own)
 
-    def record_occupancies(self, status: HostStatus, now: Moment) -> None:
+    def record_occupancies(self, status: HostStatus, now: Moment) -> bool:
         """Account for what a peer has in flight.
 
         The requests of an earlier process of the peer ended with it.
+
+        :returns: whether that frees places.
         """
         incarnation = self._incarnations_by_host.get(status.host)
         if incarnation is not None and incarnation != status.incarnation:
             self._forget_host(status.host)
         self._incarnations_by_host[status.host] = status.incarnation
+        has_freed = False
         for notice in status.occupancies:
             model = self._models_by_runner.get(notice.runner_id)
             if model is not None:
                 demand = Demand(notice.requests, notice.tokens)
-                model.load.record_told(
+                has_freed |= model.load.record_told(
                     status.host, notice.priority, demand, now.monotonic_ms
                 )
+        return has_freed
 
     def expire_occupancies(self, now: Moment) -> None:
         """Drop what lost peers had in flight, and what was told too long ago."""
+        if now.monotonic_ms < self._next_expiry_ms:
+            return
+        self._next_expiry_ms = now.monotonic_ms + EXPIRY_INTERVAL_MS
         for host in tuple(self._incarnations_by_host):
             if not self._peers.is_heard(host):
                 self._forget_host(host)
@@ -146,11 +157,18 @@
         engine = pool.engine
         if engine is None:
             return runners
+        max_tokens = _max_tokens(routed)
         open_runners = []
         for runner in runners:
             model = self.model(runner.runner_id, pool)
-            demand = estimate_demand(routed, model)
-            if has_room(model.load, runner, engine, routed.priority, demand):
+            free_tokens = find_free_tokens(model.load, runner, engine, routed.priority)
+            if free_tokens is None:
+                continue
+            # What is cached matters only if memory is short.
+            if (
+                max_tokens <= free_tokens
+                or estimate_demand(routed, model).tokens <= free_tokens
+            ):
                 open_runners.append(runner)
         if routed.possible_runs or routed.answer_started:
             return open_runners or runners
@@ -359,8 +377,16 @@
     if prompt is None:
         return Demand(requests=1)
     cached_tokens = model.prefix_cache.cached_tokens(prompt.parts)
+    return Demand(1, _max_tokens(routed) - min(prompt.input_tokens, cached_tokens))
+
+
+def _max_tokens(routed: RoutedCall) -> int:
+    """Return the KV cache tokens of a call, none of which are cached."""
+    prompt = routed.call.prompt
+    if prompt is None:
+        return 0
     output_tokens = prompt.expected_output_tokens or prompt.max_output_tokens
-    return Demand(1, max(0, prompt.input_tokens - cached_tokens) + output_tokens)
+    return prompt.input_tokens + output_tokens
 
 
 def _occupancy_notice(
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -192,8 +192,7 @@
                     self._fleet.record_backlog(queue, now)
                 for silence in status.silences:
                     yield from self._record_silence(status.host, silence, now)
-                self._fleet.record_occupancies(status, now)
-                if status.occupancies:
+                if self._fleet.record_occupancies(status, now):
                     yield from self._place_held_calls(now)
             case TimerDue():
                 self._fleet.expire_occupancies(now)
@@ -223,9 +222,16 @@
             return
         mean_prefill_share = self._fleet.mean_prefill_share(pool, runners, now)
         holder, holder_tokens = self._fleet.find_holder(routed, pool, runners, now)
+        recent_tokens = self._fleet.recent_tokens(routed, now)
         estimates = {
             runner.runner_id: self._estimate(
-                routed, runner, pool, holder_tokens, mean_prefill_share, now
+                routed,
+                runner,
+                pool,
+                recent_tokens,
+                holder_tokens,
+                mean_prefill_share,
+                now,
             )
             for runner in usable_runners
         }
@@ -258,6 +264,7 @@
         routed: RoutedCall,
         runner: PublishedRunner,
         pool: PublishedPool,
+        recent_tokens: int,
         fetchable_tokens: int,
         mean_prefill_share: float,
         now: Moment,
@@ -273,7 +280,7 @@
             model,
             pool.engine,
             self._data_centre,
-            self._fleet.recent_tokens(routed, now),
+            recent_tokens,
             fetchable_tokens,
             mean_prefill_share,
             now.monotonic_ms,
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/_runner_cost.py
@@ -164,7 +164,7 @@
     )
     cost += FETCH_COST_PER_TOKEN * fetched_tokens
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
-    streams = model.load.total().requests
+    streams = model.load.requests
     occupancy = streams / max(1, runner.slots)
     cost += answer_value(routed.urgency) * _occupancy_cost(occupancy)
     return Estimate(
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -1,6 +1,7 @@
 """Predicts how long a runner takes, from the requests that all hosts sent to it."""
 
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from math import exp
 
 from figshunt.dispatch._engine_load import Demand, EngineLoad
@@ -60,13 +61,18 @@
 
 @dataclass(slots=True)
 class RunningStreams:
-    """The expected ends of the running streams with the same gap target."""
+    """The expected ends of the running streams with the same gap target, as a heap."""
 
     ends_ms: list[int] = field(default_factory=list)
 
+    def add(self, end_ms: int) -> None:
+        """Add a stream."""
+        heappush(self.ends_ms, end_ms)
+
     def count(self, now_ms: int) -> int:
         """Return how many streams still run, and remove the others."""
-        self.ends_ms = [end for end in self.ends_ms if end > now_ms]
+        while self.ends_ms and self.ends_ms[0] <= now_ms:
+            heappop(self.ends_ms)
         return len(self.ends_ms)
 
 
@@ -170,7 +176,7 @@
         self._long_prefill_share += effective_stall_ms(prefill_ms) / PREFILL_WINDOW_MS
         if gap_target_ms:
             streams = self.streams_by_gap_ms.setdefault(gap_target_ms, RunningStreams())
-            streams.ends_ms.append(now_ms + expected_ms)
+            streams.add(now_ms + expected_ms)
         return self.prefill_queue.add(prefill_ms, now_ms, attempt_id)
 
     def update_slowness(self, waited_ms: int, expected_ms: float) -> None:
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -25,8 +25,9 @@
 from figshunt.types import Clock, Moment, RunnerId, Step
 
 # Notices and forwarded statuses are delayed by this much, so that one datagram
-# carries several.
+# carries several. That a request has ended is less urgent than that one was sent.
 BATCH_DELAY_MS = 15
+OCCUPANCY_DELAY_MS = 60
 FORWARD_DELAY_MS = 30
 
 # Mean interval between the statuses that a host sends even without notices.
@@ -118,10 +119,9 @@
             ((notice.runner_id, notice.priority), notice)
             for notice in effect.occupancies
         )
-        if self._flush_timer is None:
-            self._flush_timer = asyncio.get_running_loop().call_later(
-                BATCH_DELAY_MS / 1000, self._flush
-            )
+        has_other_notices = effect != BroadcastStatus(occupancies=effect.occupancies)
+        delay_ms = BATCH_DELAY_MS if has_other_notices else OCCUPANCY_DELAY_MS
+        self._schedule_flush(delay_ms / 1000)
 
     def send_now(self) -> None:
         """Send all queued notices and the current status at once."""
@@ -190,6 +190,15 @@
             }
         self._schedule_forward()
 
+    def _schedule_flush(self, delay_s: float) -> None:
+        """Send the queued notices after a delay, or earlier if that is scheduled."""
+        loop = asyncio.get_running_loop()
+        if self._flush_timer is not None:
+            if self._flush_timer.when() <= loop.time() + delay_s:
+                return
+            self._flush_timer.cancel()
+        self._flush_timer = loop.call_later(delay_s, self._flush)
+
     def _take_pending(self) -> dict[str, list[Any]]:
         """Return the queued notices by the names of their fields."""
         pending: dict[str, list[Any]] = {
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -7,6 +7,7 @@
 import cbor2
 
 from figshunt.dispatch import (
+    PRIORITY_LEVELS,
     CrashReport,
     HostStatus,
     OccupancyNotice,
@@ -117,7 +118,10 @@
         ),
         occupancies=tuple(
             OccupancyNotice(
-                RunnerId(str(runner_id)), int(priority), int(requests), int(tokens)
+                RunnerId(str(runner_id)),
+                _decode_level(priority),
+                int(requests),
+                int(tokens),
             )
             for runner_id, priority, requests, tokens in occupancies
         ),
@@ -126,6 +130,13 @@
     )
 
 
+def _decode_level(priority: Any) -> int:
+    level = int(priority)
+    if not 0 <= level < PRIORITY_LEVELS:
+        raise ValueError(f"expected a priority below {PRIORITY_LEVELS}, got {level}")
+    return level
+
+
 def _encode_suspect(suspect: Suspect) -> list[str]:
     return [suspect.kind.value, suspect.fingerprint]
 
