Test answers that end within their head on both front ends

Callers saw (reported by another operator): a 200 with an empty or short body, framed as whole, after a runner had stopped in the middle of its answer's head. Cause: not found here. The HTTP library reports a disconnected server.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -455,3 +455,15 @@
         for name, (start, repeated) in ENDLESS_EVENTS.items()
     }
     return ENDLESS_HEADS | bodies | streams
+
+
+def build_cut_heads() -> list[bytes]:
+    """Return answers with a length, chunks, or neither, each cut within its head."""
+    framings = (b"Content-Length: 40\r\n", b"Transfer-Encoding: chunked\r\n", b"")
+    heads = [
+        b"HTTP/1.1 200 OK\r\nX-Figshunt-Attempt-Id: a1\r\n"
+        b"X-Figshunt-Server-Stamp: stamp\r\n%sContent-Type: text/event-stream\r\n\r\n"
+        % framing
+        for framing in framings
+    ]
+    return [head[:length] for head in heads for length in range(1, len(head))]
