Answer open requests at the end of the grace period

Callers saw (reported by another operator): requests that came late in the grace of a planned stop were cut with no answer at its end, among them requests that may not be repeated. Cause: requests that were still open kept the process from ending: the HTTP library takes a shutdown limit of 0 for none, so that it waited for their handlers until the platform killed it, and callers got nothing. Ruled out: requests are not taken later than 2.6 s after the signal (test_planned_stop_under_load_cuts_off_no_request). Change: at the end of the grace, held calls are refused as not run and those at runners are answered as "may have run"; a begun stream is broken off. The shutdown has a limit. Notices of ended requests wait 200 ms for others instead of 60. Measured: test_end_of_the_grace_answers_open_requests: before, the caller had no answer after 15 s (and after 300 s, the client's own limit) and the process went on; now 502 within the grace and exit status 0.

--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -24,6 +24,7 @@
     CallAttemptResult,
     CallEnded,
     FirstEventSeen,
+    GraceEnded,
     ReplyComplete,
     ReplyEnded,
     ReplyEvent,
@@ -84,6 +85,7 @@
         ReplyEnded,
         CallAttemptFailed,
         CallAbandoned,
+        GraceEnded,
         TimerDue,
     )
 
@@ -114,6 +116,8 @@
                 yield from self._handle_failure(message, now)
             case CallAbandoned(call_id):
                 yield from self._cancel_abandoned(call_id)
+            case GraceEnded():
+                yield from self._end_all()
             case TimerDue():
                 yield from self._check_time_limits(now)
 
@@ -381,6 +385,16 @@
         )
         yield Feedback(CallEnded(attempt.routed))
 
+    def _end_all(self) -> Iterable[Output]:
+        """Cancel all attempts and answer their calls, which may have run."""
+        detail = "host stops at the end of its grace period"
+        for attempt in tuple(self._attempts.values()):
+            yield CancelCallAttempt(attempt.attempt_id, CancelReason.SHUTDOWN)
+            yield from self._end_attempt(attempt, CallAttemptResult.ABANDONED, detail)
+            yield from self._fail_call(
+                attempt.routed, ErrorCode.RUNNER_FAILED, None, detail
+            )
+
     def _check_time_limits(self, now: Moment) -> Iterable[Output]:
         for attempt in tuple(self._attempts.values()):
             if attempt.routed.deadline_ms <= now.monotonic_ms:
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -317,6 +317,11 @@
     status: HostStatus
 
 
+@dataclass(frozen=True, slots=True)
+class GraceEnded(Message):
+    """This host stops now; calls that are still open have to be answered."""
+
+
 @dataclass(frozen=True, slots=True)
 class PeerStarted(Message):
     """A peer is heard for the first time, after a restart, or after a silence."""
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -23,6 +23,7 @@
     CallAttemptResult,
     CallEnded,
     FirstEventSeen,
+    GraceEnded,
     PeerStatusReceived,
     PlacementNotice,
     SilenceNotice,
@@ -144,6 +145,7 @@
         CallAbandoned,
         FirstEventSeen,
         CallAttemptEnded,
+        GraceEnded,
         TimerDue,
     )
 
@@ -194,6 +196,12 @@
                     yield from self._record_silence(status.host, silence, now)
                 if self._fleet.record_occupancies(status, now):
                     yield from self._place_held_calls(now)
+            case GraceEnded():
+                for held_call in tuple(self._held_calls.values()):
+                    yield from self._refuse(
+                        held_call.routed, ErrorCode.NO_RUNNER, True, now
+                    )
+                yield message
             case TimerDue():
                 self._fleet.expire_occupancies(now)
                 yield from self._place_held_calls(now)
@@ -433,6 +441,16 @@
             self._held_calls[routed.call_id] = held_call
             yield WakeAt(min(held_call.until_ms, wake_ms or held_call.until_ms))
             return
+        yield from self._refuse(routed, reason, has_untried_runners, now)
+
+    def _refuse(
+        self,
+        routed: RoutedCall,
+        reason: ErrorCode,
+        has_untried_runners: bool,
+        now: Moment,
+    ) -> Iterable[Output]:
+        """End a call that no runner gets."""
         self._held_calls.pop(routed.call_id, None)
         if routed.answer_started:
             yield AnswerAbort(routed.call_id)
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
@@ -18,6 +19,7 @@
     CallArrived,
     CancelCallAttempt,
     DispatchCore,
+    GraceEnded,
     HostStatus,
     StartCallAttempt,
 )
@@ -183,6 +185,10 @@
             self._log.write(
                 "drain_incomplete", "warning", sends=self.core.attempts.in_flight
             )
+            self.submit(GraceEnded())
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CLOSE_MARGIN_MS / 2 / 1000):
+                    await self.front.wait_idle()
         self._log.write("drain_finished")
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -36,6 +36,9 @@
 
 LISTEN_BACKLOG = 1024
 
+# Time for handlers to end at a stop. The HTTP library takes 0 for no limit.
+SHUTDOWN_S = 0.1
+
 # Long enough for the event loop to start handling the requests received so far.
 READ_SETTLE_S = 0.05
 
@@ -97,7 +100,7 @@
         if self._server is not None:
             self._server.close()
         if self._http_server is not None:
-            await self._http_server.shutdown(0)
+            await self._http_server.shutdown(SHUTDOWN_S)
 
     def start_drain(self) -> None:
         """Close each connection after its next response."""
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -27,7 +27,7 @@
 # Notices and forwarded statuses are delayed by this much, so that one datagram
 # carries several. That a request has ended is less urgent than that one was sent.
 BATCH_DELAY_MS = 15
-OCCUPANCY_DELAY_MS = 60
+OCCUPANCY_DELAY_MS = 200
 FORWARD_DELAY_MS = 30
 
 # Mean interval between the statuses that a host sends even without notices.
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -125,6 +125,7 @@
     PREEMPTED = "preempted"
     LEASE_ENDED = "lease_ended"
     PROTOCOL = "protocol"
+    SHUTDOWN = "shutdown"
 
 
 class TableSourceKind(Enum):
--- a/tests/integration/test_gateway_process.py
+++ b/tests/integration/test_gateway_process.py
@@ -9,7 +9,7 @@
 import aiohttp
 from yarl import URL
 
-from figshunt.standins import PlatformRunner, PlatformStore
+from figshunt.standins import PlatformRunner, PlatformStore, RunnerBehaviour
 from tests.gateway.fixture import (
     CALLER_API_KEY,
     LOOPBACK,
@@ -103,6 +103,33 @@
             self.assertTrue(answered_ids)
             self.assertNotIn(cut_off_id, run_ids)
 
+    async def test_end_of_the_grace_answers_open_requests(self) -> None:
+        """Guards against requests that end without an answer at a planned stop.
+
+        Their runner hangs beyond the grace period. They may have run, so that callers
+        must not be told that they did not.
+        """
+        settings = self.settings_path.read_text()
+        self.settings_path.write_text(settings.replace("graceS = 8", "graceS = 4"))
+        document = build_document()
+        document["routes"][1] |= {"service": "engines", "timeoutMs": 20_000}
+        self.store.put("op/config", document)
+        self.runner.behaviour = RunnerBehaviour.HANG
+        process, url = await self.start_gateway()
+        url = url.replace("/chat/", "/book/")
+        headers = HEADERS | {"X-Figshunt-Deadline-Ms": "20000"}
+        timeout = aiohttp.ClientTimeout(total=15)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            request = asyncio.create_task(
+                session.post(url, headers=headers, data=b"{}")
+            )
+            await wait_until(lambda: bool(self.runner.received_requests))
+            process.signal(signal.SIGTERM)
+            async with await request as response:
+                self.assertIn(response.status, (502, 504))
+                self.assertNotIn("Retry-After", response.headers)
+        self.assertEqual(0, await process.wait())
+
     async def call_until_closed(
         self, url: str, caller: int
     ) -> tuple[list[str], str | None]:
