Move the calls that a host holds to a module of their own

Cause: the placement filter kept how long and in which order calls are held beside where they go; found when reading the change as a newcomer would. Change: HeldCalls, with the limits of holding; the filter asks it.

--- /dev/null
+++ b/figshunt/dispatch/_held_calls.py
@@ -0,0 +1,87 @@
+"""Calls that wait at this host for a runner."""
+
+from dataclasses import dataclass
+
+from figshunt.dispatch._call import RoutedCall
+from figshunt.types import ErrorCode, RequestId
+
+# A call without a usable runner is held for this share of its latency target
+# and then refused. The share is small enough not to make an answer late.
+HOLD_TARGET_SHARE = 0.12
+
+# If runners are usable but full, a call is held on, behind those of its priority that
+# can still be in time: up to this multiple of its target, but no longer than this
+# share of its time limit, so that its caller has time to return.
+FULL_HOLD_TARGETS = 2.0
+FULL_HOLD_TIME_SHARE = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class HeldCall:
+    """A call that waits for a runner, at most until ``until_ms``.
+
+    After ``in_time_until_ms`` it gives way to others of its priority.
+    """
+
+    routed: RoutedCall
+    in_time_until_ms: int
+    until_ms: int
+
+    def order(self, now_ms: int) -> tuple[int, bool]:
+        """Return the sort key by which held calls are placed."""
+        return self.routed.priority, now_ms >= self.in_time_until_ms
+
+
+class HeldCalls:
+    """The held calls of this host."""
+
+    def __init__(self) -> None:
+        self._by_id: dict[RequestId, HeldCall] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __contains__(self, call_id: RequestId) -> bool:
+        return call_id in self._by_id
+
+    def hold(
+        self, routed: RoutedCall, reason: ErrorCode, now_ms: int
+    ) -> HeldCall | None:
+        """Hold a call for the first time or on.
+
+        :param reason: why no runner may get the call.
+        :returns: the held call, or ``None`` if it has waited long enough.
+        """
+        held_call = self._by_id.get(routed.call_id)
+        if held_call is None:
+            held_call = _build_held_call(routed, reason, now_ms)
+        if now_ms >= held_call.until_ms:
+            return None
+        self._by_id[routed.call_id] = held_call
+        return held_call
+
+    def release(self, call_id: RequestId) -> HeldCall | None:
+        """Remove a call and return it if it was held."""
+        return self._by_id.pop(call_id, None)
+
+    def in_order(self, now_ms: int) -> list[HeldCall]:
+        """Return all calls in the order in which they are placed."""
+        return sorted(
+            self._by_id.values(), key=lambda held_call: held_call.order(now_ms)
+        )
+
+
+def _build_held_call(routed: RoutedCall, reason: ErrorCode, now_ms: int) -> HeldCall:
+    wait_ms = routed.route.target_ms * HOLD_TARGET_SHARE
+    in_time_until_ms = min(now_ms + int(wait_ms), routed.deadline_ms)
+    if reason is not ErrorCode.QUEUE_FULL:
+        return HeldCall(routed, in_time_until_ms, in_time_until_ms)
+    max_wait_ms = max(
+        wait_ms,
+        min(
+            routed.route.target_ms * FULL_HOLD_TARGETS,
+            (routed.deadline_ms - now_ms) * FULL_HOLD_TIME_SHARE,
+        ),
+    )
+    until_ms = min(now_ms + int(max_wait_ms), routed.deadline_ms)
+    return HeldCall(routed, in_time_until_ms, until_ms)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 
 from figshunt.directory import (
     DirectoryView,
@@ -15,6 +14,7 @@
 from figshunt.dispatch._cold_limit import SharedBounds
 from figshunt.dispatch._effects import AnswerAbort, BroadcastStatus
 from figshunt.dispatch._fleet_model import FleetModel, estimate_demand
+from figshunt.dispatch._held_calls import HeldCalls
 from figshunt.dispatch._messages import (
     CallAbandoned,
     CallAdmitted,
@@ -54,7 +54,6 @@
     Message,
     Moment,
     PoolName,
-    RequestId,
     RunnerId,
     RunOutcome,
     Step,
@@ -75,15 +74,7 @@
 # runner: the directory entry is stale and should be removed soon.
 WRONG_RUNNER_EXCLUSION_MS = 3_000
 
-# A call without a usable runner is held for this share of its latency target
-# and then refused. The share is small enough not to make an answer late.
-HOLD_TARGET_SHARE = 0.12
-
-# If runners are usable but full, a call is held on, behind those of its priority that
-# can still be in time: up to this multiple of its target, but no longer than this
-# share of its time limit, so that its caller has time to return.
-FULL_HOLD_TARGETS = 2.0
-FULL_HOLD_TIME_SHARE = 0.2
+# Pause for callers whose calls had no usable runner.
 RETRY_AFTER_MS = 400
 
 # Runners whose costs differ by less than this are treated as equal, and one of
@@ -112,22 +103,6 @@
 DEFAULT_OUTPUT_TOKENS = 100
 
 
-@dataclass(frozen=True, slots=True)
-class HeldCall:
-    """A call that waits for a runner, at most until ``until_ms``.
-
-    After ``in_time_until_ms`` it gives way to others of its priority.
-    """
-
-    routed: RoutedCall
-    in_time_until_ms: int
-    until_ms: int
-
-    def order(self, now_ms: int) -> tuple[int, bool]:
-        """Return the sort key by which held calls are placed."""
-        return self.routed.priority, now_ms >= self.in_time_until_ms
-
-
 class PlacementFilter:
     """Sends each call to the runner with the lowest expected cost.
 
@@ -162,7 +137,7 @@
         self._random = random_source
         self._fleet = FleetModel(directory, peers, bounds)
         self._return_schedule = ReturnSchedule(random_source)
-        self._held_calls: dict[RequestId, HeldCall] = {}
+        self._held_calls = HeldCalls()
         self._attempt_count = 0
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
@@ -173,7 +148,7 @@
                     yield from self._place_held_calls(now)
                 yield from self._place(routed, now)
             case CallAbandoned(call_id):
-                held_call = self._held_calls.pop(call_id, None)
+                held_call = self._held_calls.release(call_id)
                 yield CallEnded(held_call.routed) if held_call else message
             case FirstEventSeen():
                 yield from self._fleet.observe_first_event(message, now)
@@ -197,7 +172,7 @@
                 if self._fleet.record_occupancies(status, now):
                     yield from self._place_held_calls(now)
             case GraceEnded():
-                for held_call in tuple(self._held_calls.values()):
+                for held_call in self._held_calls.in_order(now.monotonic_ms):
                     yield from self._refuse(
                         held_call.routed, ErrorCode.NO_RUNNER, True, now
                     )
@@ -224,9 +199,7 @@
             return
         open_runners = self._fleet.open_runners(routed, pool, usable_runners)
         if not open_runners:
-            yield from self._hold_or_refuse(
-                routed, ErrorCode.QUEUE_FULL, None, True, now
-            )
+            yield from self._hold_for_room(routed, now)
             return
         mean_prefill_share = self._fleet.mean_prefill_share(pool, runners, now)
         holder, holder_tokens = self._fleet.find_holder(routed, pool, runners, now)
@@ -249,11 +222,9 @@
                 routed, usable_runners, open_runners, estimates
             )
         if not candidates:
-            yield from self._hold_or_refuse(
-                routed, ErrorCode.QUEUE_FULL, None, True, now
-            )
+            yield from self._hold_for_room(routed, now)
             return
-        self._held_calls.pop(routed.call_id, None)
+        self._held_calls.release(routed.call_id)
         lowest_cost = min(estimates[runner.runner_id].cost for runner in candidates)
         cheapest_runners = [
             runner
@@ -422,6 +393,10 @@
             }
             yield LogEvent("runner_excluded", self.step, fields)
 
+    def _hold_for_room(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
+        """Hold a call until a request ends, or refuse it after the wait."""
+        yield from self._hold_or_refuse(routed, ErrorCode.QUEUE_FULL, None, True, now)
+
     def _hold_or_refuse(
         self,
         routed: RoutedCall,
@@ -434,14 +409,11 @@
 
         :param wake_ms: when a runner may get it if nothing else happens.
         """
-        held_call = self._held_calls.get(routed.call_id)
+        held_call = self._held_calls.hold(routed, reason, now.monotonic_ms)
         if held_call is None:
-            held_call = _hold_call(routed, reason, now.monotonic_ms)
-        if now.monotonic_ms < held_call.until_ms:
-            self._held_calls[routed.call_id] = held_call
+            yield from self._refuse(routed, reason, has_untried_runners, now)
+        else:
             yield WakeAt(min(held_call.until_ms, wake_ms or held_call.until_ms))
-            return
-        yield from self._refuse(routed, reason, has_untried_runners, now)
 
     def _refuse(
         self,
@@ -451,7 +423,7 @@
         now: Moment,
     ) -> Iterable[Output]:
         """End a call that no runner gets."""
-        self._held_calls.pop(routed.call_id, None)
+        self._held_calls.release(routed.call_id)
         if routed.answer_started:
             yield AnswerAbort(routed.call_id)
             yield LogEvent("answer_broken", self.step, {"request": routed.call_id})
@@ -506,10 +478,7 @@
         A pool without room for a call has none for less urgent ones.
         """
         full_pools: set[PoolName] = set()
-        for held_call in sorted(
-            self._held_calls.values(),
-            key=lambda candidate: candidate.order(now.monotonic_ms),
-        ):
+        for held_call in self._held_calls.in_order(now.monotonic_ms):
             routed = held_call.routed
             has_time = now.monotonic_ms < held_call.until_ms
             if routed.pool in full_pools and has_time:
@@ -519,22 +488,6 @@
                 full_pools.add(routed.pool)
 
 
-def _hold_call(routed: RoutedCall, reason: ErrorCode, now_ms: int) -> HeldCall:
-    wait_ms = routed.route.target_ms * HOLD_TARGET_SHARE
-    in_time_until_ms = min(now_ms + int(wait_ms), routed.deadline_ms)
-    if reason is not ErrorCode.QUEUE_FULL:
-        return HeldCall(routed, in_time_until_ms, in_time_until_ms)
-    max_wait_ms = max(
-        wait_ms,
-        min(
-            routed.route.target_ms * FULL_HOLD_TARGETS,
-            (routed.deadline_ms - now_ms) * FULL_HOLD_TIME_SHARE,
-        ),
-    )
-    until_ms = min(now_ms + int(max_wait_ms), routed.deadline_ms)
-    return HeldCall(routed, in_time_until_ms, until_ms)
-
-
 def _without_harmful(
     routed: RoutedCall,
     runners: list[PublishedRunner],
