Count losses that several suspects have in common as one

Callers saw: sound requests of a cell failed or were refused as content that crashes runners. Cause: each host runs suspects one at a time and sends their runner nothing else, but other hosts do: two hosts tried a crashing request and a sound one at the same engine. Both had then lost two engines, so that both were quarantined. Class: evidence that several causes explain counted in full against each. Change: losses that a suspect has in common with others count as one, up to three losses in all. A request that has lost a second runner waits for at most two seconds until it is known what that loss was, instead of being refused at once. Trials at runners that hosts agree on were weighed and not built: a host often has no slot at such a runner while engines are cold.

--- a/figshunt/control/__init__.py
+++ b/figshunt/control/__init__.py
@@ -42,6 +42,7 @@
     RunnerRecord,
 )
 from figshunt.control._suspicion_filter import (
+    MAX_UNDECIDED_MS,
     Suspicion,
     SuspicionEntry,
     SuspicionFilter,
@@ -62,6 +63,7 @@
 )
 
 __all__ = [
+    "MAX_UNDECIDED_MS",
     "AuditTrail",
     "KeyGrantsView",
     "LeavingNotices",
--- a/figshunt/control/_suspicion_filter.py
+++ b/figshunt/control/_suspicion_filter.py
@@ -25,15 +25,20 @@
     SendPeer,
     StartIdentity,
     Step,
+    SuspicionChanged,
     SuspicionNotice,
 )
 
 MAX_ENTRIES = 1_024
 ENTRY_TTL_MS = 600_000
 CRASHES_TO_QUARANTINE = 2
+# Bounds the crashes of content that always ran beside other suspected content.
+MAX_CRASHES = 3
 # A report sent before a crash may arrive after the loss was detected here or
 # announced by a peer. It must not count as proof that the runner still runs.
 RESTART_CHECK_DELAY_MS = 1_000
+# A runner that still runs has reported it after this time.
+MAX_UNDECIDED_MS = 2 * RESTART_CHECK_DELAY_MS
 UNKNOWN_START = StartIdentity("")
 
 
@@ -52,7 +57,10 @@
         """Return whether and how the content may be run."""
 
     def may_retry(self, fingerprint: Fingerprint) -> bool:
-        """Return whether one more attempt can't lose a third runner."""
+        """Return whether the losses so far don't suffice for a quarantine."""
+
+    def is_undecided(self, fingerprint: Fingerprint, now: Moment) -> bool:
+        """Return whether it may soon be known what the last loss was."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +87,10 @@
     of losses at once and resolve them with the reports that they receive
     themselves.
 
+    Losses that other suspected content has in common with this count as one, as any
+    of that content may have caused them: hosts try suspects without knowing what
+    others try at the same runner.
+
     At most ``MAX_ENTRIES`` fingerprints are kept. The oldest is evicted, after
     which its content can crash one more runner than the bound allows.
     """
@@ -104,14 +116,23 @@
         entry = self._entries_by_fingerprint.get(fingerprint)
         if entry is None or now.monotonic_ms - entry.changed_ms > ENTRY_TTL_MS:
             return Suspicion.CLEAR
-        if len(entry.crashes) >= CRASHES_TO_QUARANTINE:
+        if self._suffices(fingerprint, entry.crashes):
             return Suspicion.QUARANTINED
         return Suspicion.SUSPECT if entry.losses else Suspicion.CLEAR
 
     def may_retry(self, fingerprint: Fingerprint) -> bool:
-        """Return whether one more attempt can't lose a third runner."""
+        """Return whether the losses so far don't suffice for a quarantine."""
         entry = self._entries_by_fingerprint.get(fingerprint)
-        return entry is None or len(entry.losses) < CRASHES_TO_QUARANTINE
+        return entry is None or not self._suffices(fingerprint, entry.losses)
+
+    def is_undecided(self, fingerprint: Fingerprint, now: Moment) -> bool:
+        """Return whether it may soon be known what the last loss was."""
+        entry = self._entries_by_fingerprint.get(fingerprint)
+        return (
+            entry is not None
+            and entry.losses != entry.crashes
+            and now.monotonic_ms - entry.changed_ms < MAX_UNDECIDED_MS
+        )
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
@@ -191,11 +212,13 @@
             )
             if not resolved_entry.losses:
                 del self._entries_by_fingerprint[fingerprint]
+                yield SuspicionChanged(fingerprint)
                 continue
             self._store_entry(fingerprint, resolved_entry, now)
             if new_crashes:
                 yield from self._log_crashes(fingerprint, resolved_entry)
                 yield from self._notify_peers(self._build_notice(fingerprint))
+            yield SuspicionChanged(fingerprint)
 
     def _merge_notice(self, notice: SuspicionNotice, now: Moment) -> Iterable[Output]:
         if notice.cleared:
@@ -210,17 +233,32 @@
         self._store_entry(notice.fingerprint, merged_entry, now)
         if crashes != entry.crashes:
             yield from self._log_crashes(notice.fingerprint, merged_entry)
+        yield SuspicionChanged(notice.fingerprint)
 
     def _log_crashes(
         self, fingerprint: Fingerprint, entry: SuspicionEntry
     ) -> Iterable[Output]:
-        is_quarantined = len(entry.crashes) >= CRASHES_TO_QUARANTINE
+        is_quarantined = self._suffices(fingerprint, entry.crashes)
         yield LogEvent(
             "content_quarantined" if is_quarantined else "content_crashed_runner",
             self.step,
             {"fingerprint": fingerprint, "crashes": len(entry.crashes)},
         )
 
+    def _suffices(self, fingerprint: Fingerprint, losses: frozenset[Crash]) -> bool:
+        """Return whether so many losses suffice for a quarantine."""
+        shared_losses = {
+            loss
+            for loss in losses
+            if any(
+                loss in entry.losses
+                for other, entry in self._entries_by_fingerprint.items()
+                if other != fingerprint
+            )
+        }
+        count = len(losses - shared_losses) + bool(shared_losses)
+        return count >= CRASHES_TO_QUARANTINE or len(losses) >= MAX_CRASHES
+
     def _entry_or_empty(self, fingerprint: Fingerprint, now: Moment) -> SuspicionEntry:
         entry = self._entries_by_fingerprint.get(fingerprint)
         if entry is None or now.monotonic_ms - entry.changed_ms > ENTRY_TTL_MS:
--- a/figshunt/request/_quarantine_filter.py
+++ b/figshunt/request/_quarantine_filter.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from figshunt.control import Suspicion, SuspicionView
+from figshunt.control import MAX_UNDECIDED_MS, Suspicion, SuspicionView
 from figshunt.pipeline import Feedback, Output
 from figshunt.request._refusal import refuse
 from figshunt.types import (
@@ -19,6 +19,7 @@
     RoutedRequest,
     RunOutcome,
     Step,
+    SuspicionChanged,
     TimerDue,
     WakeAt,
 )
@@ -33,7 +34,9 @@
     for a trial run during which this daemon sends no other request to its
     runner. The others are held here and count as queued; they are released by
     tier, highest first, and then by deadline. A request is not tried again
-    once two runners have been lost while they ran its content.
+    once the runners that were lost while they ran its content suffice for a
+    quarantine. One that has lost a runner itself waits for what becomes known of
+    that loss.
     """
 
     step = Step.QUARANTINE
@@ -42,6 +45,7 @@
         RequestAdmitted,
         RequestCancelled,
         RequestEnded,
+        SuspicionChanged,
         TimerDue,
     )
 
@@ -72,9 +76,12 @@
                 if self._trial_by_pool.get(routed.pool) == routed.request_id:
                     del self._trial_by_pool[routed.pool]
                 yield from self._release_held(routed.pool, now)
+            case SuspicionChanged():
+                yield from self._recheck_undecided(now)
             case TimerDue():
                 yield message
                 yield from self._refuse_expired(now)
+                yield from self._recheck_undecided(now)
 
     def _check_content(
         self, message: RequestRouted | RequestAdmitted, now: Moment
@@ -84,6 +91,15 @@
         suspicion = self._suspicions.suspicion(fingerprint, now)
         if suspicion is Suspicion.CLEAR:
             yield replace(message, routed=replace(routed, is_trial=False))
+        elif (
+            suspicion is Suspicion.SUSPECT
+            and routed.attempts_started
+            and not self._suspicions.may_retry(fingerprint)
+            and self._suspicions.is_undecided(fingerprint, now)
+        ):
+            self._held_by_id[routed.request_id] = message
+            recheck_ms = now.monotonic_ms + MAX_UNDECIDED_MS
+            yield WakeAt(min(routed.deadline_ms, recheck_ms))
         elif suspicion is Suspicion.QUARANTINED or not self._suspicions.may_retry(
             fingerprint
         ):
@@ -128,6 +144,17 @@
             del self._held_by_id[held_message.routed.request_id]
             yield from self._check_content(held_message, now)
 
+    def _recheck_undecided(self, now: Moment) -> Iterable[Output]:
+        """Check the held requests again that wait for what a loss was."""
+        undecided_messages = [
+            held_message
+            for held_message in self._held_by_id.values()
+            if held_message.routed.attempts_started
+        ]
+        for held_message in undecided_messages:
+            del self._held_by_id[held_message.routed.request_id]
+            yield from self._check_content(held_message, now)
+
     def _refuse_expired(self, now: Moment) -> Iterable[Output]:
         expired_messages = [
             held_message
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -158,6 +158,7 @@
 )
 from figshunt.types._suspicion_messages import (
     Crash,
+    SuspicionChanged,
     SuspicionNotice,
 )
 from figshunt.types._table_messages import (
@@ -279,6 +280,7 @@
     "StartIdentity",
     "Step",
     "StopRequested",
+    "SuspicionChanged",
     "SuspicionNotice",
     "SystemClock",
     "TableReadsChanged",
--- a/figshunt/types/_suspicion_messages.py
+++ b/figshunt/types/_suspicion_messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from figshunt.types._identifiers import Fingerprint, RunnerId, StartIdentity
+from figshunt.types._message import Message
 from figshunt.types._peer_messages import PeerMessage
 
 
@@ -31,3 +32,10 @@
     losses: tuple[Crash, ...]
     crashes: tuple[Crash, ...]
     cleared: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SuspicionChanged(Message):
+    """What is known of content that lost runners has changed."""
+
+    fingerprint: Fingerprint
--- a/tests/claims/test_core_claims.py
+++ b/tests/claims/test_core_claims.py
@@ -56,6 +56,9 @@
     def may_retry(self, fingerprint: Fingerprint) -> bool:
         return False
 
+    def is_undecided(self, fingerprint: Fingerprint, now: Moment) -> bool:
+        return False
+
 
 class CoreClaimsTest(unittest.TestCase):
     """Guards against claims that have no effect in the complete filter chain."""
