Tell ends at engines with room with the next status

Cause: since hosts tell what they have in flight, a status is sent for nearly each request that ends. Ruled out: start-up (0.80 s of a core each), a call's decision, events, the encoding of a status without notices. Change: an end at an engine of which less than half is in use goes with the next status or heartbeat, as nobody waits for that place. Heartbeats are preceded by what is pending. ChatBurstTest: none overtaken, as before. test_only_an_end_at_a_crowded_engine_is_told_at_once is new.

--- a/benchmarks/virtual_hosts.py
+++ b/benchmarks/virtual_hosts.py
@@ -24,6 +24,7 @@
     CallArrived,
     CancelCallAttempt,
     DispatchCore,
+    OccupancyNotice,
     PeerStatusReceived,
     ReplyComplete,
     ReplyEnded,
@@ -57,6 +58,7 @@
 START_MS = 100_000
 TIMER_INTERVAL_MS = 100
 NOTICE_DELAY_MS = 30
+HEARTBEAT_INTERVAL_MS = 500
 PREFILL_CHUNK_TOKENS = 2048
 PREFILL_TOKENS_PER_MS = 45.0
 STEP_MS = 5.0
@@ -178,6 +180,9 @@
         self._numbers = itertools.count(1)
         self._calls_by_id: dict[RequestId, VirtualCall] = {}
         self._runs_by_attempt: dict[AttemptId, EngineRun] = {}
+        self._waiting_notices: list[list[OccupancyNotice]] = [
+            [] for _ in range(host_count)
+        ]
         self._wakes = [WakeQueue() for _ in range(host_count)]
         self._cores = [
             DispatchCore(
@@ -202,6 +207,7 @@
         for host in range(host_count):
             self._tell(host, BroadcastStatus())
             self._run_timer(host)
+            self._run_heartbeat(host)
 
     @property
     def now_ms(self) -> int:
@@ -236,6 +242,13 @@
         self._handle(host, TimerDue())
         self._schedule(self.now_ms + TIMER_INTERVAL_MS, lambda: self._run_timer(host))
 
+    def _run_heartbeat(self, host: int) -> None:
+        if self._waiting_notices[host]:
+            self._tell(host, BroadcastStatus())
+        self._schedule(
+            self.now_ms + HEARTBEAT_INTERVAL_MS, lambda: self._run_heartbeat(host)
+        )
+
     def _send_call(self, shape: CallShape, may_return: bool) -> None:
         number = next(self._numbers)
         host = self._random.randrange(len(self._cores))
@@ -317,10 +330,14 @@
             )
 
     def _tell(self, host: int, effect: BroadcastStatus) -> None:
-        status = build_host_status(
-            f"h{host}",
-            **{name: getattr(effect, name) for name in effect.__dataclass_fields__},
-        )
+        self._waiting_notices[host].extend(effect.occupancies)
+        if effect.can_wait:
+            return
+        fields = {name: getattr(effect, name) for name in effect.__dataclass_fields__}
+        del fields["can_wait"]
+        fields["occupancies"] = tuple(self._waiting_notices[host])
+        self._waiting_notices[host] = []
+        status = build_host_status(f"h{host}", **fields)
         for other in range(len(self._cores)):
             if other != host:
                 self._schedule(
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -109,7 +109,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BroadcastStatus(Effect):
-    """Send this host's status to its peers, together with these notices."""
+    """Send this host's status to its peers, together with these notices.
+
+    Notices that ``can_wait`` are sent with the next status that is due anyway.
+    """
 
     placements: tuple[PlacementNotice, ...] = ()
     crash_reports: tuple[CrashReport, ...] = ()
@@ -118,6 +121,7 @@
     occupancies: tuple[OccupancyNotice, ...] = ()
     quarantined: tuple[Suspect, ...] = ()
     cleared: tuple[Suspect, ...] = ()
+    can_wait: bool = False
 
 
 AnswerEffect = (
--- a/figshunt/dispatch/_engine_bounds.py
+++ b/figshunt/dispatch/_engine_bounds.py
@@ -16,6 +16,18 @@
 # other's requests late.
 LEVEL_RESERVE = 0.05
 
+# An engine with less than this share in use has room for any request, so that other
+# hosts need not know at once that one has ended there.
+CROWDED_SHARE = 0.5
+
+
+def is_crowded(load: EngineLoad, runner: PublishedRunner, engine: EngineLimits) -> bool:
+    """Return whether an engine may soon have no room for some request."""
+    return (
+        load.requests >= CROWDED_SHARE * runner.slots
+        or load.tokens >= CROWDED_SHARE * engine.kv_tokens
+    )
+
 
 def find_free_tokens(
     load: EngineLoad, runner: PublishedRunner, engine: EngineLimits, priority: int
--- a/figshunt/dispatch/_engine_load.py
+++ b/figshunt/dispatch/_engine_load.py
@@ -102,6 +102,11 @@
         """Return the KV cache tokens of the requests that are at least as urgent."""
         return sum(self._tokens_by_level[: priority + 1])
 
+    @property
+    def tokens(self) -> int:
+        """Return the KV cache tokens of all requests."""
+        return sum(self._tokens_by_level)
+
     def has_less_urgent(self, priority: int) -> bool:
         """Return whether a less urgent request is in flight."""
         return any(self._requests_by_level[priority + 1 :])
--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -6,7 +6,7 @@
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
 from figshunt.dispatch._effects import BroadcastStatus
-from figshunt.dispatch._engine_bounds import find_free_tokens
+from figshunt.dispatch._engine_bounds import find_free_tokens, is_crowded
 from figshunt.dispatch._engine_load import Demand
 from figshunt.dispatch._messages import (
     FirstEventSeen,
@@ -114,6 +114,17 @@
         own = model.load.remove(attempt.priority, attempt.demand)
         return _occupancy_notice(runner_id, attempt.priority, own)
 
+    def is_crowded(self, runner_id: RunnerId, pool: PublishedPool) -> bool:
+        """Return whether an engine may soon have no room for some request."""
+        runner = self._directory.runners(pool.name).get(runner_id)
+        model = self._models_by_runner.get(runner_id)
+        return (
+            pool.engine is not None
+            and runner is not None
+            and model is not None
+            and is_crowded(model.load, runner, pool.engine)
+        )
+
     def record_occupancies(self, status: HostStatus, now: Moment) -> bool:
         """Account for what a peer has in flight.
 
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -329,10 +329,13 @@
         )
 
     def _end_attempt(self, attempt: CallAttemptEnded, now: Moment) -> Iterable[Output]:
-        occupancy = self._fleet.end_attempt(attempt.runner_id, attempt.attempt_id)
         pool = self._directory.pool(attempt.routed.pool)
+        is_crowded = pool is not None and self._fleet.is_crowded(
+            attempt.runner_id, pool
+        )
+        occupancy = self._fleet.end_attempt(attempt.runner_id, attempt.attempt_id)
         if occupancy is not None and pool is not None and pool.engine is not None:
-            yield BroadcastStatus(occupancies=(occupancy,))
+            yield BroadcastStatus(occupancies=(occupancy,), can_wait=not is_crowded)
         yield from self._record_result(attempt, now)
 
     def _record_result(
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -119,6 +119,8 @@
             ((notice.runner_id, notice.priority), notice)
             for notice in effect.occupancies
         )
+        if effect.can_wait:
+            return
         has_other_notices = effect != BroadcastStatus(occupancies=effect.occupancies)
         delay_ms = BATCH_DELAY_MS if has_other_notices else OCCUPANCY_DELAY_MS
         self._schedule_flush(delay_ms / 1000)
@@ -166,6 +168,7 @@
         return self._clock.now()
 
     def _send_heartbeat(self) -> None:
+        self._flush()
         self._send(self._exchange.send_heartbeat(self._build_own_status(), self._now()))
         wait_ms = HEARTBEAT_INTERVAL_MS * (0.8 + 0.4 * self._random.random())
         self._heartbeat_timer = asyncio.get_running_loop().call_later(
--- a/tests/dispatch/test_engine_overload.py
+++ b/tests/dispatch/test_engine_overload.py
@@ -9,9 +9,11 @@
 from figshunt.dispatch import (
     HELD_CALLS_INTERVAL_MS,
     AnswerError,
+    BroadcastStatus,
     CallAttemptFailed,
     OccupancyNotice,
     PeerStatusReceived,
+    ReplyEnded,
     ReturnSchedule,
     StartCallAttempt,
 )
@@ -167,6 +169,19 @@
         sent = self.driver.effects_of(StartCallAttempt)
         self.assertEqual("/note/1", sent[-1].call.path)
 
+    def test_only_an_end_at_a_crowded_engine_is_told_at_once(self) -> None:
+        """Guards against a status for each request that ends at an idle engine."""
+        self.send(CHAT)
+        self.end_first_attempt()
+        self.assertTrue(self.driver.effects_of(BroadcastStatus)[-1].can_wait)
+        self.tell(0, self.SLOTS - 1)
+        self.send(CHAT)
+        attempt = self.driver.effects_of(StartCallAttempt)[-1]
+        self.driver.handle(ReplyEnded(attempt.attempt_id))
+        notice = self.driver.effects_of(BroadcastStatus)[-1]
+        self.assertFalse(notice.can_wait)
+        self.assertEqual(0, notice.occupancies[0].requests)
+
     def test_late_request_gives_way_to_one_that_can_be_in_time(self) -> None:
         self.tell(0, self.SLOTS)
         self.send(CHAT)
