Bound and name the wait of requests that lost a second runner

Cause: reading the change as a newcomer: four conditions in a chain without a name, and requests that wait for evidence were not counted against the bound on held requests.

--- a/figshunt/request/_quarantine_filter.py
+++ b/figshunt/request/_quarantine_filter.py
@@ -91,12 +91,7 @@
         suspicion = self._suspicions.suspicion(fingerprint, now)
         if suspicion is Suspicion.CLEAR:
             yield replace(message, routed=replace(routed, is_trial=False))
-        elif (
-            suspicion is Suspicion.SUSPECT
-            and routed.attempts_started
-            and not self._suspicions.may_retry(fingerprint)
-            and self._suspicions.is_undecided(fingerprint, now)
-        ):
+        elif suspicion is Suspicion.SUSPECT and self._awaits_evidence(routed, now):
             self._held_by_id[routed.request_id] = message
             recheck_ms = now.monotonic_ms + MAX_UNDECIDED_MS
             yield WakeAt(min(routed.deadline_ms, recheck_ms))
@@ -126,6 +121,20 @@
             self._held_by_id[routed.request_id] = message
             yield WakeAt(routed.deadline_ms)
 
+    def _awaits_evidence(self, routed: RoutedRequest, now: Moment) -> bool:
+        """Return whether a request that has lost runners is held until more is known.
+
+        Its losses suffice for a quarantine unless others share them or the last one
+        turns out to be of the connection only.
+        """
+        fingerprint = routed.request.fingerprint
+        return (
+            routed.attempts_started > 0
+            and len(self._held_by_id) < MAX_HELD_REQUESTS
+            and not self._suspicions.may_retry(fingerprint)
+            and self._suspicions.is_undecided(fingerprint, now)
+        )
+
     def _release_held(self, pool: PoolName, now: Moment) -> Iterable[Output]:
         waiting_messages = sorted(
             (
@@ -145,7 +154,7 @@
             yield from self._check_content(held_message, now)
 
     def _recheck_undecided(self, now: Moment) -> Iterable[Output]:
-        """Check the held requests again that wait for what a loss was."""
+        """Check the held requests that have lost runners again."""
         undecided_messages = [
             held_message
             for held_message in self._held_by_id.values()
