--- a/figshunt/dispatch/_engine_bounds.py
+++ b/figshunt/dispatch/_engine_bounds.py
@@ -16,8 +16,8 @@
 # other's requests late.
 LEVEL_RESERVE = 0.05
 
-# An engine with less than this share in use has room for any request, so that other
-# hosts need not know at once that one has ended there.
+# An engine with less than this share in use has room for all but the largest requests,
+# so that other hosts need not know at once that one has ended there.
 CROWDED_SHARE = 0.5
 
 
