--- a/review/2/case.py
+++ b/review/2/case.py
@@ -17,6 +17,8 @@
 USUAL_BODY_BYTES = 18_000
 MAX_LOST = 3
 POLL_S = 0.02
+# One upload after the other: 105 MB a second, within the machine's linkMbps of 1,000.
+UPLOAD_INTERVAL_S = 0.04
 
 
 async def kill_above_limit(record: Record, host) -> None:
@@ -38,7 +40,7 @@
     host = deployment.hosts[0]
     for number in range(1, 6):
         deployment.add_runner(
-            f"i-e{number}", "draft-llm", "accra-a", 64, work_s=0.1, events=13
+            f"i-e{number}", "draft-llm", "accra-a", 64, work_s=0.15, events=13
         )
     for number in range(1, 3):
         deployment.add_runner(f"i-b{number}", "booking-app", "accra-a", 6, work_s=0.09)
@@ -53,6 +55,7 @@
         async def send(number: int, consumer: Consumer) -> None:
             # The first request makes the channel a kept one.
             await consumer.send(f"{number:08x}{0:08x}", "/look/1", method="GET")
+            await asyncio.sleep(0.5 + number * UPLOAD_INTERVAL_S)
             size = MAX_BODY_BYTES if TROUBLE else USUAL_BODY_BYTES
             replies.append(
                 await consumer.send(
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -314,6 +314,7 @@
         self.crash_down_s = 3.0
         self.crash_times: list[float] = []
         self.is_listed = False
+        self.state = "ready"
         self._born = int(time.time() * 1000) - 600_000
         self._seq = 1
         self._running = 0
@@ -325,22 +326,27 @@
         self.list_entry()
         self._writes = asyncio.create_task(self._write_entries())
 
+    def build_entry(self) -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "addr": f"{self.ip}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "coldLeftMs": 0,
+            "seq": self._seq,
+            "born": self._born,
+        }
+
     def list_entry(self) -> None:
         self.is_listed = True
-        self.store.put(
-            f"servers/{self.runner_id}",
-            {
-                "service": self.service,
-                "addr": f"{self.ip}:{self.port}",
-                "zone": self.zone,
-                "version": "v1",
-                "slots": self.slots,
-                "state": "ready",
-                "coldLeftMs": 0,
-                "seq": self._seq,
-                "born": self._born,
-            },
-        )
+        self.store.put(f"servers/{self.runner_id}", self.build_entry())
+
+    def report_draining(self) -> None:
+        self.state = "draining"
+        self._seq += 1
+        self.list_entry()
 
     def unlist(self) -> None:
         """Remove the entry, as a runner does that never reports ``draining``."""
