--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -73,6 +73,8 @@
     attempts that certainly did not run, and ``tried_runner_ids`` lists the runners
     of both. ``last_event_id`` is the id of the last event that was forwarded to
     the caller. ``has_consecutive_ids`` is known from the second id on.
+    ``has_unnumbered_events`` is set once an event with data and without an id was
+    forwarded, after which the stream can't be resumed.
     ``answer_started`` is set once the answer to the caller has started.
     """
 
@@ -88,6 +90,7 @@
     tried_runner_ids: tuple[RunnerId, ...] = ()
     last_event_id: int | None = None
     has_consecutive_ids: bool | None = None
+    has_unnumbered_events: bool = False
     answer_started: bool = False
 
     @property
--- a/figshunt/dispatch/_call_attempt.py
+++ b/figshunt/dispatch/_call_attempt.py
@@ -4,6 +4,7 @@
 
 from figshunt.directory import PublishedRunner
 from figshunt.dispatch._call import RoutedCall
+from figshunt.dispatch._messages import ReplyEvent
 from figshunt.types import AttemptId
 
 # A request that can be sent again goes to another runner if neither its first
@@ -21,7 +22,12 @@
 
 @dataclass(slots=True)
 class CallAttempt:
-    """One attempt in flight, with the times needed to detect a stall."""
+    """One attempt in flight, with the times needed to detect a stall.
+
+    ``held_event`` is an event that is forwarded once the next one confirms its place
+    in the stream. ``first_event_id`` is the id of the first event that was forwarded.
+    ``has_regular_events`` is set while each one had an id and data.
+    """
 
     attempt_id: AttemptId
     runner: PublishedRunner
@@ -32,6 +38,9 @@
     has_first_event: bool = False
     first_ms: int | None = None
     longest_gap_ms: int = 0
+    held_event: ReplyEvent | None = None
+    first_event_id: int | None = None
+    has_regular_events: bool = True
 
     @property
     def stall_ms(self) -> int:
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from figshunt.directory import Repeatability
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._call_attempt import CallAttempt
 from figshunt.dispatch._cold_limit import SharedBounds
@@ -15,6 +16,11 @@
     CancelCallAttempt,
     StartCallAttempt,
 )
+from figshunt.dispatch._event_order import (
+    EventVerdict,
+    StreamNumberings,
+    judge_event,
+)
 from figshunt.dispatch._messages import (
     CallAbandoned,
     CallAdmitted,
@@ -91,6 +97,7 @@
 
     def __init__(self, peers: PeersView, bounds: SharedBounds) -> None:
         self._retry_policy = RetryPolicy(peers, bounds)
+        self._numberings = StreamNumberings()
         self._attempts: dict[AttemptId, CallAttempt] = {}
         self._attempt_ids_by_call: dict[RequestId, AttemptId] = {}
 
@@ -109,7 +116,7 @@
             case ReplyStarted():
                 yield from self._start_answer(message, now)
             case ReplyEvent():
-                yield from self._forward_event(message, now)
+                yield from self._handle_event(message, now)
             case ReplyEnded(attempt_id):
                 yield from self._end_stream(attempt_id, now)
             case CallAttemptFailed():
@@ -256,24 +263,75 @@
             attempt.routed = replace(attempt.routed, answer_started=True)
             yield AnswerStart(attempt.routed.call_id, head)
 
-    def _forward_event(self, event: ReplyEvent, now: Moment) -> Iterable[Output]:
+    def _handle_event(self, event: ReplyEvent, now: Moment) -> Iterable[Output]:
+        """Forward an event, hold it, or end the attempt if its place is wrong."""
         attempt = self._attempts.get(event.attempt_id)
         if attempt is None:
             return
-        routed = attempt.routed
-        if event.event_id is not None:
-            if not routed.may_follow(event.event_id):
-                detail = f"got event id {event.event_id} after {routed.last_event_id}"
-                yield CancelCallAttempt(attempt.attempt_id, CancelReason.PROTOCOL)
-                yield from self._retry_or_fail(
-                    attempt, CallAttemptResult.INVALID_ANSWER, detail, now
-                )
-                return
-            attempt.routed = routed.with_event(event.event_id)
         if event.is_comment:
             # A runner can send comments while it makes no progress.
-            yield AnswerEvent(routed.call_id, event.data)
+            yield AnswerEvent(attempt.routed.call_id, event.data)
             return
+        if attempt.routed.route.repeatability is not Repeatability.RESUMABLE:
+            if self._has_wrong_id(event, attempt.routed):
+                yield from self._reject_event(attempt, event, now)
+            else:
+                yield from self._forward_event(attempt, event, now)
+            return
+        numbering = self._numberings.get(attempt.routed.pool)
+        held_event = attempt.held_event
+        if held_event is not None:
+            verdict = judge_event(event, attempt.routed, held_event, numbering)
+            if verdict is EventVerdict.INVALID:
+                yield from self._reject_event(attempt, event, now)
+                return
+            attempt.held_event = None
+            yield from self._forward_event(attempt, held_event, now)
+        match judge_event(event, attempt.routed, None, numbering):
+            case EventVerdict.EXPECTED:
+                yield from self._forward_event(attempt, event, now)
+            case EventVerdict.HELD:
+                attempt.held_event = event
+            case EventVerdict.INVALID:
+                yield from self._reject_event(attempt, event, now)
+
+    def _has_wrong_id(self, event: ReplyEvent, routed: RoutedCall) -> bool:
+        """Return whether an event can't follow in a stream that can't be resumed."""
+        return event.event_id is not None and not routed.may_follow(event.event_id)
+
+    def _reject_event(
+        self, attempt: CallAttempt, event: ReplyEvent, now: Moment
+    ) -> Iterable[Output]:
+        """End an attempt whose events are not in order, or lack an id or data.
+
+        What the caller has so far is in order, so the stream can go on after that.
+        """
+        routed = attempt.routed
+        self._numberings.record_deviation(routed.pool)
+        held_event = attempt.held_event
+        detail = (
+            f"got event id {event.event_id} after {routed.last_event_id}"
+            if held_event is None
+            else f"got event ids {held_event.event_id} and {event.event_id}"
+            f" after {routed.last_event_id}"
+        )
+        yield CancelCallAttempt(attempt.attempt_id, CancelReason.PROTOCOL)
+        yield from self._retry_or_fail(
+            attempt, CallAttemptResult.INVALID_ANSWER, detail, now
+        )
+
+    def _forward_event(
+        self, attempt: CallAttempt, event: ReplyEvent, now: Moment
+    ) -> Iterable[Output]:
+        routed = attempt.routed
+        if event.event_id is not None:
+            attempt.routed = routed.with_event(event.event_id)
+            if attempt.first_event_id is None:
+                attempt.first_event_id = event.event_id
+        else:
+            attempt.routed = replace(routed, has_unnumbered_events=True)
+        if event.event_id is None or not event.has_data:
+            attempt.has_regular_events = False
         if not attempt.has_first_event:
             attempt.has_first_event = True
             waited_ms = now.monotonic_ms - attempt.started_ms
@@ -301,11 +359,26 @@
         attempt = self._attempts.get(attempt_id)
         if attempt is None:
             return
+        held_event = attempt.held_event
+        if held_event is not None:
+            # A complete stream has no further event that could confirm this one.
+            attempt.held_event = None
+            yield from self._forward_event(attempt, held_event, now)
+        self._learn_numbering(attempt)
         yield AnswerEnd(attempt.routed.call_id)
         yield from self._complete(
             attempt, CallAttemptResult.SERVED, "stream ended", now
         )
 
+    def _learn_numbering(self, attempt: CallAttempt) -> None:
+        """Learn how a pool's runners number their events from a complete stream."""
+        routed = attempt.routed
+        first_id = attempt.first_event_id
+        is_whole_run = routed.possible_runs == 1 and routed.call.resume_after is None
+        is_regular = attempt.has_regular_events and routed.has_consecutive_ids
+        if is_whole_run and is_regular and first_id is not None:
+            self._numberings.record_complete(routed.pool, first_id)
+
     def _handle_failure(
         self, failure: CallAttemptFailed, now: Moment
     ) -> Iterable[Output]:
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -126,13 +126,15 @@
 class ReplyEvent(Message):
     """A complete event of a stream, as received.
 
-    ``is_comment`` is set if it has neither an id nor data.
+    ``event_id`` is ``None`` if the event has no readable id. ``is_comment`` is set if
+    it has neither an id nor data.
     """
 
     attempt_id: AttemptId
     event_id: int | None
     data: bytes = field(repr=False)
     is_comment: bool = False
+    has_data: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_retry_policy.py
+++ b/figshunt/dispatch/_retry_policy.py
@@ -47,6 +47,8 @@
             return False
         if routed.answer_started and repeatability is not Repeatability.RESUMABLE:
             return False
+        if routed.has_unnumbered_events:
+            return False
         if routed.possible_runs >= routed.route.max_runners:
             return False
         if routed.deadline_ms - now.monotonic_ms <= MIN_TIME_LEFT_MS:
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -168,7 +168,11 @@
                     allow_body(response, MAX_EVENT_BYTES)
                 self._message_sink.submit(
                     ReplyEvent(
-                        attempt.attempt_id, event.event_id, event.raw, event.is_comment
+                        attempt.attempt_id,
+                        event.event_id,
+                        event.raw,
+                        event.is_comment,
+                        bool(event.data),
                     )
                 )
         self._check_not_reset(channel, response)
--- a/figshunt/runtime/_event_stream.py
+++ b/figshunt/runtime/_event_stream.py
@@ -121,13 +121,15 @@
 
 
 def _parse_event(raw: bytes) -> ServerSentEvent:
-    event_id = None
+    event_ids = []
     data = b""
     for line in raw.split(b"\n"):
         name, _, value = line.partition(b":")
         value = value.removeprefix(b" ")
         if name == b"data":
             data += value
-        elif name == b"id" and value.isdigit():
-            event_id = int(value)
+        elif name == b"id":
+            event_ids.append(int(value) if value.isdigit() else None)
+    # Two ids show that the end of the event before was lost.
+    event_id = event_ids[0] if len(event_ids) == 1 else None
     return ServerSentEvent(raw, event_id, data)
--- a/tests/runtime/test_event_stream.py
+++ b/tests/runtime/test_event_stream.py
@@ -83,6 +83,19 @@
             self.assertEqual([event.event_id for event in events], [0, 1, None])
 
 
+class EventIdTest(unittest.TestCase):
+    """Guards against a place in the stream that a spoiled event seems to have."""
+
+    def test_event_that_contains_another_has_no_id(self) -> None:
+        joined = b"id: 1\ndata: x\nxid: 2\n" + build_event(2)
+        (event,) = EventStreamReader().feed(joined)
+        self.assertIsNone(event.event_id)
+
+    def test_id_that_is_no_number_is_none(self) -> None:
+        (event,) = EventStreamReader().feed(b"id: 1x\ndata: x\n\n")
+        self.assertIsNone(event.event_id)
+
+
 class AttachCommentsTest(unittest.TestCase):
     """Guards against one message for each comment of an endless series."""
 
