--- a/figshunt/gateway/__init__.py
+++ b/figshunt/gateway/__init__.py
@@ -13,6 +13,7 @@
 from figshunt.gateway._front_listener import FrontListener
 from figshunt.gateway._line_output import LineOutput
 from figshunt.gateway._mirror import MirrorListener, MirrorReader
+from figshunt.gateway._outage import OutageRecord
 from figshunt.gateway._peer_link import PeerLink
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._runner_caller import RunnerCaller
@@ -34,6 +35,7 @@
     "Listing",
     "MirrorListener",
     "MirrorReader",
+    "OutageRecord",
     "PeerLink",
     "PublishedItems",
     "RunnerCaller",
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -28,6 +28,7 @@
 from figshunt.gateway._directory_reader import DirectoryReader, ItemSource
 from figshunt.gateway._front_listener import FrontListener
 from figshunt.gateway._mirror import MirrorListener, MirrorReader
+from figshunt.gateway._outage import OutageRecord
 from figshunt.gateway._peer_link import PeerLink
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._runner_caller import RunnerCaller
@@ -90,9 +91,11 @@
         self.items = PublishedItems(
             item_codec, self, self._log, self._announce_revision
         )
+        outage = OutageRecord(clock)
         self.reader = DirectoryReader(
             source,
             self.items,
+            outage,
             lambda: 1 + len(self.core.peers.statuses()),
             clock,
             self._log,
@@ -101,6 +104,7 @@
         self.mirror_listener = MirrorListener(settings.mirror, self.items)
         self.mirror_reader = MirrorReader(
             self.items,
+            outage,
             settings.mirror.port,
             lambda: self.core.peers.statuses().values(),
             self._log,
--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -9,6 +9,7 @@
 from mode import Service
 
 from figshunt.directory import PublishedItem
+from figshunt.gateway._outage import OutageRecord
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.runtime import EventLog, UnexpectedErrorLog
 from figshunt.types import Clock, Step
@@ -36,11 +37,6 @@
 BATCH_DELAY_MS_PER_HOST = 5
 MAX_BATCH_DELAY_MS = 500
 
-# An entry that is removed within the lapse window after an outage of at least this
-# length may have expired because its runner couldn't renew it.
-MIN_OUTAGE_MS = 1_500
-LAPSE_WINDOW_MS = 2_500
-
 
 class SourceError(Exception):
     """The source of published items can't be read at present."""
@@ -78,6 +74,7 @@
         self,
         source: ItemSource,
         items: PublishedItems,
+        outage: OutageRecord,
         count_hosts: Callable[[], int],
         clock: Clock,
         log: EventLog,
@@ -86,14 +83,13 @@
         super().__init__()
         self._source = source
         self._items = items
+        self._outage = outage
         self._count_hosts = count_hosts
         self._clock = clock
         self._log = log
         self._error_log = UnexpectedErrorLog(log, clock)
         self._random = random_source
         self._has_listing = False
-        self._failing_since_ms: int | None = None
-        self._lapse_window_end_ms = 0
         self._task: asyncio.Task[None] | None = None
 
     async def on_started(self) -> None:
@@ -124,7 +120,9 @@
 
     async def _pause(self, started_ms: int, detail: str) -> None:
         """Record that the store can't be read, and wait before the next attempt."""
-        self._record_failure(started_ms)
+        self._outage.record_failure(
+            started_ms, self._items.is_available(ItemOrigin.PEER)
+        )
         self._items.set_available(ItemOrigin.STORE, False, detail)
         await asyncio.sleep(self._retry_delay_ms() / 1000)
 
@@ -136,7 +134,7 @@
         else:
             listing = await self._source.list_items()
             apply_listing = self._items.replace
-        apply_listing(listing.items, listing.revision, self._record_success())
+        apply_listing(listing.items, listing.revision, self._outage.record_success())
         self._has_listing = True
         if listing.items and self._count_hosts() >= LARGE_FLEET_HOSTS:
             await asyncio.sleep(self._batch_delay_ms() / 1000)
@@ -163,21 +161,3 @@
             return WATCH_WAIT_MS
         max_wait_ms = min(MAX_WATCH_WAIT_MS, WATCH_WAIT_MS_PER_HOST * host_count)
         return int(max_wait_ms * (0.1 + 0.9 * self._random.random()))
-
-    def _record_failure(self, started_ms: int) -> None:
-        """Record the time since which no host is known to have read the store.
-
-        While a peer can read the store, runners can also renew their entries.
-        """
-        if self._items.is_available(ItemOrigin.PEER):
-            self._failing_since_ms = self._clock.now().monotonic_ms
-        elif self._failing_since_ms is None:
-            self._failing_since_ms = started_ms
-
-    def _record_success(self) -> bool:
-        """Record a read; return whether entries may have lapsed in an outage."""
-        now_ms = self._clock.now().monotonic_ms
-        failing_since_ms, self._failing_since_ms = self._failing_since_ms, None
-        if failing_since_ms is not None and now_ms - failing_since_ms > MIN_OUTAGE_MS:
-            self._lapse_window_end_ms = now_ms + LAPSE_WINDOW_MS
-        return now_ms < self._lapse_window_end_ms
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -9,9 +9,11 @@
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosed
 
+from figshunt.directory import PublishedItem
 from figshunt.dispatch import HostStatus
 from figshunt.gateway._directory_reader import LARGE_FLEET_HOSTS
 from figshunt.gateway._mirror_codec import decode_items, encode_items
+from figshunt.gateway._outage import OutageRecord
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._settings import Address
 from figshunt.runtime import EventLog
@@ -37,6 +39,9 @@
 class MirrorListener(Service):
     """Sends each connected peer all published items, and then each change.
 
+    The first message on a connection is a complete copy: an item that it lacks had
+    been deleted by its revision. A copy need not have tombstones of such items.
+
     Each message states whether this host can read the store at present. If it
     can't, its copy is still useful to a host that starts during the outage.
     """
@@ -79,14 +84,15 @@
             return
 
     async def _send_changes(self, connection: ServerConnection) -> None:
-        sent_revisions: dict[str, int] = {}
+        sent_items: dict[str, PublishedItem] = {}
         while True:
+            # A deletion may have the revision of the item that it replaces.
             changed_items = [
                 item
                 for item in self._items.all_items()
-                if sent_revisions.get(item.key) != item.revision
+                if sent_items.get(item.key) is not item
             ]
-            sent_revisions.update((item.key, item.revision) for item in changed_items)
+            sent_items.update((item.key, item) for item in changed_items)
             can_read_store = self._items.is_available(ItemOrigin.STORE)
             await connection.send(
                 encode_items(changed_items, self._items.revision, can_read_store)
@@ -104,6 +110,7 @@
     def __init__(
         self,
         items: PublishedItems,
+        outage: OutageRecord,
         port: int,
         statuses: Callable[[], Iterable[HostStatus]],
         log: EventLog,
@@ -111,6 +118,7 @@
     ) -> None:
         super().__init__()
         self._items = items
+        self._outage = outage
         self._port = port
         self._statuses = statuses
         self._log = log
@@ -179,13 +187,16 @@
             close_timeout=CONNECT_TIMEOUT_S,
             proxy=None,
         ) as connection:
+            apply_items = self._items.replace
             while True:
                 async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
                     data = await connection.recv()
                 if isinstance(data, str):
                     raise ValueError("expected a binary message, got text")
                 message = decode_items(data)
-                self._items.merge(message.items, message.revision)
+                has_lapsed = message.can_read_store and self._outage.record_success()
+                apply_items(message.items, message.revision, has_lapsed)
+                apply_items = self._items.merge
                 if not message.can_read_store:
                     self._items.set_available(
                         ItemOrigin.PEER, False, "peer can't read the store"
--- a/tests/gateway/test_directory_reader.py
+++ b/tests/gateway/test_directory_reader.py
@@ -17,6 +17,7 @@
     HistoryLostError,
     ItemOrigin,
     Listing,
+    OutageRecord,
     PublishedItems,
     SourceError,
 )
@@ -93,7 +94,13 @@
             StubItemCodec(), self.message_sink, log, lambda: None
         )
         reader = DirectoryReader(
-            self.source, self.items, lambda: hosts, self.clock, log, random.Random(1)
+            self.source,
+            self.items,
+            OutageRecord(self.clock),
+            lambda: hosts,
+            self.clock,
+            log,
+            random.Random(1),
         )
         await reader.start()
         async with asyncio.timeout(READ_TIMEOUT_S):
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -15,18 +15,26 @@
     ItemOrigin,
     MirrorListener,
     MirrorReader,
+    OutageRecord,
     PublishedItems,
 )
 from figshunt.runtime import EventLog
-from figshunt.types import DataCentreName, Message
+from figshunt.types import DataCentreName, ManualClock, Message, Moment
 from tests.builders import build_host_status
 from tests.gateway.fixture import LOOPBACK, wait_until
 
 
 class StubItemCodec:
+    """Decodes each item as an evacuation and records which have lapsed."""
+
+    def __init__(self) -> None:
+        self.lapsed_keys: list[str] = []
+
     def decode(
         self, items: Iterable[PublishedItem], after_outage: bool
     ) -> Iterable[DirectoryMessage]:
+        if after_outage:
+            self.lapsed_keys += [item.key for item in items if item.value is None]
         for item in items:
             is_evacuated = item.value is not None
             yield EvacuationPublished(
@@ -39,9 +47,9 @@
         pass
 
 
-def build_items() -> PublishedItems:
+def build_items(codec: StubItemCodec | None = None) -> PublishedItems:
     return PublishedItems(
-        StubItemCodec(), DiscardingMessageSink(), EventLog({}), lambda: None
+        codec or StubItemCodec(), DiscardingMessageSink(), EventLog({}), lambda: None
     )
 
 
@@ -50,7 +58,10 @@
 
     async def asyncSetUp(self) -> None:
         self.peer_items = build_items()
-        self.own_items = build_items()
+        self.own_codec = StubItemCodec()
+        self.own_items = build_items(self.own_codec)
+        self.clock = ManualClock(Moment(100_000, 0))
+        self.outage = OutageRecord(self.clock)
         self.peer_items.set_available(ItemOrigin.STORE, True, "test")
         self.peer_items.merge([PublishedItem("a", 5, b"x")], 5)
         listener = MirrorListener(Address(LOOPBACK, 0), self.peer_items)
@@ -58,6 +69,7 @@
         self.addAsyncCleanup(listener.stop)
         self.reader = MirrorReader(
             self.own_items,
+            self.outage,
             listener.port,
             lambda: [
                 build_host_status(
@@ -90,6 +102,37 @@
         await self.start_reader()
         await wait_until(lambda: self.own_items.revision == 5)
 
+    async def read_copy_of_restarted_peer(self) -> None:
+        """Read the copy of a peer that listed the store after "gone" was deleted."""
+        self.own_items.merge([PublishedItem("gone", 3, b"z")], 4)
+        await self.start_reader()
+        await wait_until(lambda: self.own_items.revision == 5)
+
+    async def test_item_that_a_restarted_peer_never_saw_is_deleted(self) -> None:
+        """Guards against a runner that gets requests for good after it has left."""
+        await self.read_copy_of_restarted_peer()
+        values_by_key = {item.key: item.value for item in self.own_items.all_items()}
+        self.assertEqual({"a": b"x", "gone": None}, values_by_key)
+        self.assertEqual([], self.own_codec.lapsed_keys)
+
+    async def test_item_missing_from_a_copy_after_an_outage_may_have_lapsed(
+        self,
+    ) -> None:
+        """Guards against dropping all runners whose entries expired in the outage."""
+        self.outage.record_failure(self.clock.now().monotonic_ms, False)
+        self.clock.advance(4_000)
+        await self.read_copy_of_restarted_peer()
+        self.assertEqual(["gone"], self.own_codec.lapsed_keys)
+
+    async def test_deletion_with_the_revision_of_its_item_is_forwarded(self) -> None:
+        """A listing deletes an item that it lacks at the listing's revision."""
+        await self.start_reader()
+        await wait_until(lambda: self.own_items.revision == 5)
+        self.peer_items.replace([], 5)
+        await wait_until(
+            lambda: [item.value for item in self.own_items.all_items()] == [None]
+        )
+
     async def test_current_host_does_not_read_from_a_peer(self) -> None:
         self.own_items.set_available(ItemOrigin.STORE, True, "test")
         self.own_items.merge([PublishedItem("a", 5, b"x")], 5)
@@ -113,6 +156,7 @@
         for number in range(8):
             reader = MirrorReader(
                 build_items(),
+                OutageRecord(self.clock),
                 1,
                 lambda: statuses,
                 EventLog({}),
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -18,7 +18,7 @@
     SuspectKind,
 )
 from figshunt.exchange import Bundle, BundlePurpose
-from figshunt.gateway import DirectoryReader, Listing, PublishedItems
+from figshunt.gateway import DirectoryReader, Listing, OutageRecord, PublishedItems
 from figshunt.gateway._status_codec import STATUS_FORMAT, decode_bundle, encode_bundle
 from figshunt.pipeline import FilterError, Output, Pipeline
 from figshunt.runtime import EventLog
@@ -132,6 +132,7 @@
         reader = DirectoryReader(
             MalformedAnswerSource(),
             items,
+            OutageRecord(ManualClock()),
             lambda: 1,
             ManualClock(),
             log,
