--- a/figshunt/directory/_replica.py
+++ b/figshunt/directory/_replica.py
@@ -18,8 +18,10 @@
 
     Items arrive from the store and from peers in any order. An item replaces
     only an older revision of itself, except that a deletion also replaces the
-    same revision. At most ``max_deleted`` deleted items are kept as tombstones;
-    those with the lowest revisions are dropped first.
+    same revision. ``revision`` is the one up to which the copy is complete, so an
+    unknown item that isn't newer has been deleted since. At most ``max_deleted``
+    deleted items are kept as tombstones; those with the lowest revisions are dropped
+    first.
     """
 
     def __init__(self, max_deleted: int = 4096) -> None:
@@ -69,7 +71,7 @@
             is_deletion = item.value is None and previous.value is not None
             if not (is_deletion and previous.revision == item.revision):
                 return False
-        if previous is None and item.value is None:
+        if previous is None and (item.value is None or item.revision <= self.revision):
             return False
         self._items_by_key[item.key] = item
         return True
--- a/tests/directory/test_replica.py
+++ b/tests/directory/test_replica.py
@@ -38,6 +38,14 @@
         replica.merge([item("a", 12)], 12)
         self.assertEqual([], replica.replace([], 9))
 
+    def test_listing_that_arrives_late_does_not_restore_a_deleted_item(self) -> None:
+        """A host that starts may get a peer's newer copy during its first listing."""
+        replica = ItemReplica()
+        replica.replace([item("b", 6)], 9)
+        self.assertEqual([], replica.replace([item("a", 3), item("b", 6)], 5))
+        self.assertEqual(["b"], list(replica.items()))
+        self.assertEqual(9, replica.revision)
+
     def test_result_is_independent_of_arrival_order(self) -> None:
         history = [
             item("a", n, None if n % 5 == 0 else b"%d" % n) for n in range(1, 40)
