--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -71,6 +71,9 @@
     AttemptFailure.CANCELLED: CallAttemptResult.ABANDONED,
 }
 
+# A runner that answers with this status may say for how long it wants no requests.
+PAUSE_STATUS = 503
+
 REFUSAL_VERDICTS = frozenset({ReplyVerdict.REFUSED, ReplyVerdict.WRONG_RUNNER})
 
 
@@ -191,7 +194,11 @@
                 " another request, or refuses without saying that nothing ran"
             )
             yield from self._retry_or_fail(
-                attempt, CallAttemptResult.INVALID_ANSWER, detail, now
+                attempt,
+                CallAttemptResult.INVALID_ANSWER,
+                detail,
+                now,
+                _pause_ms(head) if head.matches_request else 0,
             )
         elif head.verdict is ReplyVerdict.FAILED and self._retry_policy.may_retry(
             attempt.routed, now
@@ -230,7 +237,11 @@
         )
         is_wrong_runner = head.verdict is ReplyVerdict.WRONG_RUNNER
         yield from self._end_attempt(
-            attempt, CallAttemptResult.REFUSED, f"status {head.status}", is_wrong_runner
+            attempt,
+            CallAttemptResult.REFUSED,
+            f"status {head.status}",
+            is_wrong_runner,
+            0 if is_wrong_runner else _pause_ms(head),
         )
         if self._retry_policy.may_reassign(routed, now):
             yield from self._retry(routed, now)
@@ -403,11 +414,16 @@
         yield from self._retry_or_fail(attempt, result, failure.detail, now)
 
     def _retry_or_fail(
-        self, attempt: CallAttempt, result: CallAttemptResult, detail: str, now: Moment
+        self,
+        attempt: CallAttempt,
+        result: CallAttemptResult,
+        detail: str,
+        now: Moment,
+        pause_ms: int = 0,
     ) -> Iterable[Output]:
         """Retry a request that may have run, or fail its call."""
         may_retry = self._retry_policy.may_retry(attempt.routed, now)
-        yield from self._end_attempt(attempt, result, detail)
+        yield from self._end_attempt(attempt, result, detail, pause_ms=pause_ms)
         if may_retry:
             yield from self._retry(attempt.routed, now)
         else:
@@ -514,6 +530,7 @@
         result: CallAttemptResult,
         detail: str,
         is_wrong_runner: bool = False,
+        pause_ms: int = 0,
     ) -> Iterable[Output]:
         self._attempts.pop(attempt.attempt_id, None)
         self._attempt_ids_by_call.pop(attempt.routed.call_id, None)
@@ -538,10 +555,18 @@
                 result,
                 attempt.last_received_ms,
                 is_wrong_runner,
+                pause_ms,
             )
         )
 
 
+def _pause_ms(head: ReplyHead) -> int:
+    """Return for how long the runner asks to be left alone, in ms."""
+    if head.status != PAUSE_STATUS:
+        return 0
+    return max(0, head.retry_after_ms or 0)
+
+
 def _is_own_answer(head: ReplyHead) -> bool:
     """Return whether the head starts an answer of the runner to this request."""
     return (
--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -203,14 +203,15 @@
         """Return the runners that may get a call now.
 
         A runner that is excluded, or that has not answered since its exclusion
-        and has a call running, is returned only if there is no other one. A cold
-        runner is never returned before this host may send to it again.
+        and has a call running, is returned only if there is no other one. A runner
+        that is cold or asked for a pause is never returned before this host may send
+        to it again.
         """
         now_ms = now.monotonic_ms
         allowed_runners = [
             runner
             for runner in runners.values()
-            if self.next_cold_ms(pool, runner.runner_id, now) <= now_ms
+            if self.next_allowed_ms(pool, runner.runner_id, now) <= now_ms
         ]
         available_runners = [
             runner
@@ -219,15 +220,22 @@
         ]
         return available_runners or allowed_runners
 
-    def next_cold_ms(
+    def next_allowed_ms(
         self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
     ) -> int:
-        """Return when the runner may get a call, given its limit while it is cold."""
+        """Return when the runner may get a call.
+
+        That is after a pause that it asked for, and within its limit while it is cold.
+        """
+        now_ms = now.monotonic_ms
+        model = self._models_by_runner.get(runner_id)
+        earliest_ms = max(now_ms, model.paused_until_ms) if model else now_ms
         if pool is None or not self._is_cold(pool, runner_id, now):
-            return now.monotonic_ms
-        return self._cold_limit.next_ms(
-            runner_id, pool.cold_per_s, self._peers.rank(now), now.monotonic_ms
+            return earliest_ms
+        cold_ms = self._cold_limit.next_ms(
+            runner_id, pool.cold_per_s, self._peers.rank(now), now_ms
         )
+        return max(earliest_ms, cold_ms)
 
     def find_holder(
         self,
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -173,6 +173,7 @@
 
     This message is emitted once per planned attempt. ``last_received_ms`` is the
     time at which data was last received for the attempt, or its start time.
+    ``pause_ms`` is the time for which the runner wants no request from this host.
     """
 
     attempt_id: AttemptId
@@ -181,6 +182,7 @@
     result: CallAttemptResult
     last_received_ms: int
     is_wrong_runner: bool = False
+    pause_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -349,6 +349,13 @@
         model.update_failure_share(attempt.result in FAILED_RESULTS, now.monotonic_ms)
         if attempt.result in ANSWERED_RESULTS:
             model.record_response(now.monotonic_ms)
+        if attempt.pause_ms:
+            model.pause(now.monotonic_ms + attempt.pause_ms)
+            pause_fields: dict[str, LogValue] = {
+                "runner": attempt.runner_id,
+                "for_ms": attempt.pause_ms,
+            }
+            yield LogEvent("runner_paused", self.step, pause_fields)
         exclusion_ms = 0
         is_silent = (
             attempt.result is CallAttemptResult.STALLED
@@ -460,7 +467,8 @@
     ) -> int:
         """Return when the caller should return."""
         if reason is not ErrorCode.QUEUE_FULL:
-            return RETRY_AFTER_MS
+            usable_in_ms = self._next_usable_ms(routed, now) - now.monotonic_ms
+            return max(RETRY_AFTER_MS, usable_in_ms)
         return self._return_schedule.next_pause_ms(
             routed.pool,
             routed.priority,
@@ -473,7 +481,7 @@
         usable_times_ms = [
             time_ms
             for runner_id in self._directory.runners(routed.pool)
-            if (time_ms := self._fleet.next_cold_ms(pool, runner_id, now))
+            if (time_ms := self._fleet.next_allowed_ms(pool, runner_id, now))
             > now.monotonic_ms
         ]
         return min(usable_times_ms, default=now.monotonic_ms + RETRY_AFTER_MS)
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/_runner_model.py
@@ -108,6 +108,7 @@
         self.streams_by_gap_ms: dict[int, RunningStreams] = {}
         self.slowness = 1.0
         self.cold_until_ms = 0
+        self.paused_until_ms = 0
         self.excluded_until_ms = 0
         self.exclusions = 0
         self._last_response_ms = 0
@@ -227,6 +228,10 @@
         self.excluded_until_ms = max(self.excluded_until_ms, until_ms)
         self.exclusions += 1
 
+    def pause(self, until_ms: int) -> None:
+        """Record that the runner wants no request of this host until then."""
+        self.paused_until_ms = max(self.paused_until_ms, until_ms)
+
     def report_silence(self, host: HostName, until_ms: int, now_ms: int) -> bool:
         """Exclude the runner until then if enough other hosts left it alone.
 
@@ -256,6 +261,7 @@
         self.prefix_cache = PrefixCache(kv_tokens)
         self.streams_by_gap_ms = {}
         self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
+        self.paused_until_ms = 0
         self.slowness = 1.0
         self.prefill_queue = PrefillQueue()
         self.load.forget_all()
