--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -7,6 +7,7 @@
     ConfigurationPublished,
     ConfigurationUnreadable,
     EvacuationPublished,
+    RunnerLeaving,
     RunnerListed,
     RunnerUnlisted,
     SourceStateChanged,
@@ -63,7 +64,9 @@
     """Applies published items; an older configuration never replaces a newer one.
 
     A runner that is leaving or in an evacuated data centre is kept, so that its
-    requests can finish, but is not returned for new requests.
+    requests can finish, but is not returned for new requests. Its own word in an
+    answer holds until its entry is removed or describes a new process, since the entry
+    may be written or read later.
     """
 
     step = Step.DIRECTORY
@@ -71,6 +74,7 @@
         ConfigurationPublished,
         ConfigurationUnreadable,
         EvacuationPublished,
+        RunnerLeaving,
         RunnerListed,
         RunnerUnlisted,
         SourceStateChanged,
@@ -87,6 +91,7 @@
         ] = {}
         self._evacuated_data_centres: set[DataCentreName] = set()
         self._removal_due_ms_by_id: dict[RunnerId, int] = {}
+        self._leaving_starts_by_id: dict[RunnerId, int | None] = {}
 
     def match(self, host: str, path: str) -> PublishedRoute | None:
         """Return the route of ``host`` with the longest matching prefix of ``path``."""
@@ -127,6 +132,8 @@
                     self.step,
                     {"data_centre": data_centre, "revision": revision},
                 )
+            case RunnerLeaving():
+                yield from self._record_leaving(message)
             case RunnerListed(revision, runner_id, runner):
                 yield from self._list_runner(revision, runner_id, runner)
             case RunnerUnlisted():
@@ -180,6 +187,9 @@
             return
         previous = self._runners_by_id.get(runner_id)
         self._runners_by_id[runner_id] = runner
+        start = runner.started_wall_ms
+        if self._leaving_starts_by_id.get(runner_id, start) != start:
+            del self._leaving_starts_by_id[runner_id]
         if previous is None or previous != runner:
             fields: dict[str, LogValue] = {
                 "runner": runner_id,
@@ -192,8 +202,22 @@
             }
             yield LogEvent("runner_listed", self.step, fields)
 
+    def _record_leaving(self, message: RunnerLeaving) -> Iterable[Output]:
+        runner_id, start = message.runner_id, message.started_wall_ms
+        runner = self._runners_by_id.get(runner_id)
+        is_known = runner_id in self._leaving_starts_by_id
+        if runner is None or runner.started_wall_ms != start or is_known:
+            return
+        self._leaving_starts_by_id[runner_id] = start
+        yield LogEvent("runner_says_it_leaves", self.step, {"runner": runner_id})
+
+    def _forget(self, runner_id: RunnerId) -> None:
+        self._runners_by_id.pop(runner_id, None)
+        self._leaving_starts_by_id.pop(runner_id, None)
+
     def _unlist_runner(self, message: RunnerUnlisted, now: Moment) -> Iterable[Output]:
         if message.runner_id not in self._runners_by_id:
+            self._forget(message.runner_id)
             return
         fields: dict[str, LogValue] = {
             "runner": message.runner_id,
@@ -206,7 +230,7 @@
             yield WakeAt(due_ms)
             return
         self._removal_due_ms_by_id.pop(message.runner_id, None)
-        del self._runners_by_id[message.runner_id]
+        self._forget(message.runner_id)
         yield LogEvent("runner_unlisted", self.step, fields)
 
     def _remove_expired(self, now: Moment) -> Iterable[Output]:
@@ -217,7 +241,7 @@
         ]
         for runner_id in expired_ids:
             del self._removal_due_ms_by_id[runner_id]
-            self._runners_by_id.pop(runner_id, None)
+            self._forget(runner_id)
             yield LogEvent("runner_gone", self.step, {"runner": runner_id})
         if expired_ids:
             self._rebuild_usable_runners()
@@ -227,6 +251,7 @@
         for runner_id, runner in self._runners_by_id.items():
             if (
                 not runner.is_leaving
+                and runner_id not in self._leaving_starts_by_id
                 and runner.data_centre not in self._evacuated_data_centres
             ):
                 usable_runners_by_pool.setdefault(runner.pool, {})[runner_id] = runner
--- a/figshunt/directory/_messages.py
+++ b/figshunt/directory/_messages.py
@@ -53,6 +53,18 @@
     after_outage: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerLeaving(Message):
+    """A runner said in an answer that it is leaving.
+
+    ``started_wall_ms`` is the start of the process that was sent the request, as in
+    its entry.
+    """
+
+    runner_id: RunnerId
+    started_wall_ms: int | None
+
+
 @dataclass(frozen=True, slots=True)
 class SourceStateChanged(Message):
     """Published items became readable or unreadable, from the store or a peer."""
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from figshunt.directory import Repeatability
+from figshunt.directory import Repeatability, RunnerLeaving
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._call_attempt import CallAttempt
 from figshunt.dispatch._cold_limit import SharedBounds
@@ -184,6 +184,7 @@
         if attempt is None:
             return
         head = reply.head
+        yield from self._report_leaving(attempt, head)
         is_refusal = head.verdict in REFUSAL_VERDICTS
         if is_refusal and head.matches_request:
             yield from self._handle_refusal(attempt, head, now)
@@ -226,6 +227,18 @@
             yield AnswerComplete(attempt.routed.call_id, head, reply.body)
             yield from self._complete(attempt, result, f"status {head.status}", now)
 
+    def _report_leaving(
+        self, attempt: CallAttempt, head: ReplyHead
+    ) -> Iterable[Output]:
+        """Report that the runner is leaving if it says so in an answer of its own.
+
+        Another process at its address says nothing about it.
+        """
+        is_own = head.matches_request and head.verdict is not ReplyVerdict.WRONG_RUNNER
+        if head.says_it_leaves and is_own:
+            runner = attempt.runner
+            yield Feedback(RunnerLeaving(runner.runner_id, runner.started_wall_ms))
+
     def _handle_refusal(
         self, attempt: CallAttempt, head: ReplyHead, now: Moment
     ) -> Iterable[Output]:
@@ -259,6 +272,7 @@
         if attempt is None:
             return
         head = reply.head
+        yield from self._report_leaving(attempt, head)
         if not _is_own_answer(head):
             detail = (
                 f"stream with status {head.status} has no receipt or belongs to"
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -32,6 +32,7 @@
     REQUEST_ID,
     RESERVED_REQUEST_HEADERS,
     RETRY_AFTER,
+    SERVER_LEAVING,
     SERVER_STAMP,
     TEAM,
     TOKEN_COUNTS,
@@ -130,6 +131,7 @@
                 and content_type.startswith(EVENT_STREAM_TYPE)
             ),
             retry_after_ms=_decode_seconds_as_ms(by_name.get(RETRY_AFTER.lower())),
+            says_it_leaves=by_name.get(SERVER_LEAVING.lower(), "").strip() == "1",
         )
 
     def encode_refusal(self, call: Call, retry_after_ms: int | None) -> dict[str, str]:
--- a/figshunt/platform/_headers.py
+++ b/figshunt/platform/_headers.py
@@ -17,6 +17,8 @@
 # The runner from which missing parts of the prompt are fetched, as IP:PORT.
 FETCH_FROM = "Kv-Fetch"
 RETRY_AFTER = "Retry-After"
+# A runner that is leaving sets this header to 1 in all its answers.
+SERVER_LEAVING = "Server-Leaving"
 AUTHORIZATION = "Authorization"
 AUTHORIZATION_SCHEME = "token"
 
--- a/tests/dispatch/test_directory_filter.py
+++ b/tests/dispatch/test_directory_filter.py
@@ -10,13 +10,20 @@
     PublishedTeam,
     SourceStateChanged,
 )
-from figshunt.dispatch import AnswerError, StartCallAttempt
+from figshunt.dispatch import (
+    AnswerError,
+    ReplyComplete,
+    ReplyStarted,
+    ReplyVerdict,
+    StartCallAttempt,
+)
 from figshunt.types import DataCentreName, Effect, LogEvent, TeamName
 from tests.builders import (
     build_call,
     build_configuration,
     build_published_route,
     build_published_runner,
+    build_reply_head,
 )
 from tests.dispatch.driver import CoreDriver, select_effects
 
@@ -123,5 +130,92 @@
         self.assertTrue(self.is_call_sent(driver))
 
 
+class LeavingWordTest(unittest.TestCase):
+    """Guards against requests to a runner that said in an answer that it is leaving.
+
+    Its entry may not say so yet, or this host may not be able to read it.
+    """
+
+    def setUp(self) -> None:
+        self.driver = CoreDriver(
+            build_published_runner("e1"), build_published_runner("e2")
+        )
+
+    def call(self) -> StartCallAttempt | None:
+        attempts = select_effects(self.driver.call(build_call()), StartCallAttempt)
+        return attempts[0] if attempts else None
+
+    def answer(self, attempt: StartCallAttempt | None, **changes: object) -> None:
+        assert attempt is not None
+        head = build_reply_head(**({"says_it_leaves": True} | changes))
+        self.driver.handle(ReplyComplete(attempt.attempt_id, head, b""))
+
+    def runners_used(self, calls: int = 20) -> set[str]:
+        """Return the runners that get some calls, all of which are served."""
+        runner_ids = set()
+        for _ in range(calls):
+            attempt = self.call()
+            if attempt is not None:
+                runner_ids.add(str(attempt.runner_id))
+                self.answer(attempt, says_it_leaves=False)
+        return runner_ids
+
+    def test_runner_gets_no_call_after_it_said_that_it_leaves(self) -> None:
+        for changes in (
+            {},
+            {"status": 500, "verdict": ReplyVerdict.FAILED},
+            {"status": 503, "verdict": ReplyVerdict.REFUSED, "has_receipt": False},
+        ):
+            with self.subTest(**changes):
+                self.setUp()
+                attempt = self.call()
+                self.answer(attempt, **changes)
+                assert attempt is not None
+                self.assertNotIn(attempt.runner_id, self.runners_used())
+
+    def test_word_in_the_head_of_a_stream_counts(self) -> None:
+        attempt = self.call()
+        assert attempt is not None
+        head = build_reply_head(is_stream=True, says_it_leaves=True)
+        self.driver.handle(ReplyStarted(attempt.attempt_id, head))
+        self.assertNotIn(attempt.runner_id, self.runners_used())
+
+    def test_later_entry_of_the_same_process_does_not_take_it_back(self) -> None:
+        attempt = self.call()
+        self.answer(attempt)
+        assert attempt is not None
+        self.driver.list_runner(build_published_runner(attempt.runner_id))
+        self.assertNotIn(attempt.runner_id, self.runners_used())
+
+    def test_new_process_of_the_runner_gets_calls(self) -> None:
+        attempt = self.call()
+        self.answer(attempt)
+        assert attempt is not None
+        self.driver.list_runner(
+            build_published_runner(attempt.runner_id, started_wall_ms=9_999)
+        )
+        self.assertIn(attempt.runner_id, self.runners_used())
+
+    def test_runner_that_was_removed_and_listed_again_gets_calls(self) -> None:
+        attempt = self.call()
+        self.answer(attempt)
+        assert attempt is not None
+        self.driver.unlist_runner(attempt.runner_id)
+        self.driver.list_runner(build_published_runner(attempt.runner_id))
+        self.assertIn(attempt.runner_id, self.runners_used())
+
+    def test_word_of_another_process_at_its_address_does_not_count(self) -> None:
+        for changes in (
+            {"matches_request": False},
+            {"status": 421, "verdict": ReplyVerdict.WRONG_RUNNER},
+        ):
+            with self.subTest(**changes):
+                self.setUp()
+                self.answer(self.call(), **changes)
+                events = [line.event for line in self.driver.effects_of(LogEvent)]
+                self.assertIn("send_ended", events)
+                self.assertNotIn("runner_says_it_leaves", events)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -107,6 +107,17 @@
             with self.subTest(status=status, headers=headers):
                 self.assertEqual(verdict, self.decode_head(status, *headers).verdict)
 
+    def test_announced_leaving_is_read(self) -> None:
+        """Guards against requests to a runner that says in its answers that it leaves.
+
+        It may be the only way in which a host can learn of it.
+        """
+        for value, says_it_leaves in (("1", True), (" 1", True), ("0", False)):
+            with self.subTest(value=value):
+                head = self.decode_head(200, ("server-leaving", value))
+                self.assertEqual(says_it_leaves, head.says_it_leaves)
+        self.assertFalse(self.decode_head(200).says_it_leaves)
+
     def test_response_to_another_request_is_not_ours(self) -> None:
         own = ("X-Figshunt-Attempt-Id", "abc")
         other = ("X-Figshunt-Attempt-Id", "xyz")
