--- a/figshunt/standins/__init__.py
+++ b/figshunt/standins/__init__.py
@@ -28,6 +28,7 @@
     PlainService,
 )
 from figshunt.standins._platform_runner import (
+    Arrival,
     PlatformRunner,
     ReceivedRequest,
     RunnerBehaviour,
@@ -52,6 +53,7 @@
 )
 
 __all__ = [
+    "Arrival",
     "PlatformRunner",
     "PlatformStore",
     "RunnerBehaviour",
--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import time
 from dataclasses import dataclass
 from enum import Enum
 
@@ -59,10 +60,30 @@
         return values_by_name.get(name.lower())
 
 
+@dataclass(slots=True)
+class Arrival:
+    """A request that reached the runner; times are in s of the steady clock.
+
+    ``has_run`` is set if the runner began to work on it. ``ended_s`` is the time at
+    which that work ended. ``time_limit_ms`` is smaller for later attempts at a request.
+    ``pause_s`` is the pause that a refusal asked for.
+    """
+
+    request_id: str
+    arrived_s: float
+    has_run: bool = False
+    is_wrong_runner: bool = False
+    ended_s: float | None = None
+    time_limit_ms: int = 0
+    pause_s: float | None = None
+
+
 class PlatformRunner(WebStandin):
     """Answers plain requests immediately and streams a fixed number of events.
 
-    It streams if the request has the header ``X-Figshunt-Token-Counts``.
+    It streams if the request has the header ``X-Figshunt-Token-Counts``. While
+    ``is_leaving`` is set, it says so in all answers and in its entry. A refusal asks
+    for a pause of ``pause_s`` if that is set.
     """
 
     def __init__(
@@ -71,6 +92,9 @@
         super().__init__()
         self.runner_id = runner_id
         self.behaviour = RunnerBehaviour.SERVE
+        self.is_leaving = False
+        self.pause_s: float | None = None
+        self.arrivals: list[Arrival] = []
         self.received_requests: list[ReceivedRequest] = []
         self.cancelled = 0
         self._refused_ids_by_connection: dict[object, str] = {}
@@ -91,7 +115,7 @@
             "zone": "a",
             "version": "v1",
             "slots": 8,
-            "state": "ready",
+            "state": "draining" if self.is_leaving else "ready",
             "coldLeftMs": 0,
             "seq": 1,
             "born": 1_700_000_000_000,
@@ -107,11 +131,23 @@
         expected_runner_id = request.headers.get("X-Figshunt-Expect-Instance")
         request_id = request.headers.get("X-Figshunt-Attempt-Id", "")
         headers = {"X-Figshunt-Attempt-Id": request_id}
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+        arrival = Arrival(
+            request_id,
+            time.monotonic(),
+            time_limit_ms=int(request.headers.get("X-Figshunt-Deadline-Ms", "0")),
+        )
+        self.arrivals.append(arrival)
         if expected_runner_id is not None and expected_runner_id != self.runner_id:
+            arrival.is_wrong_runner = True
             return web.Response(status=421, headers=headers)
         if self.behaviour is RunnerBehaviour.REFUSE:
             self._refused_ids_by_connection[request.protocol] = request_id
             headers["X-Figshunt-Not-Executed"] = "1"
+            if self.pause_s is not None:
+                headers["Retry-After"] = f"{self.pause_s:g}"
+                arrival.pause_s = self.pause_s
             return web.Response(status=503, headers=headers)
         self.received_requests.append(
             ReceivedRequest(
@@ -121,11 +157,14 @@
                 await request.read(),
             )
         )
+        arrival.has_run = True
         try:
             return await self._run(request)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        finally:
+            arrival.ended_s = time.monotonic()
 
     async def _run(self, request: web.Request) -> web.StreamResponse:
         headers = {
@@ -133,6 +172,8 @@
             "X-Figshunt-Server-Stamp": f"stamp-{self.runner_id}",
             "X-Figshunt-Instance-Load": "1,0,8",
         }
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
         if self.behaviour is RunnerBehaviour.HANG:
             await asyncio.Event().wait()
         if self.behaviour is RunnerBehaviour.CLOSE and request.transport is not None:
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,14 +1,16 @@
 """A soak test: entry host processes under randomized faults and continuous load."""
 
-from tests.soak._fleet import DEFAULT_HOST_COUNT
+from tests.soak._fleet import SoakScale
+from tests.soak._leaving import run_leaving_in_outage
 from tests.soak._plan import Fault, FaultKind, draw_plan
 from tests.soak._run import SoakReport, run_soak
 
 __all__ = [
-    "DEFAULT_HOST_COUNT",
     "Fault",
     "FaultKind",
     "SoakReport",
+    "SoakScale",
     "draw_plan",
+    "run_leaving_in_outage",
     "run_soak",
 ]
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -4,35 +4,49 @@
 import itertools
 import random
 import re
+import time
 from collections import Counter
+from dataclasses import dataclass
 
 import aiohttp
 
 from tests.gateway.fixture import CALLER_API_KEY
-from tests.soak._fleet import SoakFleet
+from tests.soak._fleet import Host, SoakFleet
 
 DEADLINE_S = 2.0
 
 # A response that is later than the deadline by more than this counts as missing.
 DEADLINE_GRACE_S = 4.0
 MAX_PAUSE_S = 0.03
-STREAM_EVENTS = 5
 
 # Statuses with which a host states that the request was not executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 TOKEN_EVENT = re.compile(rb"id: (\d+)\ndata: token\n\n")
 
 
+@dataclass(frozen=True, slots=True)
+class SentRequest:
+    """A request of a caller; ``sent_s`` is in s of the steady clock."""
+
+    host_name: str
+    pool: str
+    sent_s: float
+
+
 class Callers:
     """Concurrent callers that send all kinds of requests to all hosts.
 
     ``violations`` describes each response or execution that breaks a guarantee to
     callers. ``results`` counts requests by their result, as returned by ``send``.
+    ``leaving_told_s`` has the times at which a host first passed on an answer in which
+    a runner says that it is leaving, by the names of both.
     """
 
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
         self.violations: list[str] = []
         self.results: Counter[str] = Counter()
+        self.sent_by_id: dict[str, SentRequest] = {}
+        self.leaving_told_s: dict[tuple[str, str], float] = {}
         self._fleet = fleet
         self._seed = seed
         self._is_stopped = False
@@ -47,8 +61,22 @@
         """Run a number of callers concurrently until ``stop`` is called."""
         await asyncio.gather(*(self._run_caller(number) for number in range(count)))
 
+    async def run_at_rate(self, requests_per_s: float) -> None:
+        """Send requests at a constant rate until ``stop`` is called."""
+        rng = random.Random(f"{self._seed} rate")
+        timeout = aiohttp.ClientTimeout(total=DEADLINE_S + DEADLINE_GRACE_S)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with (
+            aiohttp.ClientSession(timeout=timeout, connector=connector) as session,
+            asyncio.TaskGroup() as group,
+        ):
+            session._retry_connection = False
+            while not self._is_stopped:
+                group.create_task(self._send_one(session, rng))
+                await asyncio.sleep(rng.expovariate(requests_per_s))
+
     async def send(
-        self, session: aiohttp.ClientSession, url: str, kind: str, request_id: str
+        self, session: aiohttp.ClientSession, host: Host, kind: str, request_id: str
     ) -> str:
         """Send a request, check its response and return its result.
 
@@ -63,10 +91,13 @@
         if kind == "chat":
             headers["X-Figshunt-Token-Counts"] = "100,20"
         method = "GET" if kind == "look" else "POST"
+        pool = "engines" if kind == "chat" else "bookings"
+        self.sent_by_id[request_id] = SentRequest(host.name, pool, time.monotonic())
         try:
             async with session.request(
-                method, f"{url}/{kind}/1", headers=headers, data=None
+                method, f"{host.url}/{kind}/1", headers=headers, data=None
             ) as response:
+                self._record_leaving(host, response)
                 body = await response.read()
         except (aiohttp.ClientError, OSError) as error:
             return type(error).__name__
@@ -112,13 +143,23 @@
             # library would count as a second execution caused by the hosts.
             session._retry_connection = False
             while not self._is_stopped:
-                host = rng.choice(self._fleet.hosts)
-                kind = rng.choice(("chat", "book", "look"))
-                request_id = f"{kind}-{next(self._request_numbers)}"
-                result = await self.send(session, host.url, kind, request_id)
-                self.results[result] += 1
+                await self._send_one(session, rng)
                 await asyncio.sleep(rng.uniform(0, MAX_PAUSE_S))
 
+    async def _send_one(
+        self, session: aiohttp.ClientSession, rng: random.Random
+    ) -> None:
+        host = rng.choice(self._fleet.hosts)
+        kind = rng.choice(("chat", "book", "look"))
+        request_id = f"{kind}-{next(self._request_numbers)}"
+        self.results[await self.send(session, host, kind, request_id)] += 1
+
+    def _record_leaving(self, host: Host, response: aiohttp.ClientResponse) -> None:
+        if "Server-Leaving" in response.headers:
+            stamp = response.headers.get("X-Figshunt-Server-Stamp", "")
+            key = (host.name, stamp.removeprefix("stamp-"))
+            self.leaving_told_s.setdefault(key, time.monotonic())
+
     def _check_success(
         self, kind: str, request_id: str, response: aiohttp.ClientResponse, body: bytes
     ) -> None:
@@ -133,7 +174,8 @@
                 self.violations.append(f"{request_id} got the body {body[:60]!r}")
             return
         event_ids = [int(number) for number in TOKEN_EVENT.findall(body)]
-        if event_ids != list(range(STREAM_EVENTS)) or TOKEN_EVENT.sub(b"", body):
+        expected_ids = list(range(self._fleet.scale.stream_events))
+        if event_ids != expected_ids or TOKEN_EVENT.sub(b"", body):
             self.violations.append(f"{request_id} got the event ids {event_ids}")
 
 
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -2,20 +2,27 @@
 
 import asyncio
 import contextlib
+import math
 import re
 import signal
 import socket
 import tempfile
-from collections.abc import Callable, Coroutine
+import time
+from collections.abc import Callable, Coroutine, Iterator
+from dataclasses import dataclass
 from pathlib import Path
 
 from figshunt.standins import PlatformRunner, PlatformStore, RunnerBehaviour
 from tests.gateway.fixture import build_document, write_settings
 from tests.harness import FaultProxy, ManagedProcess, start_module
+from tests.soak._disturbances import DisturbanceLog, Part
 from tests.soak._plan import Fault, FaultKind
 
 DEFAULT_HOST_COUNT = 3
 
+# A runner that is leaving serves on for this long after its entry says so.
+SERVES_ON_S = 5.0
+
 # The platform names at most this many hosts from which a host learns of all others.
 SEED_COUNT = 3
 SLOW_LINK_DELAY_MS = 300
@@ -32,13 +39,37 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class SoakScale:
+    """Sizes of a soak's fleet and load.
+
+    Without ``requests_per_s`` a fixed number of callers send one request after the
+    other; with it, requests arrive at this rate whatever becomes of earlier ones.
+    """
+
+    hosts: int = DEFAULT_HOST_COUNT
+    engines: int = 3
+    bookings: int = 3
+    stream_events: int = 5
+    event_interval_ms: int = 5
+    requests_per_s: float | None = None
+
+
 class ProxiedRunner:
-    """A stand-in of a runner that hosts reach only through a fault proxy."""
+    """A stand-in of a runner that hosts reach only through a fault proxy.
+
+    ``absences`` are the times, in s of the steady clock, from which and until which
+    its entry said that it was leaving or was missing.
+    """
 
-    def __init__(self, runner_id: str, pool: str) -> None:
-        self.standin = PlatformRunner(runner_id)
+    def __init__(self, runner_id: str, pool: str, scale: SoakScale) -> None:
+        self.standin = PlatformRunner(
+            runner_id, scale.stream_events, scale.event_interval_ms
+        )
         self.pool = pool
         self.proxy = FaultProxy()
+        self.absences: list[tuple[float, float]] = []
+        self.starts = 0
 
     async def start(self) -> None:
         """Start the stand-in and the proxy."""
@@ -54,9 +85,21 @@
     def entry(self) -> dict[str, object]:
         """Return the runner's entry for the store, with the address of the proxy."""
         return self.standin.build_store_entry(
-            self.pool, addr=f"127.0.0.1:{self.proxy.port}"
+            self.pool,
+            addr=f"127.0.0.1:{self.proxy.port}",
+            born=1_700_000_000_000 + self.starts,
         )
 
+    def begin_absence(self) -> None:
+        """Record that the entry no longer offers the runner."""
+        if not self.absences or self.absences[-1][1] < math.inf:
+            self.absences.append((time.monotonic(), math.inf))
+
+    def end_absence(self) -> None:
+        """Record that the entry offers the runner again."""
+        if self.absences and self.absences[-1][1] == math.inf:
+            self.absences[-1] = (self.absences[-1][0], time.monotonic())
+
 
 class Host:
     """An entry host process, which reaches the store through a fault proxy.
@@ -133,19 +176,41 @@
             await self.start()
 
 
+HOST_FAULTS = frozenset(
+    {FaultKind.HOST_KILLED, FaultKind.HOST_STOPPED, FaultKind.HOST_PAUSED}
+)
+STORE_FAULTS = frozenset({FaultKind.STORE_REFUSES, FaultKind.STORE_FORGETS})
+RUNNER_LINK_FAULTS = frozenset(
+    {
+        FaultKind.RUNNER_LINK_CUT,
+        FaultKind.RUNNER_LINK_SILENT,
+        FaultKind.RUNNER_ANSWERS_LOST,
+        FaultKind.RUNNER_LINK_SLOW,
+    }
+)
+
+
 class SoakFleet:
     """Entry hosts, runners and a store, and the injection of faults into them."""
 
-    def __init__(self, host_count: int) -> None:
+    def __init__(self, scale: SoakScale) -> None:
+        self.scale = scale
+        self.disturbances = DisturbanceLog()
         self.store = PlatformStore()
         self.runners = [
-            *(ProxiedRunner(f"e{number}", "engines") for number in range(3)),
-            *(ProxiedRunner(f"b{number}", "bookings") for number in range(3)),
+            *(
+                ProxiedRunner(f"e{number}", "engines", scale)
+                for number in range(scale.engines)
+            ),
+            *(
+                ProxiedRunner(f"b{number}", "bookings", scale)
+                for number in range(scale.bookings)
+            ),
         ]
         self._directory = tempfile.TemporaryDirectory()
         ports = (find_free_port(socket.SOCK_DGRAM), find_free_port(socket.SOCK_STREAM))
         directory = Path(self._directory.name)
-        self.hosts = [Host(index, directory, ports) for index in range(host_count)]
+        self.hosts = [Host(index, directory, ports) for index in range(scale.hosts)]
         self._version = 3
 
     async def start(self) -> None:
@@ -177,11 +242,40 @@
     def list_runner(self, runner: ProxiedRunner) -> None:
         """Write a runner's entry to the store."""
         self.store.put(f"servers/{runner.standin.runner_id}", runner.entry())
+        if runner.standin.is_leaving:
+            runner.begin_absence()
+        else:
+            runner.end_absence()
 
     async def inject_fault(self, fault: Fault) -> None:
         """Start a fault, wait for its duration and end it."""
         host = self.hosts[fault.target % len(self.hosts)]
         runner = self.runners[fault.target % len(self.runners)]
+        with self._record(fault.kind, host, runner):
+            await self._play_fault(fault, host, runner)
+
+    @contextlib.contextmanager
+    def _record(
+        self, kind: FaultKind, host: Host, runner: ProxiedRunner
+    ) -> Iterator[None]:
+        """Record the part that a kind of fault disturbs, if it disturbs one."""
+        if kind in HOST_FAULTS:
+            part, name = Part.HOST, host.name
+        elif kind in STORE_FAULTS:
+            part, name = Part.STORE, ""
+        elif kind.value.startswith("store"):
+            part, name = Part.STORE_LINK, host.name
+        elif kind in RUNNER_LINK_FAULTS:
+            part, name = Part.RUNNER, runner.standin.runner_id
+        else:
+            yield
+            return
+        with self.disturbances.record(part, name):
+            yield
+
+    async def _play_fault(
+        self, fault: Fault, host: Host, runner: ProxiedRunner
+    ) -> None:
         match fault.kind:
             case FaultKind.HOST_KILLED:
                 await host.restart(signal.SIGKILL)
@@ -207,8 +301,22 @@
             case FaultKind.RUNNER_UNLISTED:
                 with contextlib.suppress(KeyError):
                     self.store.delete(f"servers/{runner.standin.runner_id}")
+                    runner.begin_absence()
                 await asyncio.sleep(fault.duration_s)
                 self.list_runner(runner)
+            case FaultKind.RUNNER_DRAINS:
+                runner.standin.is_leaving = True
+                self.list_runner(runner)
+                await asyncio.sleep(fault.duration_s + SERVES_ON_S)
+                runner.standin.is_leaving = False
+                runner.starts += 1
+                self.list_runner(runner)
+            case FaultKind.RUNNER_ASKS_FOR_PAUSE:
+                runner.standin.pause_s = fault.duration_s
+                runner.standin.behaviour = RunnerBehaviour.REFUSE
+                await asyncio.sleep(fault.duration_s)
+                runner.standin.behaviour = RunnerBehaviour.SERVE
+                runner.standin.pause_s = None
             case kind if kind in BEHAVIOUR_BY_FAULT:
                 runner.standin.behaviour = BEHAVIOUR_BY_FAULT[kind]
                 await asyncio.sleep(fault.duration_s)
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -39,11 +39,17 @@
     RUNNER_ANSWERS_TWICE = "runner_answers_twice"
     RUNNER_UNLISTED = "runner_unlisted"
     RUNNER_NEVER_ENDS = "runner_never_ends"
+    RUNNER_DRAINS = "runner_drains"
+    RUNNER_ASKS_FOR_PAUSE = "runner_asks_for_pause"
 
 
 # Kinds that were added later. Each is drawn once for a plan, from a random source of
 # its own, so that the other faults of earlier seeds remain the same.
-EXTRA_KINDS = (FaultKind.RUNNER_NEVER_ENDS,)
+EXTRA_KINDS = (
+    FaultKind.RUNNER_NEVER_ENDS,
+    FaultKind.RUNNER_DRAINS,
+    FaultKind.RUNNER_ASKS_FOR_PAUSE,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/soak/_rules.py
@@ -0,0 +1,198 @@
+"""Checks what reached the runners of a soak against the bounds of the platform.
+
+The bounds are those of the deployments and of the settings that the hosts get.
+"""
+
+from bisect import bisect_left, bisect_right
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from figshunt.standins import Arrival
+from tests.soak._callers import Callers
+from tests.soak._disturbances import STABLE_S, Part
+from tests.soak._fleet import ProxiedRunner, SoakFleet
+
+RETRY_RATIO = 0.2
+RETRY_SLACK = 50
+BUDGET_WINDOW_S = 10.0
+DRAIN_S = 2.0
+
+# A run that was given up may go on for this long after the next one has begun.
+OVERLAP_S = 0.4
+
+# A runner that asked for a pause may still get two requests after this time.
+PAUSE_NOTICE_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerArrival:
+    """A request that reached one of the runners."""
+
+    runner: ProxiedRunner
+    arrival: Arrival
+
+
+def find_violations(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
+    """Yield a description of each broken bound."""
+    yield from _check_retry_budget(fleet, callers)
+    yield from _check_overlapping_runs(fleet, callers)
+    yield from _check_leaving(fleet, callers)
+    yield from _check_pauses(fleet, callers)
+
+
+def _list_arrivals(fleet: SoakFleet) -> list[RunnerArrival]:
+    arrivals = [
+        RunnerArrival(runner, arrival)
+        for runner in fleet.runners
+        for arrival in runner.standin.arrivals
+    ]
+    return sorted(arrivals, key=lambda entry: entry.arrival.arrived_s)
+
+
+def _check_retry_budget(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
+    """Check the repeats in each window against the requests of the pool."""
+    arrivals = _list_arrivals(fleet)
+    for pool in sorted({runner.pool for runner in fleet.runners}):
+        sent_s = sorted(
+            request.sent_s
+            for request in callers.sent_by_id.values()
+            if request.pool == pool
+        )
+        repeats_s = list(
+            _list_repeat_times(entry for entry in arrivals if entry.runner.pool == pool)
+        )
+        worst = 0.0
+        for index, start_s in enumerate(repeats_s):
+            end_s = start_s + BUDGET_WINDOW_S
+            repeats = bisect_right(repeats_s, end_s) - index
+            requests = max(
+                _count_between(sent_s, start_s - shift_s, end_s - shift_s)
+                for shift_s in (0.0, BUDGET_WINDOW_S / 2, BUDGET_WINDOW_S)
+            )
+            worst = max(worst, repeats - RETRY_RATIO * requests - RETRY_SLACK)
+        if worst > 0:
+            yield f"pool {pool} got {worst:.0f} repeats more than its budget"
+
+
+def _list_repeat_times(arrivals: Iterable[RunnerArrival]) -> Iterator[float]:
+    seen_ids = set()
+    for entry in arrivals:
+        if entry.arrival.request_id in seen_ids:
+            yield entry.arrival.arrived_s
+        seen_ids.add(entry.arrival.request_id)
+
+
+def _count_between(times_s: list[float], start_s: float, end_s: float) -> int:
+    return bisect_right(times_s, end_s) - bisect_left(times_s, start_s)
+
+
+def _check_overlapping_runs(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
+    """Check that no run goes on while the next one of its request works.
+
+    A disturbed link may deliver a request that was given up after the next one, so
+    runs are ordered by the time that they were given.
+    """
+    previous_by_id: dict[str, RunnerArrival] = {}
+    runs = [entry for entry in _list_arrivals(fleet) if entry.arrival.has_run]
+    for entry in sorted(runs, key=lambda entry: -entry.arrival.time_limit_ms):
+        request_id = entry.arrival.request_id
+        previous = previous_by_id.get(request_id)
+        previous_by_id[request_id] = entry
+        if previous is None or request_id not in callers.sent_by_id:
+            continue
+        since_s = previous.arrival.arrived_s
+        until_s = max(since_s, entry.arrival.arrived_s)
+        host_name = callers.sent_by_id[request_id].host_name
+        is_excused = not (
+            fleet.disturbances.is_calm(
+                Part.HOST, host_name, since_s - STABLE_S, until_s + OVERLAP_S
+            )
+            and fleet.disturbances.is_calm(
+                Part.RUNNER,
+                previous.runner.standin.runner_id,
+                since_s,
+                until_s + OVERLAP_S,
+            )
+        )
+        ended_s = previous.arrival.ended_s
+        if not is_excused and (ended_s is None or ended_s > until_s + OVERLAP_S):
+            over = "for good" if ended_s is None else f"{ended_s - until_s:.2f} s"
+            yield (
+                f"{request_id} ran on at {previous.runner.standin.runner_id} {over}"
+                f" after it began at {entry.runner.standin.runner_id}"
+            )
+
+
+def _check_leaving(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
+    """Check that runners get nothing once their leaving is known."""
+    late: Counter[str] = Counter()
+    for runner, arrival in _with_host(fleet, callers):
+        runner_id = runner.standin.runner_id
+        request = callers.sent_by_id[arrival.request_id]
+        host = request.host_name
+        for left_s, returned_s in runner.absences:
+            if not left_s < arrival.arrived_s < returned_s:
+                continue
+            told_s = callers.leaving_told_s.get((host, runner_id), returned_s)
+            has_told = left_s < told_s and request.sent_s > told_s + DRAIN_S
+            if has_told and fleet.disturbances.is_calm(
+                Part.HOST, host, told_s, arrival.arrived_s
+            ):
+                late[f"{runner_id} from {host}, which had passed its word on"] += 1
+            bound_s = fleet.disturbances.calm_from(Part.STORE, "", left_s) + DRAIN_S
+            since_s = arrival.arrived_s - STABLE_S
+            in_touch = (
+                fleet.disturbances.is_calm(part, name, since_s, arrival.arrived_s)
+                for part, name in (
+                    (Part.HOST, host),
+                    (Part.STORE_LINK, host),
+                    (Part.STORE, ""),
+                )
+            )
+            if request.sent_s > bound_s and all(in_touch):
+                late[f"{runner_id} from {host}"] += 1
+    for description, count in late.items():
+        yield f"{count} late requests reached the leaving {description}"
+
+
+def _check_pauses(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
+    """Check that a runner which asked for a pause is left alone."""
+    for runner in fleet.runners:
+        arrivals_by_host: dict[str, list[Arrival]] = {}
+        for arrival in runner.standin.arrivals:
+            request = callers.sent_by_id.get(arrival.request_id)
+            if request is not None:
+                arrivals_by_host.setdefault(request.host_name, []).append(arrival)
+        for host, arrivals in arrivals_by_host.items():
+            worst = 0
+            for refusal in arrivals:
+                if refusal.pause_s is None:
+                    continue
+                start_s = refusal.arrived_s + PAUSE_NOTICE_S
+                end_s = refusal.arrived_s + refusal.pause_s
+                count = sum(start_s < one.arrived_s < end_s for one in arrivals)
+                is_calm = all(
+                    fleet.disturbances.is_calm(part, name, refusal.arrived_s, end_s)
+                    for part, name in (
+                        (Part.HOST, host),
+                        (Part.RUNNER, runner.standin.runner_id),
+                    )
+                )
+                if is_calm:
+                    worst = max(worst, count)
+            if worst > MAX_REQUESTS_IN_PAUSE:
+                yield (
+                    f"{worst} requests of {host} reached {runner.standin.runner_id}"
+                    " in a pause that it had asked for"
+                )
+
+
+def _with_host(
+    fleet: SoakFleet, callers: Callers
+) -> Iterator[tuple[ProxiedRunner, Arrival]]:
+    for entry in _list_arrivals(fleet):
+        is_known = entry.arrival.request_id in callers.sent_by_id
+        if is_known and not entry.arrival.is_wrong_runner:
+            yield entry.runner, entry.arrival
--- a/tests/soak/_run.py
+++ b/tests/soak/_run.py
@@ -7,8 +7,9 @@
 import aiohttp
 
 from tests.soak._callers import DEADLINE_S, Callers
-from tests.soak._fleet import DEFAULT_HOST_COUNT, Host, SoakFleet, run_faults
+from tests.soak._fleet import Host, SoakFleet, SoakScale, run_faults
 from tests.soak._plan import draw_plan
+from tests.soak._rules import find_violations
 
 CALLER_COUNT = 12
 
@@ -34,24 +35,29 @@
 
 
 async def run_soak(
-    seed: int, period_s: float, hosts: int = DEFAULT_HOST_COUNT
+    seed: int, period_s: float, scale: SoakScale | None = None
 ) -> SoakReport:
     """Run entry hosts under the faults of a seed and check them afterwards.
 
     :param period_s: period within which faults start.
-    :param hosts: number of host processes.
+    :param scale: sizes of the fleet and the load.
     """
-    fleet = SoakFleet(hosts)
+    scale = scale or SoakScale()
+    fleet = SoakFleet(scale)
     callers = Callers(fleet, seed)
     try:
         await fleet.start()
-        load = asyncio.create_task(callers.run(CALLER_COUNT))
+        if scale.requests_per_s is None:
+            load = asyncio.create_task(callers.run(CALLER_COUNT))
+        else:
+            load = asyncio.create_task(callers.run_at_rate(scale.requests_per_s))
         await run_faults(draw_plan(seed, period_s), fleet.inject_fault)
         callers.stop()
         await load
         await _check_recovery(fleet, callers)
         _check_memory(fleet, callers)
         callers.check_executions()
+        callers.violations.extend(find_violations(fleet, callers))
     finally:
         await fleet.stop()
     return SoakReport(seed, tuple(callers.violations), callers.results)
@@ -81,7 +87,7 @@
     attempts = int(RECOVERY_TIMEOUT_S / RECOVERY_CHECK_INTERVAL_S)
     for attempt in range(attempts):
         request_id = f"{kind}-after-{host.name}-{attempt}"
-        if await callers.send(session, host.url, kind, request_id) == "200":
+        if await callers.send(session, host, kind, request_id) == "200":
             return True
         await asyncio.sleep(RECOVERY_CHECK_INTERVAL_S)
     return False
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -2,7 +2,13 @@
 
 import unittest
 
-from tests.soak import FaultKind, draw_plan, run_soak
+from tests.soak import (
+    FaultKind,
+    SoakScale,
+    draw_plan,
+    run_leaving_in_outage,
+    run_soak,
+)
 
 SHORT_SEED = 7
 SHORT_PERIOD_S = 4.0
@@ -35,6 +41,14 @@
                 self.assertEqual((), report.violations)
 
 
+class LeavingTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests to runners that announced their leaving in answers."""
+
+    async def test_runners_that_leave_while_the_store_is_silent(self) -> None:
+        violations = await run_leaving_in_outage(1, SoakScale(requests_per_s=60.0))
+        self.assertEqual([], violations)
+
+
 class PlanTest(unittest.TestCase):
     """Guards against plans that a seed does not reproduce or that omit fault kinds."""
 
