--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -19,6 +19,8 @@
 
     No decision waits for another host, so a host can serve requests as soon
     as it has read the published configuration.
+
+    :param expects_peers: whether the settings name other hosts.
     """
 
     def __init__(
@@ -27,9 +29,10 @@
         data_centre: DataCentreName,
         bounds: SharedBounds,
         random_source: random.Random,
+        expects_peers: bool = False,
     ) -> None:
         self.directory = DirectoryFilter()
-        self.peers = PeerFilter(host)
+        self.peers = PeerFilter(host, expects_peers)
         self.placement = PlacementFilter(
             self.directory, self.peers, data_centre, bounds, random_source
         )
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/_peer_filter.py
@@ -24,7 +24,8 @@
 PEER_COUNTED_MS = 60_000
 
 # Minimum number of hosts that a newly started host assumes until the discovery
-# time is over, in which it receives a status message from every peer.
+# time is over, in which it receives a status message from every peer. A host that has
+# heard none of those that its settings name goes on assuming it.
 INITIAL_HOST_COUNT = 12
 DISCOVERY_MS = 4_000
 
@@ -46,13 +47,15 @@
     """Stores the latest status of each peer.
 
     Status messages of an earlier process of the same host are dropped.
+    ``expects_peers`` is set if the settings name other hosts.
     """
 
     step = Step.PEERS
     accepts: tuple[type[Message], ...] = (PeerStatusReceived, TimerDue)
 
-    def __init__(self, host: HostName) -> None:
+    def __init__(self, host: HostName, expects_peers: bool = False) -> None:
         self._host = host
+        self.expects_peers = expects_peers
         self._started_ms: int | None = None
         self._last_received_ms_by_host: dict[HostName, int] = {}
         self._statuses_by_host: dict[HostName, HostStatus] = {}
@@ -88,7 +91,12 @@
     def _count_hosts(self, now: Moment) -> int:
         known_hosts = 1 + len(self._last_received_ms_by_host)
         started_ms = self._started_ms
-        if started_ms is None or now.monotonic_ms - started_ms < DISCOVERY_MS:
+        is_discovering = (
+            started_ms is None or now.monotonic_ms - started_ms < DISCOVERY_MS
+        )
+        # Hosts that can't find each other all send to the same runners.
+        is_isolated = self.expects_peers and known_hosts == 1
+        if is_discovering or is_isolated:
             return max(known_hosts, INITIAL_HOST_COUNT)
         return known_hosts
 
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -86,7 +86,11 @@
         self._is_draining = False
         self._metrics = Metrics()
         self.core = DispatchCore(
-            settings.host, settings.data_centre, settings.bounds, random_source
+            settings.host,
+            settings.data_centre,
+            settings.bounds,
+            random_source,
+            settings.names_other_hosts,
         )
         self.items = PublishedItems(
             item_codec, self, self._log, self._announce_revision
@@ -204,6 +208,7 @@
         )
         self._settings = replace(self._settings, seeds=settings.seeds)
         self.peers.set_seeds(settings.seeds)
+        self.core.peers.expects_peers = self._settings.names_other_hosts
 
     def report_invalid_settings(self, error: FigshuntError) -> None:
         """Log that the new settings are invalid and keep the current ones."""
--- a/figshunt/gateway/_settings.py
+++ b/figshunt/gateway/_settings.py
@@ -37,3 +37,8 @@
     bounds: SharedBounds
     stop_grace_ms: int
     log_level: str = "info"
+
+    @property
+    def names_other_hosts(self) -> bool:
+        """Return whether ``seeds`` has addresses of other hosts."""
+        return any(seed != self.front.ip for seed in self.seeds)
--- a/tests/dispatch/driver.py
+++ b/tests/dispatch/driver.py
@@ -45,10 +45,15 @@
         seed: int = 1,
         host: str = "h1",
         bounds: SharedBounds = SharedBounds(),
+        expects_peers: bool = False,
     ) -> None:
         self.clock = ManualClock(Moment(100_000, 0))
         self.core = DispatchCore(
-            HostName(host), DataCentreName("a"), bounds, random.Random(seed)
+            HostName(host),
+            DataCentreName("a"),
+            bounds,
+            random.Random(seed),
+            expects_peers,
         )
         self.effects: list[Effect] = []
         self._revision = 10
--- a/tests/dispatch/test_shared_bounds.py
+++ b/tests/dispatch/test_shared_bounds.py
@@ -93,8 +93,13 @@
 class RepeatBudgetTest(unittest.TestCase):
     """Guards against retries that multiply the load during an outage."""
 
-    def count_retries(self, hosts: int, calls_per_host: int) -> int:
-        """Return the number of retries if the runners lose every connection."""
+    def count_retries(
+        self, hosts: int, calls_per_host: int, knows_peers: bool = True
+    ) -> int:
+        """Return the number of retries if the runners lose every connection.
+
+        :param knows_peers: whether each host has received the status of all others.
+        """
         route = build_run_once_route(
             repeatability=Repeatability.REPEATABLE, max_runners=2
         )
@@ -105,9 +110,10 @@
                 build_published_runner("b2", "bookings"),
                 configuration=build_configuration(route),
                 host=f"p{number:02}",
+                expects_peers=hosts > 1,
             )
             for peer in range(hosts):
-                if peer != number:
+                if peer != number and knows_peers:
                     driver.handle(PeerStatusReceived(build_host_status(f"p{peer:02}")))
             driver.clock.advance(5_000)
             for call in range(calls_per_host):
@@ -135,6 +141,21 @@
                     self.assertGreater(retries, 0)
                     self.assertLessEqual(retries, bound)
 
+    def test_sum_stays_within_the_bound_if_hosts_do_not_find_each_other(self) -> None:
+        """The hosts that the settings name may all be down or replaced."""
+        for hosts in (2, 5, 9):
+            for calls_per_host in (20, 200):
+                with self.subTest(hosts=hosts, calls_per_host=calls_per_host):
+                    bound = (
+                        BOUNDS.retry_share * hosts * calls_per_host + BOUNDS.retry_slack
+                    )
+                    retries = self.count_retries(hosts, calls_per_host, False)
+                    self.assertGreater(retries, 0)
+                    self.assertLessEqual(retries, bound)
+
+    def test_single_host_uses_the_whole_bound(self) -> None:
+        self.assertLess(BOUNDS.retry_slack / 2, self.count_retries(1, 40))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,9 +1,9 @@
 """A soak test: entry host processes under randomized faults and continuous load."""
 
 from tests.soak._fleet import SoakScale
-from tests.soak._leaving import run_leaving_in_outage
 from tests.soak._plan import Fault, FaultKind, draw_plan
 from tests.soak._run import SoakReport, run_soak
+from tests.soak._scenarios import run_leaving_in_outage, run_unacquainted_hosts
 
 __all__ = [
     "Fault",
@@ -13,4 +13,5 @@
     "draw_plan",
     "run_leaving_in_outage",
     "run_soak",
+    "run_unacquainted_hosts",
 ]
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -213,14 +213,18 @@
         self.hosts = [Host(index, directory, ports) for index in range(scale.hosts)]
         self._version = 3
 
-    async def start(self) -> None:
-        """Start the store and the runners, then the hosts."""
+    async def start(self, seeds: list[str] | None = None) -> None:
+        """Start the store and the runners, then the hosts.
+
+        :param seeds: addresses through which the hosts find each other, if not those
+            of the first ones.
+        """
         await self.store.start()
         for runner in self.runners:
             await runner.start()
             self.list_runner(runner)
         self.store.put("op/config", build_document(self._version))
-        seeds = [f"{host.ip}:1" for host in self.hosts[:SEED_COUNT]]
+        seeds = seeds or [f"{host.ip}:1" for host in self.hosts[:SEED_COUNT]]
         for host in self.hosts:
             await host.store_proxy.start()
             host.store_proxy.target_port = self.store.port
--- a/tests/soak/_leaving.py
+++ b/tests/soak/_scenarios.py
@@ -1,14 +1,21 @@
-"""Runs a fleet in which a runner leaves while no host can read the store."""
+"""Situations that last longer than the drawn faults, each played by itself."""
 
 import asyncio
 
+from figshunt.standins import RunnerBehaviour
 from tests.soak._callers import Callers
 from tests.soak._disturbances import Part
 from tests.soak._fleet import SoakFleet, SoakScale
-from tests.soak._rules import DRAIN_S, find_violations
+from tests.soak._rules import BUDGET_WINDOW_S, DRAIN_S, find_violations
 
 CALM_S = 1.0
 
+# Addresses at which no host listens.
+UNUSED_SEEDS = ["127.0.9.1:1", "127.0.9.2:1"]
+
+# Hosts look for each other for this long after their start.
+DISCOVERY_S = 4.5
+
 
 async def run_leaving_in_outage(seed: int, scale: SoakScale) -> list[str]:
     """Return the violations while a runner of each pool announces that it leaves.
@@ -41,3 +48,29 @@
     finally:
         await fleet.stop()
     return callers.violations
+
+
+async def run_unacquainted_hosts(seed: int, scale: SoakScale) -> list[str]:
+    """Return the violations of hosts that can't find each other.
+
+    Half of the runners refuse all requests for as long as a budget's window.
+
+    :param scale: has to have a rate of requests.
+    """
+    assert scale.requests_per_s is not None
+    fleet = SoakFleet(scale)
+    callers = Callers(fleet, seed)
+    try:
+        await fleet.start(UNUSED_SEEDS)
+        load = asyncio.create_task(callers.run_at_rate(scale.requests_per_s))
+        await asyncio.sleep(DISCOVERY_S)
+        for runner in fleet.runners[::2]:
+            runner.standin.behaviour = RunnerBehaviour.REFUSE
+        await asyncio.sleep(BUDGET_WINDOW_S)
+        callers.stop()
+        await load
+        callers.check_executions()
+        callers.violations.extend(find_violations(fleet, callers))
+    finally:
+        await fleet.stop()
+    return callers.violations
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
     draw_plan,
     run_leaving_in_outage,
     run_soak,
+    run_unacquainted_hosts,
 )
 
 SHORT_SEED = 7
@@ -41,10 +42,18 @@
                 self.assertEqual((), report.violations)
 
 
-class LeavingTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against requests to runners that announced their leaving in answers."""
+class ScenarioTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against broken bounds in situations that last long."""
 
-    async def test_runners_that_leave_while_the_store_is_silent(self) -> None:
+    async def test_hosts_that_do_not_find_each_other_share_the_retry_budget(
+        self,
+    ) -> None:
+        scale = SoakScale(hosts=5, engines=5, bookings=4, requests_per_s=60.0)
+        self.assertEqual([], await run_unacquainted_hosts(1, scale))
+
+    async def test_runners_that_leave_while_the_store_is_silent_get_no_requests(
+        self,
+    ) -> None:
         violations = await run_leaving_in_outage(1, SoakScale(requests_per_s=60.0))
         self.assertEqual([], violations)
 
