--- a/figshunt/commands/_gateway.py
+++ b/figshunt/commands/_gateway.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+from figshunt.commands._settings_watch import SettingsWatch
 from figshunt.gateway import BootClock, GatewayDaemon, GatewaySettings, LineOutput
 from figshunt.platform import (
     READINESS_PATH,
@@ -55,9 +56,12 @@
     )
     stop_requested = asyncio.Event()
     loop.add_signal_handler(signal.SIGTERM, stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, daemon)
+    settings_watch = SettingsWatch(path, lambda: _reload(path, daemon))
+    loop.add_signal_handler(signal.SIGHUP, settings_watch.reload)
     await daemon.start()
+    watch_task = loop.create_task(settings_watch.run())
     await stop_requested.wait()
+    watch_task.cancel()
     await daemon.drain()
     await daemon.stop()
 
--- a/tests/integration/test_gateway_process.py
+++ b/tests/integration/test_gateway_process.py
@@ -170,6 +170,13 @@
             async with session.post(url, headers=HEADERS, data=b"{}") as response:
                 self.assertEqual(200, response.status)
 
+    async def test_settings_that_change_without_a_signal_are_read(self) -> None:
+        """Guards against a host that never learns of new addresses of its peers."""
+        process, _ = await self.start_gateway()
+        settings = self.settings_path.read_text()
+        self.settings_path.write_text(settings.replace("seeds = [", "seeds = [ "))
+        await process.wait_for_line("event=settings_reloaded")
+
     async def test_log_contains_no_api_key_and_no_request_body(self) -> None:
         """Guards against API keys and prompts that get into log lines."""
         process, url = await self.start_gateway()
