--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -35,6 +35,10 @@
 
 EXPIRY_CHECK_INTERVAL_S = 2.0
 
+# After so many events of one stream other calls are served, and the stream ends if the
+# core has cancelled it. One read may contain tens of thousands of short events.
+EVENTS_PER_TURN = 32
+
 
 class RunnerCaller(Service):
     """Applies the effects :class:`StartCallAttempt` and :class:`CancelCallAttempt`."""
@@ -163,7 +167,8 @@
         reader = EventStreamReader()
         allow_body(response, MAX_EVENT_BYTES)
         async for data in response.content.iter_any():
-            for event in attach_comments(reader.feed(data)):
+            events = attach_comments(reader.feed(data))
+            for number, event in enumerate(events, 1):
                 if event.data:
                     allow_body(response, MAX_EVENT_BYTES)
                 self._message_sink.submit(
@@ -175,6 +180,8 @@
                         bool(event.data),
                     )
                 )
+                if number % EVENTS_PER_TURN == 0:
+                    await asyncio.sleep(0)
         self._check_not_reset(channel, response)
         if reader.pending_bytes:
             raise aiohttp.ClientPayloadError("stream ended within an event")
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -2,17 +2,22 @@
 
 import unittest
 
-from figshunt.dispatch import CallAttemptFailed, StartCallAttempt
+from figshunt.dispatch import (
+    CallAttemptFailed,
+    CancelCallAttempt,
+    ReplyEvent,
+    StartCallAttempt,
+)
 from figshunt.gateway._answer_buffers import (
     MAX_ANSWER_BYTES,
     MAX_BUFFERED_BYTES,
     AnswerBuffers,
     AnswerTooLargeError,
 )
-from figshunt.gateway._runner_caller import RunnerCaller
+from figshunt.gateway._runner_caller import EVENTS_PER_TURN, RunnerCaller
 from figshunt.platform import PlatformCallCodec
 from figshunt.standins import EndlessRunner
-from figshunt.types import AttemptFailure, AttemptId, RunnerId
+from figshunt.types import AttemptFailure, AttemptId, CancelReason, RunnerId
 from tests.builders import MAX_ENDLESS_BYTES, build_call, build_endless_answers
 from tests.gateway.fixture import wait_until
 from tests.recording_sink import RecordingMessageSink
@@ -43,6 +48,20 @@
                 self.assertIs(AttemptFailure.PROTOCOL, failure.failure)
                 self.assertLess(runner.sent_bytes, MAX_ENDLESS_BYTES)
 
+    async def test_cancelled_stream_submits_few_events_of_what_was_read(self) -> None:
+        """Guards against a host that serves nobody while it splits up short events."""
+        start, _ = build_endless_answers()["lines of one event"]
+        runner = EndlessRunner(start, b"data: 7\n\n")
+        await runner.start()
+        self.addAsyncCleanup(runner.stop)
+        attempt = self.build_attempt(runner, "events")
+        self.sink.on_submit = lambda message: self.caller.cancel_attempt(
+            CancelCallAttempt(attempt.attempt_id, CancelReason.PROTOCOL)
+        )
+        self.caller.start_attempt(attempt)
+        await wait_until(lambda: runner.sent_bytes > 0 and not runner.open_connections)
+        self.assertLessEqual(len(self.sink.of_type(ReplyEvent)), EVENTS_PER_TURN)
+
     def build_attempt(self, runner: EndlessRunner, name: str) -> StartCallAttempt:
         return StartCallAttempt(
             attempt_id=AttemptId(name),
