--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/_crash_filter.py
@@ -153,7 +153,7 @@
             case CallAttemptResult.UNREACHABLE:
                 yield from self._record_crash(attempt.runner_id, now)
             case CallAttemptResult.SERVED:
-                cleared = self._records.clear(suspects)
+                cleared = self._records.record_success(suspects, now.monotonic_ms)
                 if cleared:
                     yield BroadcastStatus(cleared=tuple(cleared))
 
@@ -175,10 +175,7 @@
         lost_ms_by_suspect = {
             suspect: loss.lost_ms for loss in recent_losses for suspect in loss.suspects
         }
-        # The suspect that explains the most crashes is judged first.
-        suspects = sorted(
-            lost_ms_by_suspect, key=self._records.count_crashes, reverse=True
-        )
+        suspects = self._records.in_order_of_suspicion(lost_ms_by_suspect)
         yield BroadcastStatus(
             crash_reports=tuple(
                 CrashReport(
--- a/figshunt/dispatch/_crash_records.py
+++ b/figshunt/dispatch/_crash_records.py
@@ -76,13 +76,15 @@
 class CrashRecords:
     """Decides which contents and prompt parts are refused.
 
-    A part is cleared by each request with it that is served completely, as a part
-    that crashes runners lets none succeed. Crashes that a refused part explains are
-    not enough to refuse another one.
+    A part is cleared by each request with it that is served completely, as a part that
+    crashes runners lets none succeed. Crashes that a refused part explains
+    are not enough to refuse another one. The times of the last successes are kept for
+    ``MAX_SUSPECTS`` suspects; those that succeeded least recently are dropped first.
     """
 
     def __init__(self) -> None:
         self._records: OrderedDict[Suspect, CrashRecord] = OrderedDict()
+        self._served_ms: OrderedDict[Suspect, int] = OrderedDict()
         self._quarantined_ms: OrderedDict[Suspect, int] = OrderedDict()
 
     def record_crash(self, suspect: Suspect, crash: str, time_ms: int) -> bool:
@@ -99,8 +101,34 @@
             return len(record.times_ms_by_crash) >= CONTENT_CRASHES
         return self._count_part_crashes(record) >= PART_CRASHES
 
-    def count_crashes(self, suspect: Suspect) -> int:
-        """Return the number of crashes during which a suspect was running."""
+    def record_success(self, suspects: Iterable[Suspect], now_ms: int) -> list[Suspect]:
+        """Record that a request was served; return the suspects that this clears."""
+        suspects = list(suspects)
+        for suspect in suspects:
+            self._served_ms[suspect] = now_ms
+            self._served_ms.move_to_end(suspect)
+        while len(self._served_ms) > MAX_SUSPECTS:
+            self._served_ms.popitem(last=False)
+        return self.clear(suspects)
+
+    def in_order_of_suspicion(self, suspects: Iterable[Suspect]) -> list[Suspect]:
+        """Return suspects of one crash, the one that explains the most crashes first.
+
+        Of those that were running in as many crashes, one that has never succeeded is
+        judged before one that has, and a later part of the prompt before an earlier
+        one, which more requests share.
+
+        :param suspects: in the order in which they stand in a request.
+        """
+        return sorted(
+            reversed(list(suspects)),
+            key=lambda suspect: (
+                -self._count_crashes(suspect),
+                self._served_ms.get(suspect, -1),
+            ),
+        )
+
+    def _count_crashes(self, suspect: Suspect) -> int:
         record = self._records.get(suspect)
         return len(record.times_ms_by_crash) if record else 0
 
--- a/tests/dispatch/test_crash_filter.py
+++ b/tests/dispatch/test_crash_filter.py
@@ -182,6 +182,26 @@
         self.assertEqual(503, select_effects(effects, AnswerError)[0].status)
         self.assertTrue(self.is_sent("shared", "other"))
 
+    def test_part_that_succeeded_before_is_not_refused_in_place_of_the_other(
+        self,
+    ) -> None:
+        """No sound request may come between the crashes that two parts share."""
+        for parts in (("shared", "deadly"), ("deadly", "shared")):
+            with self.subTest(parts=parts):
+                self.setUp()
+                self.serve("shared", "sound")
+                for _ in range(self.MAX_CRASHES):
+                    self.crash(*parts)
+                self.assertFalse(self.is_sent(*parts))
+                self.assertTrue(self.is_sent("shared", "other"))
+
+    def test_later_part_is_refused_if_no_success_tells_them_apart(self) -> None:
+        """Fewer requests share it."""
+        for _ in range(self.MAX_CRASHES):
+            self.crash("shared", "deadly")
+        self.assertFalse(self.is_sent("shared", "deadly"))
+        self.assertTrue(self.is_sent("shared", "other"))
+
     def test_part_is_refused_wherever_it_stands(self) -> None:
         self.crash_until_refused()
         self.assertFalse(self.is_sent("deadly", "other"))
