--- a/figshunt/dispatch/_crash_records.py
+++ b/figshunt/dispatch/_crash_records.py
@@ -76,8 +76,8 @@
 class CrashRecords:
     """Decides which contents and prompt parts are refused.
 
-    A part is cleared by each request with it that is served completely, as a part that
-    crashes runners lets none succeed. Crashes that a refused part explains
+    A content or part is cleared by each request with it that is served completely, as
+    one that crashes runners lets none succeed. Crashes that a refused part explains
     are not enough to refuse another one. The times of the last successes are kept for
     ``MAX_SUSPECTS`` suspects; those that succeeded least recently are dropped first.
     """
@@ -166,12 +166,11 @@
         ]
 
     def clear(self, suspects: Iterable[Suspect]) -> list[Suspect]:
-        """Drop what is known of the parts among the suspects, and return those."""
+        """Drop what is known of the suspects, and return those that were known."""
         cleared = [
             suspect
             for suspect in suspects
-            if suspect.kind is SuspectKind.PART
-            and (suspect in self._records or suspect in self._quarantined_ms)
+            if suspect in self._records or suspect in self._quarantined_ms
         ]
         for suspect in cleared:
             self._records.pop(suspect, None)
--- a/tests/dispatch/test_crash_filter.py
+++ b/tests/dispatch/test_crash_filter.py
@@ -9,6 +9,7 @@
     Call,
     CallAttemptFailed,
     PeerStatusReceived,
+    ReplyComplete,
     ReplyEnded,
     ReplyEvent,
     ReplyStarted,
@@ -85,6 +86,19 @@
             )
         self.assertEqual(5, len(driver.effects_of(StartCallAttempt)))
 
+    def test_content_that_succeeds_between_crashes_is_served(self) -> None:
+        """Callers may send the same sound content all the time."""
+        driver = self.build_driver()
+        for number in range(4):
+            self.crash_runner(driver, f"r{number}")
+            driver.list_runner(build_published_runner(f"n{number}", "bookings"))
+            driver.call(build_crashing_call(f"s{number}"))
+            driver.handle(
+                ReplyComplete(driver.last_attempt().attempt_id, build_reply_head(), b"")
+            )
+        effects = driver.call(build_crashing_call("last"))
+        self.assertEqual(1, len(select_effects(effects, StartCallAttempt)))
+
     def test_peers_refuse_content_after_crash_reports(self) -> None:
         driver, peer = self.build_driver(), self.build_driver()
         self.crash_runner(driver, "r1")
