--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -22,10 +22,11 @@
     ReplyHead,
 )
 from figshunt.gateway._answer_queue import AnswerQueue
+from figshunt.gateway._body_budget import BodyBudget
 from figshunt.gateway._codecs import CallCodec
 from figshunt.gateway._settings import Address
 from figshunt.runtime import EventLog, MessageSink
-from figshunt.types import Clock, RequestId, Step
+from figshunt.types import Clock, Moment, RequestId, Step
 
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -36,6 +37,9 @@
 
 LISTEN_BACKLOG = 1024
 
+# Pause for callers whose request's body this host has no memory for.
+BODY_RETRY_AFTER_MS = 1_000
+
 # Time for handlers to end at a stop. The HTTP library takes 0 for no limit.
 SHUTDOWN_S = 0.1
 
@@ -43,6 +47,50 @@
 READ_SETTLE_S = 0.05
 
 
+class BodyRefusedError(Exception):
+    """This host has no memory for the body of a request, which has not run."""
+
+
+class RequestBody:
+    """The body of one request, counted for as long as the request is served."""
+
+    def __init__(self, budget: BodyBudget) -> None:
+        self._budget = budget
+        self._reserved_bytes = 0
+
+    async def read(self, request: web.BaseRequest) -> bytes:
+        """Read the body whole.
+
+        :raises BodyRefusedError: if all bodies together would exceed their limit.
+        :raises web.HTTPRequestEntityTooLarge: if it exceeds ``MAX_BODY_BYTES``.
+        """
+        if request.content_length is not None:
+            if request.content_length > MAX_BODY_BYTES:
+                raise web.HTTPRequestEntityTooLarge(
+                    MAX_BODY_BYTES, request.content_length
+                )
+            self._reserve(request.content_length)
+            return await request.read()
+        body = bytearray()
+        async for data in request.content.iter_any():
+            body += data
+            if len(body) > MAX_BODY_BYTES:
+                raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
+            self._reserve(len(body))
+        return bytes(body)
+
+    def release(self) -> None:
+        """Count the body no longer."""
+        self._budget.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
+    def _reserve(self, size_bytes: int) -> None:
+        added_bytes = size_bytes - self._reserved_bytes
+        if not self._budget.try_reserve(size_bytes, added_bytes):
+            raise BodyRefusedError
+        self._reserved_bytes = size_bytes
+
+
 class FrontListener(Service):
     """Translates HTTP requests into calls, and response parts into HTTP responses."""
 
@@ -63,6 +111,7 @@
         self._queues_by_call: dict[RequestId, tuple[AnswerQueue, web.BaseRequest]] = {}
         self._server: asyncio.Server | None = None
         self._http_server: web.Server | None = None
+        self._body_budget = BodyBudget()
         self._is_draining = False
         self._busy_connections: set[web.RequestHandler] = set()
         self._idle_event = asyncio.Event()
@@ -175,12 +224,15 @@
         connection = request.protocol
         self._busy_connections.add(connection)
         self._idle_event.clear()
+        request_body = RequestBody(self._body_budget)
         try:
             target = request.raw_path
             if not _is_forwarded_verbatim(target):
                 return web.Response(status=400)
             try:
-                body = await request.read()
+                body = await request_body.read(request)
+            except BodyRefusedError:
+                return self._refuse_body(request, received)
             except web.HTTPRequestEntityTooLarge:
                 return web.Response(status=413)
             except (web.RequestPayloadError, HttpProcessingError):
@@ -190,10 +242,28 @@
             )
             return await self._serve(request, call)
         finally:
+            request_body.release()
             self._busy_connections.discard(connection)
             if not self._busy_connections:
                 self._idle_event.set()
 
+    def _refuse_body(self, request: web.BaseRequest, received: Moment) -> web.Response:
+        """Tell the caller to return, as the request has not been read."""
+        call = self._codec.decode_call(
+            request.method, request.raw_path, request.headers.items(), b"", received
+        )
+        self._log.write(
+            "body_refused",
+            "warning",
+            step=Step.FRONT_LISTENER.value,
+            request=call.call_id,
+            held_bytes=self._body_budget.held_bytes,
+        )
+        headers = self._codec.encode_refusal(call, BODY_RETRY_AFTER_MS)
+        response = web.Response(status=503, headers=headers)
+        response.force_close()
+        return response
+
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         queue = AnswerQueue()
         self._queues_by_call[call.call_id] = (queue, request)
