--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -3,7 +3,11 @@
 from tests.soak._fleet import SoakScale
 from tests.soak._plan import Fault, FaultKind, draw_plan
 from tests.soak._run import SoakReport, run_soak
-from tests.soak._scenarios import run_leaving_in_outage, run_unacquainted_hosts
+from tests.soak._scenarios import (
+    run_leaving_in_outage,
+    run_repeated_replies,
+    run_unacquainted_hosts,
+)
 
 __all__ = [
     "Fault",
@@ -12,6 +16,7 @@
     "SoakScale",
     "draw_plan",
     "run_leaving_in_outage",
+    "run_repeated_replies",
     "run_soak",
     "run_unacquainted_hosts",
 ]
--- a/tests/soak/_scenarios.py
+++ b/tests/soak/_scenarios.py
@@ -74,3 +74,40 @@
     finally:
         await fleet.stop()
     return callers.violations
+
+
+# How some runners behave one after the other, and for how long in s. A refusal or an
+# answer can be repeated only after one was sent on the same connection.
+REPEATING_BEHAVIOURS = (
+    (RunnerBehaviour.SERVE, 1.0),
+    (RunnerBehaviour.REFUSE, 1.0),
+    (RunnerBehaviour.REPEAT_REFUSAL, 1.0),
+    (RunnerBehaviour.SERVE, 0.5),
+    (RunnerBehaviour.REPEAT_ANSWER, 0.7),
+)
+
+
+async def run_repeated_replies(seed: int, scale: SoakScale, rounds: int) -> list[str]:
+    """Return the violations while runners send earlier refusals and answers again.
+
+    They do so before the reply to the next request on the same connection.
+
+    :param scale: has to have a rate of requests.
+    """
+    assert scale.requests_per_s is not None
+    fleet = SoakFleet(scale)
+    callers = Callers(fleet, seed)
+    try:
+        await fleet.start()
+        load = asyncio.create_task(callers.run_at_rate(scale.requests_per_s))
+        for behaviour, duration_s in REPEATING_BEHAVIOURS * rounds:
+            for runner in fleet.runners[::2]:
+                runner.standin.behaviour = behaviour
+            await asyncio.sleep(duration_s)
+        callers.stop()
+        await load
+        callers.check_executions()
+        callers.violations.extend(find_violations(fleet, callers))
+    finally:
+        await fleet.stop()
+    return callers.violations
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
     SoakScale,
     draw_plan,
     run_leaving_in_outage,
+    run_repeated_replies,
     run_soak,
     run_unacquainted_hosts,
 )
@@ -51,6 +52,13 @@
         scale = SoakScale(hosts=5, engines=5, bookings=4, requests_per_s=60.0)
         self.assertEqual([], await run_unacquainted_hosts(1, scale))
 
+    async def test_earlier_replies_that_are_sent_again_belong_to_no_request(
+        self,
+    ) -> None:
+        """A booking must not run twice, nor after a reply that it has not run."""
+        scale = SoakScale(hosts=5, engines=5, bookings=4, requests_per_s=60.0)
+        self.assertEqual([], await run_repeated_replies(1, scale, rounds=2))
+
     async def test_runners_that_leave_while_the_store_is_silent_get_no_requests(
         self,
     ) -> None:
