--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -64,9 +64,9 @@
     """Applies published items; an older configuration never replaces a newer one.
 
     A runner that is leaving or in an evacuated data centre is kept, so that its
-    requests can finish, but is not returned for new requests. Its own word in an
-    answer holds until its entry is removed or describes a new process, since the entry
-    may be written or read later.
+    requests can finish, but is not returned for new requests. If it announced its
+    leaving in an answer, that holds until its entry is removed or describes a new
+    process, since the entry may be written or read later.
     """
 
     step = Step.DIRECTORY
@@ -209,7 +209,7 @@
         if runner is None or runner.started_wall_ms != start or is_known:
             return
         self._leaving_starts_by_id[runner_id] = start
-        yield LogEvent("runner_says_it_leaves", self.step, {"runner": runner_id})
+        yield LogEvent("runner_announced_leaving", self.step, {"runner": runner_id})
 
     def _forget(self, runner_id: RunnerId) -> None:
         self._runners_by_id.pop(runner_id, None)
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -235,7 +235,7 @@
         Another process at its address says nothing about it.
         """
         is_own = head.matches_request and head.verdict is not ReplyVerdict.WRONG_RUNNER
-        if head.says_it_leaves and is_own:
+        if head.announces_leaving and is_own:
             runner = attempt.runner
             yield Feedback(RunnerLeaving(runner.runner_id, runner.started_wall_ms))
 
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -39,7 +39,7 @@
     ``headers`` are those to forward to the caller. ``has_receipt`` is set if
     the answer carries the stamp by which the runner confirms that the answer is
     its own, ``matches_request`` if the answer identifies this request.
-    ``says_it_leaves`` is set if the runner announces in it that it is leaving.
+    ``announces_leaving`` is set if the runner announces in it that it is leaving.
     """
 
     status: int
@@ -49,7 +49,7 @@
     matches_request: bool
     is_stream: bool
     retry_after_ms: int | None = None
-    says_it_leaves: bool = False
+    announces_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -131,7 +131,7 @@
                 and content_type.startswith(EVENT_STREAM_TYPE)
             ),
             retry_after_ms=_decode_seconds_as_ms(by_name.get(RETRY_AFTER.lower())),
-            says_it_leaves=by_name.get(SERVER_LEAVING.lower(), "").strip() == "1",
+            announces_leaving=by_name.get(SERVER_LEAVING.lower(), "").strip() == "1",
         )
 
     def encode_refusal(self, call: Call, retry_after_ms: int | None) -> dict[str, str]:
--- a/tests/dispatch/test_directory_filter.py
+++ b/tests/dispatch/test_directory_filter.py
@@ -130,7 +130,7 @@
         self.assertTrue(self.is_call_sent(driver))
 
 
-class LeavingWordTest(unittest.TestCase):
+class AnnouncedLeavingTest(unittest.TestCase):
     """Guards against requests to a runner that said in an answer that it is leaving.
 
     Its entry may not say so yet, or this host may not be able to read it.
@@ -147,7 +147,7 @@
 
     def answer(self, attempt: StartCallAttempt | None, **changes: object) -> None:
         assert attempt is not None
-        head = build_reply_head(**({"says_it_leaves": True} | changes))
+        head = build_reply_head(**({"announces_leaving": True} | changes))
         self.driver.handle(ReplyComplete(attempt.attempt_id, head, b""))
 
     def runners_used(self, calls: int = 20) -> set[str]:
@@ -157,7 +157,7 @@
             attempt = self.call()
             if attempt is not None:
                 runner_ids.add(str(attempt.runner_id))
-                self.answer(attempt, says_it_leaves=False)
+                self.answer(attempt, announces_leaving=False)
         return runner_ids
 
     def test_runner_gets_no_call_after_it_said_that_it_leaves(self) -> None:
@@ -173,14 +173,14 @@
                 assert attempt is not None
                 self.assertNotIn(attempt.runner_id, self.runners_used())
 
-    def test_word_in_the_head_of_a_stream_counts(self) -> None:
+    def test_announcement_in_the_head_of_a_stream_counts(self) -> None:
         attempt = self.call()
         assert attempt is not None
-        head = build_reply_head(is_stream=True, says_it_leaves=True)
+        head = build_reply_head(is_stream=True, announces_leaving=True)
         self.driver.handle(ReplyStarted(attempt.attempt_id, head))
         self.assertNotIn(attempt.runner_id, self.runners_used())
 
-    def test_later_entry_of_the_same_process_does_not_take_it_back(self) -> None:
+    def test_later_entry_of_the_same_process_does_not_withdraw_it(self) -> None:
         attempt = self.call()
         self.answer(attempt)
         assert attempt is not None
@@ -204,7 +204,9 @@
         self.driver.list_runner(build_published_runner(attempt.runner_id))
         self.assertIn(attempt.runner_id, self.runners_used())
 
-    def test_word_of_another_process_at_its_address_does_not_count(self) -> None:
+    def test_announcement_of_another_process_at_its_address_does_not_count(
+        self,
+    ) -> None:
         for changes in (
             {"matches_request": False},
             {"status": 421, "verdict": ReplyVerdict.WRONG_RUNNER},
@@ -214,7 +216,7 @@
                 self.answer(self.call(), **changes)
                 events = [line.event for line in self.driver.effects_of(LogEvent)]
                 self.assertIn("send_ended", events)
-                self.assertNotIn("runner_says_it_leaves", events)
+                self.assertNotIn("runner_announced_leaving", events)
 
 
 if __name__ == "__main__":
--- a/tests/platform/test_calls.py
+++ b/tests/platform/test_calls.py
@@ -112,11 +112,11 @@
 
         It may be the only way in which a host can learn of it.
         """
-        for value, says_it_leaves in (("1", True), (" 1", True), ("0", False)):
+        for value, announces_leaving in (("1", True), (" 1", True), ("0", False)):
             with self.subTest(value=value):
                 head = self.decode_head(200, ("server-leaving", value))
-                self.assertEqual(says_it_leaves, head.says_it_leaves)
-        self.assertFalse(self.decode_head(200).says_it_leaves)
+                self.assertEqual(announces_leaving, head.announces_leaving)
+        self.assertFalse(self.decode_head(200).announces_leaving)
 
     def test_response_to_another_request_is_not_ours(self) -> None:
         own = ("X-Figshunt-Attempt-Id", "abc")
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -4,9 +4,9 @@
 from tests.soak._plan import Fault, FaultKind, draw_plan
 from tests.soak._run import SoakReport, run_soak
 from tests.soak._scenarios import (
+    run_hosts_without_peers,
     run_leaving_in_outage,
     run_repeated_replies,
-    run_unacquainted_hosts,
 )
 
 __all__ = [
@@ -18,5 +18,5 @@
     "run_leaving_in_outage",
     "run_repeated_replies",
     "run_soak",
-    "run_unacquainted_hosts",
+    "run_hosts_without_peers",
 ]
--- a/tests/soak/_rules.py
+++ b/tests/soak/_rules.py
@@ -140,7 +140,9 @@
             if has_told and fleet.disturbances.is_calm(
                 Part.HOST, host, told_s, arrival.arrived_s
             ):
-                late[f"{runner_id} from {host}, which had passed its word on"] += 1
+                late[
+                    f"{runner_id} from {host}, which had passed on its announcement"
+                ] += 1
             bound_s = fleet.disturbances.calm_from(Part.STORE, "", left_s) + DRAIN_S
             since_s = arrival.arrived_s - STABLE_S
             in_touch = (
--- a/tests/soak/_scenarios.py
+++ b/tests/soak/_scenarios.py
@@ -1,6 +1,8 @@
 """Situations that last longer than the drawn faults, each played by itself."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 from figshunt.standins import RunnerBehaviour
 from tests.soak._callers import Callers
@@ -16,21 +18,24 @@
 # Hosts look for each other for this long after their start.
 DISCOVERY_S = 4.5
 
+# How some runners behave one after the other, and for how long in s. A refusal or an
+# answer can be repeated only after one was sent on the same connection.
+REPEATING_BEHAVIOURS = (
+    (RunnerBehaviour.SERVE, 1.0),
+    (RunnerBehaviour.REFUSE, 1.0),
+    (RunnerBehaviour.REPEAT_REFUSAL, 1.0),
+    (RunnerBehaviour.SERVE, 0.5),
+    (RunnerBehaviour.REPEAT_ANSWER, 0.7),
+)
+
 
 async def run_leaving_in_outage(seed: int, scale: SoakScale) -> list[str]:
     """Return the violations while a runner of each pool announces that it leaves.
 
     The store is silent for all hosts meanwhile, so that they can only learn of it from
     the runners' answers.
-
-    :param scale: has to have a rate of requests.
     """
-    assert scale.requests_per_s is not None
-    fleet = SoakFleet(scale)
-    callers = Callers(fleet, seed)
-    try:
-        await fleet.start()
-        load = asyncio.create_task(callers.run_at_rate(scale.requests_per_s))
+    async with _run_loaded_fleet(seed, scale) as (fleet, callers):
         await asyncio.sleep(CALM_S)
         with fleet.disturbances.record(Part.STORE):
             for host in fleet.hosts:
@@ -39,75 +44,54 @@
                 runner.standin.is_leaving = True
                 runner.begin_absence()
             await asyncio.sleep(2 * DRAIN_S + CALM_S)
-            callers.stop()
-            await load
-            for host in fleet.hosts:
-                host.store_proxy.restore()
-        callers.check_executions()
-        callers.violations.extend(find_violations(fleet, callers))
-    finally:
-        await fleet.stop()
     return callers.violations
 
 
-async def run_unacquainted_hosts(seed: int, scale: SoakScale) -> list[str]:
+async def run_hosts_without_peers(seed: int, scale: SoakScale) -> list[str]:
     """Return the violations of hosts that can't find each other.
 
     Half of the runners refuse all requests for as long as a budget's window.
-
-    :param scale: has to have a rate of requests.
     """
-    assert scale.requests_per_s is not None
-    fleet = SoakFleet(scale)
-    callers = Callers(fleet, seed)
-    try:
-        await fleet.start(UNUSED_SEEDS)
-        load = asyncio.create_task(callers.run_at_rate(scale.requests_per_s))
+    async with _run_loaded_fleet(seed, scale, UNUSED_SEEDS) as (fleet, callers):
         await asyncio.sleep(DISCOVERY_S)
         for runner in fleet.runners[::2]:
             runner.standin.behaviour = RunnerBehaviour.REFUSE
         await asyncio.sleep(BUDGET_WINDOW_S)
-        callers.stop()
-        await load
-        callers.check_executions()
-        callers.violations.extend(find_violations(fleet, callers))
-    finally:
-        await fleet.stop()
     return callers.violations
 
 
-# How some runners behave one after the other, and for how long in s. A refusal or an
-# answer can be repeated only after one was sent on the same connection.
-REPEATING_BEHAVIOURS = (
-    (RunnerBehaviour.SERVE, 1.0),
-    (RunnerBehaviour.REFUSE, 1.0),
-    (RunnerBehaviour.REPEAT_REFUSAL, 1.0),
-    (RunnerBehaviour.SERVE, 0.5),
-    (RunnerBehaviour.REPEAT_ANSWER, 0.7),
-)
-
-
 async def run_repeated_replies(seed: int, scale: SoakScale, rounds: int) -> list[str]:
     """Return the violations while runners send earlier refusals and answers again.
 
     They do so before the reply to the next request on the same connection.
+    """
+    async with _run_loaded_fleet(seed, scale) as (fleet, callers):
+        for behaviour, duration_s in REPEATING_BEHAVIOURS * rounds:
+            for runner in fleet.runners[::2]:
+                runner.standin.behaviour = behaviour
+            await asyncio.sleep(duration_s)
+    return callers.violations
+
+
+@contextlib.asynccontextmanager
+async def _run_loaded_fleet(
+    seed: int, scale: SoakScale, seeds: list[str] | None = None
+) -> AsyncIterator[tuple[SoakFleet, Callers]]:
+    """Run a fleet under load; its violations are complete after the context.
 
     :param scale: has to have a rate of requests.
+    :param seeds: addresses through which the hosts find each other, if not their own.
     """
     assert scale.requests_per_s is not None
     fleet = SoakFleet(scale)
     callers = Callers(fleet, seed)
     try:
-        await fleet.start()
+        await fleet.start(seeds)
         load = asyncio.create_task(callers.run_at_rate(scale.requests_per_s))
-        for behaviour, duration_s in REPEATING_BEHAVIOURS * rounds:
-            for runner in fleet.runners[::2]:
-                runner.standin.behaviour = behaviour
-            await asyncio.sleep(duration_s)
+        yield fleet, callers
         callers.stop()
         await load
         callers.check_executions()
         callers.violations.extend(find_violations(fleet, callers))
     finally:
         await fleet.stop()
-    return callers.violations
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,10 +6,10 @@
     FaultKind,
     SoakScale,
     draw_plan,
+    run_hosts_without_peers,
     run_leaving_in_outage,
     run_repeated_replies,
     run_soak,
-    run_unacquainted_hosts,
 )
 
 SHORT_SEED = 7
@@ -50,7 +50,7 @@
         self,
     ) -> None:
         scale = SoakScale(hosts=5, engines=5, bookings=4, requests_per_s=60.0)
-        self.assertEqual([], await run_unacquainted_hosts(1, scale))
+        self.assertEqual([], await run_hosts_without_peers(1, scale))
 
     async def test_earlier_replies_that_are_sent_again_belong_to_no_request(
         self,
