Log the suspects of each crash, what clears them, and the crashes behind a refusal

What callers saw: a request that crashes its runners is sent on; logs didn't tell whether its crashes weren't counted, were forgotten, or weren't known to a host. Change: runner_crashed names the most suspect contents and parts with their counts, quarantined and call_refused name the crashes, suspect_cleared is new.

--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/_crash_filter.py
@@ -24,6 +24,7 @@
 from figshunt.types import (
     ErrorCode,
     LogEvent,
+    LogValue,
     Message,
     Moment,
     RunnerId,
@@ -37,6 +38,9 @@
 
 MAX_LOSSES = 512
 
+# Suspects that the log event of one crash names.
+MAX_LOGGED_SUSPECTS = 8
+
 RETRY_AFTER_MS = 5_000
 
 # Standing facts are told to a new host by this many others, since datagrams may be
@@ -104,7 +108,7 @@
                     )
                 for suspect in status.quarantined:
                     yield from self._quarantine(suspect, now)
-                self._records.clear(status.cleared)
+                yield from self._log_cleared(self._records.clear(status.cleared))
             case RunnerListed(_, runner_id, runner):
                 start = runner.started_wall_ms if runner else None
                 previous_start = self._starts_by_runner.get(runner_id)
@@ -139,6 +143,7 @@
                 retry_after_ms=None if may_have_run else RETRY_AFTER_MS,
                 suspect=quarantined[0].kind.value,
                 fingerprint=quarantined[0].fingerprint,
+                crashes=",".join(self._records.crashes(quarantined[0])),
             )
             yield CallEnded(routed)
 
@@ -156,6 +161,7 @@
                 cleared = self._records.record_success(suspects, now.monotonic_ms)
                 if cleared:
                     yield BroadcastStatus(cleared=tuple(cleared))
+                yield from self._log_cleared(cleared)
 
     def _record_crash(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
         since_ms = now.monotonic_ms - CRASH_CONFIRMATION_MS
@@ -167,15 +173,21 @@
             return
         start = self._starts_by_runner.get(runner_id)
         crash = f"{runner_id}/{start}"
-        yield LogEvent(
-            "runner_crashed",
-            self.step,
-            {"runner": runner_id, "requests": len(recent_losses)},
-        )
         lost_ms_by_suspect = {
             suspect: loss.lost_ms for loss in recent_losses for suspect in loss.suspects
         }
         suspects = self._records.in_order_of_suspicion(lost_ms_by_suspect)
+        fields: dict[str, LogValue] = {
+            "runner": runner_id,
+            "requests": len(recent_losses),
+            "suspects": len(suspects),
+            "most_suspect": ",".join(
+                f"{suspect.kind.value}:{suspect.fingerprint}"
+                f":{len(self._records.crashes(suspect)) + 1}"
+                for suspect in suspects[:MAX_LOGGED_SUSPECTS]
+            ),
+        }
+        yield LogEvent("runner_crashed", self.step, fields)
         yield BroadcastStatus(
             crash_reports=tuple(
                 CrashReport(
@@ -195,12 +207,25 @@
         yield from self._quarantine(suspect, now)
         cleared = self._records.clear(self._records.find_explained(suspect))
         yield BroadcastStatus(quarantined=(suspect,), cleared=tuple(cleared))
+        yield from self._log_cleared(cleared)
 
     def _quarantine(self, suspect: Suspect, now: Moment) -> Iterable[Output]:
         if self._records.quarantine(suspect, now.monotonic_ms):
             yield LogEvent(
                 "quarantined",
                 self.step,
+                {
+                    "suspect": suspect.kind.value,
+                    "fingerprint": suspect.fingerprint,
+                    "crashes": ",".join(self._records.crashes(suspect)),
+                },
+            )
+
+    def _log_cleared(self, suspects: Iterable[Suspect]) -> Iterable[Output]:
+        for suspect in suspects:
+            yield LogEvent(
+                "suspect_cleared",
+                self.step,
                 {"suspect": suspect.kind.value, "fingerprint": suspect.fingerprint},
             )
 
--- a/figshunt/dispatch/_crash_records.py
+++ b/figshunt/dispatch/_crash_records.py
@@ -154,6 +154,11 @@
             if self.is_quarantined(suspect, now_ms)
         )
 
+    def crashes(self, suspect: Suspect) -> tuple[str, ...]:
+        """Return the known crashes during which a suspect was running."""
+        record = self._records.get(suspect)
+        return tuple(record.times_ms_by_crash) if record else ()
+
     def find_explained(self, cause: Suspect) -> list[Suspect]:
         """Return the refused parts whose crashes are a part of those of ``cause``."""
         cause_crashes = self._crashes(cause)
