Count crashes of runners that are proved late, or by another process

Cause: a lost connection counted as a crash only if a refused connection, an entry or a peer proved it within 5 s, and was forgotten after that. An answer of another process at the address, and an entry of one, proved nothing. An attempt that this host had ended by itself left no trace. An entry that lapsed in an outage, or of a runner that was leaving, proved a crash that didn't happen. Any process in the runner's place proves the crash, an answer to a later request disproves it. Measured: five unit tests failed before (another process at the address by entry and by answer, a late proof, a run that was given up, a lapsed entry).

--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -567,6 +567,7 @@
                 attempt.runner.runner_id,
                 attempt.routed,
                 result,
+                attempt.started_ms,
                 attempt.last_received_ms,
                 is_wrong_runner,
                 pause_ms,
--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/_crash_filter.py
@@ -1,13 +1,12 @@
 """Refuses requests whose content or prompt parts have crashed runners."""
 
-from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass
 
-from figshunt.directory import RunnerListed, RunnerUnlisted
+from figshunt.directory import PublishedRunner, RunnerListed, RunnerUnlisted
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._crash_records import CrashRecords, Suspect, list_suspects
 from figshunt.dispatch._effects import AnswerAbort, BroadcastStatus
+from figshunt.dispatch._ended_runs import EndedRun, EndedRuns, RunEnd
 from figshunt.dispatch._messages import (
     CallAdmitted,
     CallAttemptEnded,
@@ -30,14 +29,9 @@
     RunnerId,
     RunOutcome,
     Step,
+    TimerDue,
 )
 
-# A lost connection counts as a crash if the runner is found to be gone within
-# this time.
-CRASH_CONFIRMATION_MS = 5_000
-
-MAX_LOSSES = 512
-
 # Suspects that the log event of one crash names.
 MAX_LOGGED_SUSPECTS = 8
 
@@ -47,24 +41,33 @@
 # lost and hosts may be gone.
 TELLERS = 3
 
+# Ends of runs that leave open whether their runner has survived them.
+OPEN_ENDS_BY_RESULT = {
+    CallAttemptResult.LOST: RunEnd.LOST,
+    CallAttemptResult.INVALID_ANSWER: RunEnd.GIVEN_UP,
+    CallAttemptResult.STALLED: RunEnd.GIVEN_UP,
+    CallAttemptResult.ABANDONED: RunEnd.GIVEN_UP,
+}
 
-@dataclass(frozen=True, slots=True)
-class ConnectionLoss:
-    """A request whose connection was lost while a runner processed it."""
-
-    suspects: tuple[Suspect, ...]
-    runner_id: RunnerId
-    lost_ms: int
+# Results that prove that the runner was alive after the start of the attempt.
+ANSWERED_RESULTS = frozenset(
+    {
+        CallAttemptResult.SERVED,
+        CallAttemptResult.RUNNER_ERROR,
+        CallAttemptResult.REFUSED,
+    }
+)
 
 
 class CrashFilter:
     """Refuses contents and prompt parts that were running at runners which crashed.
 
-    A runner counts as crashed if connections to it were lost and it is then
-    unreachable, listed with a new start time, or no longer listed, or if a peer finds
-    it silent or unreachable. Crashes and what is refused are told to all peers, and
-    the latter also to hosts that start later. A request is checked again before it is
-    repeated.
+    A runner counts as crashed if runs there ended without an answer and it is then
+    unreachable, replaced by another process at its address or with its id, or no
+    longer listed, or if a peer finds it silent or unreachable. An answer to a later
+    request proves that it survived. Crashes and what is refused are told to all peers,
+    and the latter also to hosts that start later. A request is checked again before
+    it is repeated.
     """
 
     step = Step.QUARANTINE
@@ -76,13 +79,14 @@
         PeerStatusReceived,
         RunnerListed,
         RunnerUnlisted,
+        TimerDue,
     )
 
     def __init__(self, peers: PeersView) -> None:
         self._peers = peers
-        self._losses: deque[ConnectionLoss] = deque(maxlen=MAX_LOSSES)
+        self._ended_runs = EndedRuns()
         self._records = CrashRecords()
-        self._starts_by_runner: dict[RunnerId, int | None] = {}
+        self._entries_by_id: dict[RunnerId, PublishedRunner] = {}
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
@@ -110,14 +114,13 @@
                     yield from self._quarantine(suspect, now)
                 yield from self._log_cleared(self._records.clear(status.cleared))
             case RunnerListed(_, runner_id, runner):
-                start = runner.started_wall_ms if runner else None
-                previous_start = self._starts_by_runner.get(runner_id)
-                if previous_start is not None and start != previous_start:
-                    yield from self._record_crash(runner_id, now)
-                self._starts_by_runner[runner_id] = start
-            case RunnerUnlisted(_, runner_id):
-                yield from self._record_crash(runner_id, now)
-                self._starts_by_runner.pop(runner_id, None)
+                if runner is not None:
+                    yield from self._record_entry(runner, now)
+            case RunnerUnlisted(_, runner_id, after_outage):
+                if not after_outage:
+                    yield from self._record_removal(runner_id, now)
+            case TimerDue():
+                self._ended_runs.take_expired(now.monotonic_ms)
         yield message
 
     def _admit(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
@@ -151,35 +154,59 @@
         self, attempt: CallAttemptEnded, now: Moment
     ) -> Iterable[Output]:
         suspects = tuple(list_suspects(attempt.routed.call))
-        match attempt.result:
-            case CallAttemptResult.LOST:
-                loss = ConnectionLoss(suspects, attempt.runner_id, now.monotonic_ms)
-                self._losses.append(loss)
-            case CallAttemptResult.UNREACHABLE:
-                yield from self._record_crash(attempt.runner_id, now)
-            case CallAttemptResult.SERVED:
-                cleared = self._records.record_success(suspects, now.monotonic_ms)
-                if cleared:
-                    yield BroadcastStatus(cleared=tuple(cleared))
-                yield from self._log_cleared(cleared)
+        runner_id, result = attempt.runner_id, attempt.result
+        end = OPEN_ENDS_BY_RESULT.get(result)
+        if result is CallAttemptResult.UNREACHABLE or attempt.is_wrong_runner:
+            yield from self._record_crash(runner_id, now)
+        elif result in ANSWERED_RESULTS:
+            self._ended_runs.take_survived(runner_id, attempt.started_ms)
+        if end is not None:
+            entry = self._entries_by_id.get(runner_id)
+            process = f"{runner_id}/{entry.started_wall_ms if entry else None}"
+            self._ended_runs.add(
+                EndedRun(suspects, runner_id, process, end, now.monotonic_ms)
+            )
+        elif result is CallAttemptResult.SERVED:
+            yield from self._record_success(suspects, now)
+
+    def _record_success(
+        self, suspects: Iterable[Suspect], now: Moment
+    ) -> Iterable[Output]:
+        cleared = self._records.record_success(suspects, now.monotonic_ms)
+        if cleared:
+            yield BroadcastStatus(cleared=tuple(cleared))
+        yield from self._log_cleared(cleared)
+
+    def _record_entry(self, runner: PublishedRunner, now: Moment) -> Iterable[Output]:
+        """Record the crash of a process that this one replaces."""
+        runner_id = runner.runner_id
+        previous = self._entries_by_id.get(runner_id)
+        if previous and previous.started_wall_ms != runner.started_wall_ms:
+            yield from self._record_crash(runner_id, now)
+        for other_id in self._ended_runs.runner_ids() - {runner_id}:
+            other = self._entries_by_id.get(other_id)
+            if other is not None and other.address == runner.address:
+                yield from self._record_crash(other_id, now)
+        self._entries_by_id[runner_id] = runner
+
+    def _record_removal(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
+        """Record a crash unless the runner was leaving."""
+        entry = self._entries_by_id.pop(runner_id, None)
+        if entry is not None and not entry.is_leaving:
+            yield from self._record_crash(runner_id, now)
 
     def _record_crash(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
-        since_ms = now.monotonic_ms - CRASH_CONFIRMATION_MS
-        losses = [loss for loss in self._losses if loss.runner_id == runner_id]
-        recent_losses = [loss for loss in losses if loss.lost_ms >= since_ms]
-        for loss in losses:
-            self._losses.remove(loss)
-        if not recent_losses:
+        runs = self._ended_runs.take_crashed(runner_id, now.monotonic_ms)
+        if not runs:
             return
-        start = self._starts_by_runner.get(runner_id)
-        crash = f"{runner_id}/{start}"
+        crash = runs[0].process
         lost_ms_by_suspect = {
-            suspect: loss.lost_ms for loss in recent_losses for suspect in loss.suspects
+            suspect: run.ended_ms for run in runs for suspect in run.suspects
         }
         suspects = self._records.in_order_of_suspicion(lost_ms_by_suspect)
         fields: dict[str, LogValue] = {
             "runner": runner_id,
-            "requests": len(recent_losses),
+            "requests": len(runs),
             "suspects": len(suspects),
             "most_suspect": ",".join(
                 f"{suspect.kind.value}:{suspect.fingerprint}"
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -182,6 +182,7 @@
     runner_id: RunnerId
     routed: RoutedCall
     result: CallAttemptResult
+    started_ms: int
     last_received_ms: int
     is_wrong_runner: bool = False
     pause_ms: int = 0
--- a/tests/dispatch/test_crash_filter.py
+++ b/tests/dispatch/test_crash_filter.py
@@ -7,12 +7,14 @@
     AnswerError,
     BroadcastStatus,
     Call,
+    CallAbandoned,
     CallAttemptFailed,
     PeerStatusReceived,
     ReplyComplete,
     ReplyEnded,
     ReplyEvent,
     ReplyStarted,
+    ReplyVerdict,
     SilenceNotice,
     StartCallAttempt,
     Suspect,
@@ -39,16 +41,7 @@
     """Guards against a retried request that crashes one runner after another."""
 
     def crash_runner(self, driver: CoreDriver, call_id: str) -> str:
-        driver.call(build_crashing_call(call_id))
-        attempt = driver.last_attempt()
-        driver.handle(
-            CallAttemptFailed(
-                attempt.attempt_id,
-                AttemptFailure.CONNECTION_LOST,
-                SendState.MAY_HAVE_ARRIVED,
-                "reset",
-            )
-        )
+        attempt = self.lose(driver, call_id)
         driver.unlist_runner(attempt.runner_id)
         return attempt.runner_id
 
@@ -86,6 +79,87 @@
             )
         self.assertEqual(5, len(driver.effects_of(StartCallAttempt)))
 
+    def lose(self, driver: CoreDriver, call_id: str) -> StartCallAttempt:
+        """Let a request lose its connection; nothing proves a crash yet."""
+        driver.call(build_crashing_call(call_id))
+        attempt = driver.last_attempt()
+        driver.handle(
+            CallAttemptFailed(
+                attempt.attempt_id,
+                AttemptFailure.CONNECTION_LOST,
+                SendState.MAY_HAVE_ARRIVED,
+                "reset",
+            )
+        )
+        return attempt
+
+    def is_sent(self, driver: CoreDriver) -> bool:
+        effects = driver.call(build_crashing_call("last"))
+        return bool(select_effects(effects, StartCallAttempt))
+
+    def test_crash_is_proved_by_another_process_at_the_address(self) -> None:
+        driver = self.build_driver()
+        for number in range(2):
+            address = self.lose(driver, f"r{number}").address
+            successor = build_published_runner(
+                f"n{number}", "bookings", address=address
+            )
+            driver.list_runner(successor)
+        self.assertFalse(self.is_sent(driver))
+
+    def test_crash_is_proved_by_an_answer_of_another_process(self) -> None:
+        driver = CoreDriver()
+        head = build_reply_head(421, verdict=ReplyVerdict.WRONG_RUNNER)
+        for number in range(2):
+            driver.list_runner(build_published_runner(f"b{number}", "bookings"))
+            self.lose(driver, f"r{number}")
+            driver.call(build_call(f"o{number}", "/book/1"))
+            attempt_id = driver.last_attempt().attempt_id
+            driver.handle(ReplyComplete(attempt_id, head, b""))
+            leaving = build_published_runner(f"b{number}", "bookings", is_leaving=True)
+            driver.list_runner(leaving)
+        driver.list_runner(build_published_runner("b2", "bookings"))
+        self.assertFalse(self.is_sent(driver))
+
+    def test_crash_is_proved_long_after_the_loss(self) -> None:
+        """The store may be unavailable meanwhile."""
+        driver = self.build_driver()
+        lost_ids = [self.lose(driver, f"r{number}").runner_id for number in range(2)]
+        driver.advance(15_000)
+        for runner_id in lost_ids:
+            driver.unlist_runner(runner_id)
+        self.assertFalse(self.is_sent(driver))
+
+    def test_runner_that_answers_later_has_not_crashed(self) -> None:
+        """It may leave the list for another reason after that."""
+        driver = CoreDriver(build_published_runner("b0", "bookings"))
+        for number in range(2):
+            self.lose(driver, f"r{number}")
+            driver.advance(10)
+            driver.call(build_call(f"o{number}", "/book/1"))
+            attempt_id = driver.last_attempt().attempt_id
+            driver.handle(ReplyComplete(attempt_id, build_reply_head(), b""))
+            driver.unlist_runner("b0")
+            driver.list_runner(build_published_runner("b0", "bookings"))
+        self.assertTrue(self.is_sent(driver))
+
+    def test_runner_whose_entry_may_have_lapsed_has_not_crashed(self) -> None:
+        driver = self.build_driver()
+        for number in range(2):
+            lost_id = self.lose(driver, f"r{number}").runner_id
+            driver.unlist_runner(lost_id, after_outage=True)
+        self.assertTrue(self.is_sent(driver))
+
+    def test_run_that_the_host_gave_up_may_crash_its_runner(self) -> None:
+        driver = self.build_driver()
+        for number in range(2):
+            driver.call(build_crashing_call(f"r{number}"))
+            attempt = driver.last_attempt()
+            driver.handle(CallAbandoned(attempt.call.call_id))
+            driver.advance(500)
+            driver.unlist_runner(attempt.runner_id)
+        self.assertFalse(self.is_sent(driver))
+
     def test_content_that_succeeds_between_crashes_is_served(self) -> None:
         """Callers may send the same sound content all the time."""
         driver = self.build_driver()
