Take an answer that ends with a crash neither for complete nor for a success

What callers saw: a request that ends its runners is sent on; a caller may get an empty stream that looks complete. Cause: an answer without length and chunks ends with its connection, as it does if its runner crashes. A stream of that kind that ends before its first event was delivered as complete, and each such answer cleared its content and parts at all hosts. Change: a stream without an event that ends with its connection counts as lost. Other answers of this kind count as a success once the runner has answered a later request, or 5 s later; if the runner turns out to have crashed, they are suspects. Whether an answer is delimited is decoded by the adapter.

--- a/figshunt/dispatch/_call_attempt.py
+++ b/figshunt/dispatch/_call_attempt.py
@@ -27,6 +27,7 @@
     ``held_event`` is an event that is forwarded once the next one confirms its place
     in the stream. ``first_event_id`` is the id of the first event that was forwarded.
     ``has_regular_events`` is set while each one had an id and data.
+    ``is_delimited`` is unset once the answer is known to end with its connection.
     """
 
     attempt_id: AttemptId
@@ -41,6 +42,7 @@
     held_event: ReplyEvent | None = None
     first_event_id: int | None = None
     has_regular_events: bool = True
+    is_delimited: bool = True
 
     @property
     def stall_ms(self) -> int:
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -184,6 +184,7 @@
         if attempt is None:
             return
         head = reply.head
+        attempt.is_delimited = head.is_delimited
         yield from self._report_leaving(attempt, head)
         is_refusal = head.verdict in REFUSAL_VERDICTS
         if is_refusal and head.matches_request:
@@ -284,6 +285,7 @@
             )
             return
         attempt.last_received_ms = now.monotonic_ms
+        attempt.is_delimited = head.is_delimited
         if not attempt.routed.answer_started:
             attempt.routed = replace(attempt.routed, answer_started=True)
             yield AnswerStart(attempt.routed.call_id, head)
@@ -389,6 +391,11 @@
             # A complete stream has no further event that could confirm this one.
             attempt.held_event = None
             yield from self._forward_event(attempt, held_event, now)
+        if not attempt.is_delimited and not attempt.has_first_event:
+            # Neither a length nor an event shows that the answer is complete.
+            detail = "connection ended before the first event"
+            yield from self._retry_or_fail(attempt, CallAttemptResult.LOST, detail, now)
+            return
         self._learn_numbering(attempt)
         yield AnswerEnd(attempt.routed.call_id)
         yield from self._complete(
@@ -571,6 +578,7 @@
                 attempt.last_received_ms,
                 is_wrong_runner,
                 pause_ms,
+                attempt.is_delimited,
             )
         )
 
--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/_crash_filter.py
@@ -120,7 +120,9 @@
                 if not after_outage:
                     yield from self._record_removal(runner_id, now)
             case TimerDue():
-                self._ended_runs.take_expired(now.monotonic_ms)
+                for run in self._ended_runs.take_expired(now.monotonic_ms):
+                    if run.end is RunEnd.UNDELIMITED:
+                        yield from self._record_success(run.suspects, now)
         yield message
 
     def _admit(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
@@ -156,10 +158,15 @@
         suspects = tuple(list_suspects(attempt.routed.call))
         runner_id, result = attempt.runner_id, attempt.result
         end = OPEN_ENDS_BY_RESULT.get(result)
+        if result is CallAttemptResult.SERVED and not attempt.is_delimited:
+            end = RunEnd.UNDELIMITED
         if result is CallAttemptResult.UNREACHABLE or attempt.is_wrong_runner:
             yield from self._record_crash(runner_id, now)
         elif result in ANSWERED_RESULTS:
-            self._ended_runs.take_survived(runner_id, attempt.started_ms)
+            runs = self._ended_runs.take_survived(runner_id, attempt.started_ms)
+            for run in runs:
+                if run.end is RunEnd.UNDELIMITED:
+                    yield from self._record_success(run.suspects, now)
         if end is not None:
             entry = self._entries_by_id.get(runner_id)
             process = f"{runner_id}/{entry.started_wall_ms if entry else None}"
--- a/figshunt/dispatch/_ended_runs.py
+++ b/figshunt/dispatch/_ended_runs.py
@@ -12,10 +12,13 @@
     """How a run ended whose runner may have crashed.
 
     ``LOST``: the connection was lost. ``GIVEN_UP``: this host ended the attempt.
+    ``UNDELIMITED``: the answer ended with its connection, so that it seems complete
+    also if the runner crashed.
     """
 
     LOST = "lost"
     GIVEN_UP = "given_up"
+    UNDELIMITED = "undelimited"
 
 
 # How long after the end of a run it counts for a crash of its runner. The store may
@@ -24,6 +27,7 @@
 MAX_AGE_MS_BY_END = {
     RunEnd.LOST: 30_000,
     RunEnd.GIVEN_UP: 2_000,
+    RunEnd.UNDELIMITED: 5_000,
 }
 
 MAX_RUNS = 512
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -40,6 +40,8 @@
     the answer carries the stamp by which the runner confirms that the answer is
     its own, ``matches_request`` if the answer identifies this request.
     ``announces_leaving`` is set if the runner announces in it that it is leaving.
+    ``is_delimited`` is set if the answer has a length or chunks; otherwise it ends
+    with its connection.
     """
 
     status: int
@@ -50,6 +52,7 @@
     is_stream: bool
     retry_after_ms: int | None = None
     announces_leaving: bool = False
+    is_delimited: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,6 +179,7 @@
     This message is emitted once per planned attempt. ``last_received_ms`` is the
     time at which data was last received for the attempt, or its start time.
     ``pause_ms`` is the time for which the runner wants no request from this host.
+    ``is_delimited`` is unset if the answer was complete but ended with its connection.
     """
 
     attempt_id: AttemptId
@@ -186,6 +190,7 @@
     last_received_ms: int
     is_wrong_runner: bool = False
     pause_ms: int = 0
+    is_delimited: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -139,7 +139,7 @@
             await self._read_events(attempt, channel, head, response)
             return head
         body = await self._read_body(attempt, response)
-        self._check_not_reset(channel, response)
+        self._check_not_reset(channel, head)
         self._message_sink.submit(ReplyComplete(attempt.attempt_id, head, body))
         return head
 
@@ -182,21 +182,17 @@
                 )
                 if number % EVENTS_PER_TURN == 0:
                     await asyncio.sleep(0)
-        self._check_not_reset(channel, response)
+        self._check_not_reset(channel, head)
         if reader.pending_bytes:
             raise aiohttp.ClientPayloadError("stream ended within an event")
         self._message_sink.submit(ReplyEnded(attempt.attempt_id))
 
-    def _check_not_reset(
-        self, channel: Channel, response: aiohttp.ClientResponse
-    ) -> None:
+    def _check_not_reset(self, channel: Channel, head: ReplyHead) -> None:
         """Raise if the end of the connection delimits the response but was a reset.
 
         :raises aiohttp.ServerDisconnectedError: if the connection was reset.
         """
-        headers = response.headers
-        is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
-        if not is_framed and channel.was_reset():
+        if not head.is_delimited and channel.was_reset():
             raise aiohttp.ServerDisconnectedError(
                 "connection was reset before the end of the response"
             )
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -40,6 +40,9 @@
 )
 from figshunt.types import Fingerprint, Moment, RequestId
 
+# One of these shows where an answer ends.
+DELIMITING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+
 HeaderPairs = Iterable[tuple[str, str]]
 
 _HEADERS_NOT_FORWARDED = (
@@ -132,6 +135,7 @@
             ),
             retry_after_ms=_decode_seconds_as_ms(by_name.get(RETRY_AFTER.lower())),
             announces_leaving=by_name.get(SERVER_LEAVING.lower(), "").strip() == "1",
+            is_delimited=bool(by_name.keys() & DELIMITING_HEADERS),
         )
 
     def encode_refusal(self, call: Call, retry_after_ms: int | None) -> dict[str, str]:
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -270,6 +270,18 @@
         )
         self.assertEqual(1, len(driver.effects_of(AnswerEnd)))
 
+    def test_stream_that_ends_with_its_connection_before_any_event_is_lost(
+        self,
+    ) -> None:
+        """A runner that crashes there must not look as if it had answered."""
+        driver = build_stream_driver()
+        driver.call(build_call())
+        head = build_reply_head(is_stream=True, is_delimited=False)
+        driver.handle(ReplyStarted(driver.last_attempt().attempt_id, head))
+        effects = driver.handle(ReplyEnded(driver.last_attempt().attempt_id))
+        self.assertEqual([], select_effects(effects, AnswerEnd))
+        self.assertEqual(1, len(select_effects(effects, StartCallAttempt)))
+
     def test_stream_that_is_not_resumable_is_broken_off(self) -> None:
         driver = build_stream_driver(repeatability=Repeatability.RUN_ONCE)
         self.start_stream(driver)
--- a/tests/dispatch/test_crash_filter.py
+++ b/tests/dispatch/test_crash_filter.py
@@ -160,6 +160,17 @@
             driver.unlist_runner(attempt.runner_id)
         self.assertFalse(self.is_sent(driver))
 
+    def test_answer_that_ends_with_a_crash_is_no_success(self) -> None:
+        """Without a length it looks complete."""
+        driver = self.build_driver()
+        head = build_reply_head(is_delimited=False)
+        for number in range(2):
+            driver.call(build_crashing_call(f"r{number}"))
+            attempt = driver.last_attempt()
+            driver.handle(ReplyComplete(attempt.attempt_id, head, b""))
+            driver.unlist_runner(attempt.runner_id)
+        self.assertFalse(self.is_sent(driver))
+
     def test_content_that_succeeds_between_crashes_is_served(self) -> None:
         """Callers may send the same sound content all the time."""
         driver = self.build_driver()
