Weigh crashes against successes, tell them as facts, and try what is refused

What callers saw: contents that crash some of their runners are sent on without end, as is one that a host doesn't know to be refused (BUDGET); sound prompt parts that ran beside a cause stay refused for ten minutes. Cause: one class, a verdict was kept and told in place of the evidence. One success cleared all crashes at all hosts; 'quarantined' and 'cleared' were told once, by datagram, and couldn't be merged; nothing cleared a part that was refused, as nothing with it ran; crashes that a refused content explains counted against its parts. Change: SuspectRecord holds crashes, successes by host and trials, which only grow and are merged by union and maximum, so that they may be told again: a crash three times, everything to a host whose status has another digest. The verdict is computed from them: causes with the largest share of crashes first, and what they explain doesn't count against others. A refused suspect is tried by one host at a time, in turns computed from the time of the crash, at the runner with the fewest streams, with a request that isn't repeated: parts after 1 s, 2 s, 64 s, 512 s, contents after 8 s, 64 s, 512 s. Held calls are checked again before they are sent. Retry-After is the time to the trial. Tried: success clears one crash (alternating runs never add up); order by count alone (shared parts are blamed); trial delays by total crashes (sound parts wait a minute).

--- a/figshunt/dispatch/__init__.py
+++ b/figshunt/dispatch/__init__.py
@@ -4,8 +4,7 @@
 from figshunt.dispatch._call_attempt_filter import CallAttemptFilter
 from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
 from figshunt.dispatch._core import DispatchCore
-from figshunt.dispatch._crash_filter import CrashFilter
-from figshunt.dispatch._crash_records import Suspect, SuspectKind
+from figshunt.dispatch._crash_filter import CrashFilter, RefusalsView
 from figshunt.dispatch._effects import (
     AnswerAbort,
     AnswerComplete,
@@ -31,7 +30,7 @@
     CallEnded,
     CallMatched,
     CallRouted,
-    CrashReport,
+    CrashAge,
     FirstEventSeen,
     GraceEnded,
     HostStatus,
@@ -47,6 +46,7 @@
     ReplyStarted,
     ReplyVerdict,
     SilenceNotice,
+    SuspectReport,
 )
 from figshunt.dispatch._peer_filter import PeerFilter, PeersView
 from figshunt.dispatch._placement_filter import PlacementFilter
@@ -54,6 +54,7 @@
 from figshunt.dispatch._priority_scale import PRIORITY_LEVELS, PriorityScale
 from figshunt.dispatch._return_schedule import ReturnSchedule
 from figshunt.dispatch._runner_model import RunnerModel
+from figshunt.dispatch._suspect import Suspect, SuspectKind
 
 __all__ = [
     "HELD_CALLS_INTERVAL_MS",
@@ -80,8 +81,8 @@
     "CallRouted",
     "CancelCallAttempt",
     "ColdLimit",
+    "CrashAge",
     "CrashFilter",
-    "CrashReport",
     "Demand",
     "DispatchCore",
     "EngineLoad",
@@ -101,6 +102,7 @@
     "Prompt",
     "PromptPart",
     "QueueNotice",
+    "RefusalsView",
     "ReplyComplete",
     "ReplyEnded",
     "ReplyEvent",
@@ -115,4 +117,5 @@
     "StartCallAttempt",
     "Suspect",
     "SuspectKind",
+    "SuspectReport",
 ]
--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -4,6 +4,7 @@
 from typing import NewType
 
 from figshunt.directory import PublishedRoute
+from figshunt.dispatch._suspect import Suspect
 from figshunt.types import (
     Fingerprint,
     Moment,
@@ -76,6 +77,7 @@
     ``has_unnumbered_events`` is set once an event with data and without an id was
     forwarded, after which the stream can't be resumed.
     ``answer_started`` is set once the answer to the caller has started.
+    ``trial`` is the suspect of runner crashes that this call tries.
     """
 
     call: Call
@@ -92,6 +94,7 @@
     has_consecutive_ids: bool | None = None
     has_unnumbered_events: bool = False
     answer_started: bool = False
+    trial: Suspect | None = None
 
     @property
     def call_id(self) -> RequestId:
--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -33,8 +33,14 @@
     ) -> None:
         self.directory = DirectoryFilter()
         self.peers = PeerFilter(host, expects_peers)
+        self.crashes = CrashFilter(host, self.peers)
         self.placement = PlacementFilter(
-            self.directory, self.peers, data_centre, bounds, random_source
+            self.directory,
+            self.peers,
+            self.crashes,
+            data_centre,
+            bounds,
+            random_source,
         )
         self.attempts = CallAttemptFilter(self.peers, bounds)
         self._pipeline = Pipeline(
@@ -43,7 +49,7 @@
                 self.peers,
                 RouteFilter(self.directory),
                 TeamFilter(self.directory, random_source),
-                CrashFilter(self.peers),
+                self.crashes,
                 self.placement,
                 self.attempts,
             ]
--- a/figshunt/dispatch/_crash_records.py
+++ b/figshunt/dispatch/_crash_records.py
@@ -1,47 +1,32 @@
-"""Records which contents and prompt parts were running at crashed runners."""
+"""Decides which contents and prompt parts crash runners."""
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum
+
+import xxhash
 
 from figshunt.dispatch._call import Call
+from figshunt.dispatch._messages import CrashAge, SuspectReport
+from figshunt.dispatch._suspect import Suspect, SuspectKind
+from figshunt.dispatch._suspect_record import (
+    CRASHES_BY_KIND,
+    MAX_CRASHES,
+    MAX_EARLIER_SUCCESSES,
+    SuspectRecord,
+    Witness,
+    is_worth_telling,
+)
 from figshunt.types import Fingerprint
 
-# A content is refused after it was running during this many runner crashes. One
-# crash may be caused by another request, but two crashes with the same content
-# are very unlikely to be.
-CONTENT_CRASHES = 2
-
-# A prompt part that many requests share may well be running during two crashes. Of
-# crashes closer together than this only one counts, as runners may have lost power
-# together.
-PART_CRASHES = 3
-PART_CRASH_INTERVAL_MS = 400
-
-# Crashes remembered for each content or part; further ones change nothing.
-MAX_CRASHES = 16
-
-# Callers retry such a request within minutes.
-QUARANTINE_MS = 600_000
-
+# The records of suspects that crashed runners least recently are dropped first, as
+# are the successes of those that were served least recently.
 MAX_SUSPECTS = 4_096
-MAX_QUARANTINED = 1_024
 
+# Records that are told to a host that knows less, those with the most crashes first.
+MAX_TOLD_SUSPECTS = 40
 
-class SuspectKind(Enum):
-    """What crashed runners have in common."""
-
-    CONTENT = "content"
-    PART = "part"
-
-
-@dataclass(frozen=True, slots=True)
-class Suspect:
-    """The content of a request, or a part of its prompt, by its fingerprint."""
-
-    kind: SuspectKind
-    fingerprint: Fingerprint
+# Crashes that are told to a host that starts even if they refuse nothing yet.
+RECENT_CRASH_MS = 60_000
 
 
 def list_suspects(call: Call) -> list[Suspect]:
@@ -56,146 +41,200 @@
     ]
 
 
-@dataclass(slots=True)
-class CrashRecord:
-    """The times of the runner crashes during which a suspect was running."""
-
-    times_ms_by_crash: dict[str, int] = field(default_factory=dict)
-
-    def count_separate(self, interval_ms: int, crashes: Iterable[str]) -> int:
-        """Return how many of these crashes are that far apart."""
-        count = 0
-        last_ms: int | None = None
-        for time_ms in sorted(self.times_ms_by_crash[crash] for crash in crashes):
-            if last_ms is None or time_ms - last_ms >= interval_ms:
-                count += 1
-                last_ms = time_ms
-        return count
-
-
 class CrashRecords:
-    """Decides which contents and prompt parts are refused.
-
-    A content or part is cleared by each request with it that is served completely, as
-    one that crashes runners lets none succeed. Crashes that a refused part explains
-    are not enough to refuse another one. The times of the last successes are kept for
-    ``MAX_SUSPECTS`` suspects; those that succeeded least recently are dropped first.
+    """Owns the records of all suspects and decides which of them are refused.
+
+    Suspects are judged in order: first those that crashed the largest share of their
+    runners, which are those that were never served, then those with more crashes, then
+    contents before parts and later parts before earlier ones, which more requests
+    share. A crash that a refused suspect explains doesn't count against
+    those judged after it. Contents with equally many crashes are judged alike, as any
+    of them may be the cause and refusing each one harms a single caller.
     """
 
-    def __init__(self) -> None:
-        self._records: OrderedDict[Suspect, CrashRecord] = OrderedDict()
-        self._served_ms: OrderedDict[Suspect, int] = OrderedDict()
-        self._quarantined_ms: OrderedDict[Suspect, int] = OrderedDict()
-
-    def record_crash(self, suspect: Suspect, crash: str, time_ms: int) -> bool:
-        """Record a crash and return whether the suspect has to be quarantined."""
-        record = self._records.setdefault(suspect, CrashRecord())
-        self._records.move_to_end(suspect)
-        while len(self._records) > MAX_SUSPECTS:
-            self._records.popitem(last=False)
-        if len(record.times_ms_by_crash) < MAX_CRASHES:
-            record.times_ms_by_crash.setdefault(crash, time_ms)
-        if suspect in self._quarantined_ms:
-            return False
-        if suspect.kind is SuspectKind.CONTENT:
-            return len(record.times_ms_by_crash) >= CONTENT_CRASHES
-        return self._count_part_crashes(record) >= PART_CRASHES
-
-    def record_success(self, suspects: Iterable[Suspect], now_ms: int) -> list[Suspect]:
-        """Record that a request was served; return the suspects that this clears."""
-        suspects = list(suspects)
-        for suspect in suspects:
-            self._served_ms[suspect] = now_ms
-            self._served_ms.move_to_end(suspect)
-        while len(self._served_ms) > MAX_SUSPECTS:
-            self._served_ms.popitem(last=False)
-        return self.clear(suspects)
+    def __init__(self, witness: Witness) -> None:
+        self._witness = witness
+        self._records: OrderedDict[Suspect, SuspectRecord] = OrderedDict()
+        self._successes: OrderedDict[Suspect, int] = OrderedDict()
+        self._refused: set[Suspect] = set()
+        self.digest = 0
 
-    def in_order_of_suspicion(self, suspects: Iterable[Suspect]) -> list[Suspect]:
-        """Return suspects of one crash, the one that explains the most crashes first.
+    @property
+    def refused(self) -> frozenset[Suspect]:
+        """Return the suspects that are refused now."""
+        return frozenset(self._refused)
 
-        Of those that were running in as many crashes, one that has never succeeded is
-        judged before one that has, and a later part of the prompt before an earlier
-        one, which more requests share.
+    def get(self, suspect: Suspect) -> SuspectRecord | None:
+        """Return the record of a suspect, or ``None`` if it ran during no crash."""
+        return self._records.get(suspect)
 
-        :param suspects: in the order in which they stand in a request.
+    def is_refused(self, suspect: Suspect) -> bool:
+        """Return whether a suspect is refused."""
+        return suspect in self._refused
+
+    def record_crash(
+        self, suspect: Suspect, depth: int, crash: str, time_ms: int
+    ) -> None:
+        """Record that a suspect was running during a crash."""
+        self._find_or_add(suspect, depth).add_crash(crash, time_ms)
+
+    def merge(self, report: SuspectReport, witness: Witness, now_ms: int) -> None:
+        """Add what another host knows."""
+        if not report.crashes:
+            return
+        record = self._find_or_add(report.suspect, report.depth)
+        for crash in report.crashes:
+            record.add_crash(crash.process, now_ms - crash.age_ms)
+        known_successes = record.successes_by_witness.get(witness, 0)
+        record.successes_by_witness[witness] = max(known_successes, report.successes)
+        told_trial_ms = (
+            None if report.trial_age_ms is None else now_ms - report.trial_age_ms
+        )
+        ended_trials = report.passed_trials + report.failed_trials
+        if ended_trials > record.ended_trials:
+            record.trial_ms = told_trial_ms
+        elif ended_trials == record.ended_trials and told_trial_ms is not None:
+            record.trial_ms = max(record.trial_ms or told_trial_ms, told_trial_ms)
+        record.passed_trials = max(record.passed_trials, report.passed_trials)
+        record.failed_trials = max(record.failed_trials, report.failed_trials)
+
+    def record_success(
+        self, suspects: Iterable[Suspect], started_ms: int
+    ) -> list[Suspect]:
+        """Record that a request was served.
+
+        :param started_ms: when it was sent to its runner.
+        :returns: the suspects whose successes other hosts need to know.
         """
-        return sorted(
-            reversed(list(suspects)),
-            key=lambda suspect: (
-                -self._count_crashes(suspect),
-                self._served_ms.get(suspect, -1),
+        told_suspects = []
+        for suspect in suspects:
+            self._successes[suspect] = self._successes.get(suspect, 0) + 1
+            self._successes.move_to_end(suspect)
+            record = self._records.get(suspect)
+            if record is not None and started_ms >= record.first_crash_ms:
+                own_successes = record.successes_by_witness.get(self._witness, 0) + 1
+                record.successes_by_witness[self._witness] = own_successes
+                if is_worth_telling(own_successes):
+                    told_suspects.append(suspect)
+        while len(self._successes) > MAX_SUSPECTS:
+            self._successes.popitem(last=False)
+        return told_suspects
+
+    def judge(self) -> tuple[list[Suspect], list[Suspect]]:
+        """Decide again which suspects are refused.
+
+        :returns: those that are refused from now on, and those that aren't any more.
+        """
+        candidates = self._candidates()
+        explained: set[str] = set()
+        explained_by_group: set[str] = set()
+        refused_contents: list[SuspectRecord] = []
+        refused: set[Suspect] = set()
+        previous_rank: tuple[float, int, bool] | None = None
+        for suspect, record in candidates:
+            is_content = suspect.kind is SuspectKind.CONTENT
+            rank = (record.crash_share, record.count(), is_content)
+            if rank != previous_rank or not is_content:
+                explained |= explained_by_group
+                explained_by_group = set()
+            previous_rank = rank
+            is_better_cause = not is_content and record.is_better_cause_than(
+                refused_contents
+            )
+            if record.judge(() if is_better_cause else explained):
+                refused.add(suspect)
+                explained_by_group |= record.times_ms_by_crash.keys()
+                if is_content:
+                    refused_contents.append(record)
+        self._update_digest(candidates)
+        previous, self._refused = self._refused, refused
+        return sorted_by_name(refused - previous), sorted_by_name(previous - refused)
+
+    def report(self, suspect: Suspect, now_ms: int) -> SuspectReport:
+        """Return what this host knows of a suspect that has a record."""
+        record = self._records[suspect]
+        return SuspectReport(
+            suspect,
+            record.depth,
+            tuple(
+                CrashAge(crash, now_ms - time_ms)
+                for crash, time_ms in record.times_ms_by_crash.items()
             ),
+            record.successes_by_witness.get(self._witness, 0),
+            record.passed_trials,
+            record.failed_trials,
+            None if record.trial_ms is None else now_ms - record.trial_ms,
         )
 
-    def _count_crashes(self, suspect: Suspect) -> int:
-        record = self._records.get(suspect)
-        return len(record.times_ms_by_crash) if record else 0
-
-    def quarantine(self, suspect: Suspect, now_ms: int) -> bool:
-        """Refuse a suspect from now on and return whether that is new."""
-        is_new = not self.is_quarantined(suspect, now_ms)
-        self._quarantined_ms.pop(suspect, None)
-        self._quarantined_ms[suspect] = now_ms
-        while len(self._quarantined_ms) > MAX_QUARANTINED:
-            self._quarantined_ms.popitem(last=False)
-        return is_new
-
-    def is_quarantined(self, suspect: Suspect, now_ms: int) -> bool:
-        """Return whether a suspect is refused."""
-        since_ms = self._quarantined_ms.get(suspect)
-        return since_ms is not None and now_ms - since_ms < QUARANTINE_MS
-
-    def quarantined(self, now_ms: int) -> tuple[Suspect, ...]:
-        """Return all suspects that are refused."""
+    def report_all(self, now_ms: int) -> tuple[SuspectReport, ...]:
+        """Return what a host should know that has missed crashes."""
+        known = [
+            (suspect, record)
+            for suspect, record in self._records.items()
+            if suspect in self._refused
+            or record.count() >= CRASHES_BY_KIND[suspect.kind]
+            or now_ms - record.last_crash_ms <= RECENT_CRASH_MS
+        ]
+        known.sort(key=lambda entry: (entry[0] not in self._refused, -entry[1].count()))
         return tuple(
-            suspect
-            for suspect in self._quarantined_ms
-            if self.is_quarantined(suspect, now_ms)
+            self.report(suspect, now_ms) for suspect, _ in known[:MAX_TOLD_SUSPECTS]
         )
 
-    def crashes(self, suspect: Suspect) -> tuple[str, ...]:
-        """Return the known crashes during which a suspect was running."""
+    def _find_or_add(self, suspect: Suspect, depth: int) -> SuspectRecord:
         record = self._records.get(suspect)
-        return tuple(record.times_ms_by_crash) if record else ()
-
-    def find_explained(self, cause: Suspect) -> list[Suspect]:
-        """Return the refused parts whose crashes are a part of those of ``cause``."""
-        cause_crashes = self._crashes(cause)
-        return [
-            suspect
-            for suspect in self._quarantined_ms
-            if suspect.kind is SuspectKind.PART
-            and self._crashes(suspect)
-            and self._crashes(suspect) < cause_crashes
-        ]
+        if record is None:
+            record = SuspectRecord(suspect.kind, depth)
+            successes = min(MAX_EARLIER_SUCCESSES, self._successes.get(suspect, 0))
+            record.successes_by_witness[self._witness] = successes
+            self._records[suspect] = record
+        self._records.move_to_end(suspect)
+        while len(self._records) > MAX_SUSPECTS:
+            self._records.popitem(last=False)
+        return record
 
-    def clear(self, suspects: Iterable[Suspect]) -> list[Suspect]:
-        """Drop what is known of the suspects, and return those that were known."""
-        cleared = [
-            suspect
-            for suspect in suspects
-            if suspect in self._records or suspect in self._quarantined_ms
-        ]
-        for suspect in cleared:
-            self._records.pop(suspect, None)
-            self._quarantined_ms.pop(suspect, None)
-        return cleared
-
-    def _count_part_crashes(self, record: CrashRecord) -> int:
-        crashes = record.times_ms_by_crash.keys()
-        explained = {
-            crash
-            for suspect in self._quarantined_ms
-            if suspect.kind is SuspectKind.PART
-            for crash in self._crashes(suspect) & crashes
-        }
-        unexplained_count = record.count_separate(
-            PART_CRASH_INTERVAL_MS, crashes - explained
+    def _candidates(self) -> list[tuple[Suspect, SuspectRecord]]:
+        """Return the suspects with enough crashes, in the order of judgement."""
+        return sorted(
+            (
+                (suspect, record)
+                for suspect, record in self._records.items()
+                if len(record.times_ms_by_crash) >= CRASHES_BY_KIND[suspect.kind]
+            ),
+            key=lambda entry: (
+                -entry[1].crash_share,
+                -entry[1].count(),
+                entry[0].kind is SuspectKind.PART,
+                -entry[1].depth,
+                entry[0].fingerprint,
+            ),
         )
-        explained_count = record.count_separate(PART_CRASH_INTERVAL_MS, explained)
-        return unexplained_count + min(PART_CRASHES - 1, explained_count)
 
-    def _crashes(self, suspect: Suspect) -> set[str]:
-        record = self._records.get(suspect)
-        return set(record.times_ms_by_crash) if record else set()
+    def _update_digest(
+        self, candidates: Iterable[tuple[Suspect, SuspectRecord]]
+    ) -> None:
+        """Compute a value that is equal at hosts which know the same facts."""
+        digest = xxhash.xxh3_64()
+        is_empty = True
+        for suspect, record in sorted(
+            candidates, key=lambda entry: entry[0].fingerprint
+        ):
+            is_empty = False
+            crashes = sorted(record.times_ms_by_crash)
+            if len(crashes) >= MAX_CRASHES:
+                crashes = ["full"]
+            digest.update(
+                repr(
+                    (
+                        suspect.fingerprint,
+                        crashes,
+                        record.passed_trials,
+                        record.failed_trials,
+                    )
+                ).encode()
+            )
+        self.digest = 0 if is_empty else digest.intdigest()
+
+
+def sorted_by_name(suspects: Iterable[Suspect]) -> list[Suspect]:
+    """Return suspects in an order that doesn't change from run to run."""
+    return sorted(suspects, key=lambda suspect: suspect.fingerprint)
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -3,14 +3,13 @@
 from dataclasses import dataclass, field
 
 from figshunt.dispatch._call import Call
-from figshunt.dispatch._crash_records import Suspect
 from figshunt.dispatch._messages import (
-    CrashReport,
     OccupancyNotice,
     PlacementNotice,
     QueueNotice,
     ReplyHead,
     SilenceNotice,
+    SuspectReport,
 )
 from figshunt.types import (
     AttemptId,
@@ -115,12 +114,10 @@
     """
 
     placements: tuple[PlacementNotice, ...] = ()
-    crash_reports: tuple[CrashReport, ...] = ()
+    suspects: tuple[SuspectReport, ...] = ()
     queues: tuple[QueueNotice, ...] = ()
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
-    quarantined: tuple[Suspect, ...] = ()
-    cleared: tuple[Suspect, ...] = ()
     can_wait: bool = False
 
 
--- a/figshunt/dispatch/_ended_runs.py
+++ b/figshunt/dispatch/_ended_runs.py
@@ -1,10 +1,11 @@
 """Keeps the ends of runs that may turn out to be crashes of their runners."""
 
 from collections import deque
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
-from figshunt.dispatch._crash_records import Suspect
+from figshunt.dispatch._suspect import Suspect
 from figshunt.types import RunnerId
 
 
@@ -21,12 +22,15 @@
     UNDELIMITED = "undelimited"
 
 
+# Ends after which an answer of the runner proves that it has survived the run.
+ANSWERED_ENDS = (RunEnd.LOST, RunEnd.UNDELIMITED)
+
 # How long after the end of a run it counts for a crash of its runner. The store may
 # be unavailable when a connection is lost, and its entries may be the only evidence
-# of the crash. A runner stops work on a request soon after its connection is closed.
+# of the crash. Most runners stop work on a request when its connection is closed.
 MAX_AGE_MS_BY_END = {
     RunEnd.LOST: 30_000,
-    RunEnd.GIVEN_UP: 2_000,
+    RunEnd.GIVEN_UP: 5_000,
     RunEnd.UNDELIMITED: 5_000,
 }
 
@@ -35,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EndedRun:
-    """A run that has ended without proof that its runner survived it.
+    """A run that has ended, ``end`` being set if its runner may not have survived it.
 
     ``process`` identifies the runner's process, which may have been replaced by
     another one with the same id since.
@@ -44,7 +48,8 @@
     suspects: tuple[Suspect, ...]
     runner_id: RunnerId
     process: str
-    end: RunEnd
+    end: RunEnd | None
+    started_ms: int
     ended_ms: int
 
 
@@ -57,7 +62,8 @@
         }
 
     def add(self, run: EndedRun) -> None:
-        """Keep a run."""
+        """Keep a run with an open end."""
+        assert run.end is not None
         self._runs_by_end[run.end].append(run)
 
     def runner_ids(self) -> set[RunnerId]:
@@ -65,19 +71,27 @@
         return {run.runner_id for runs in self._runs_by_end.values() for run in runs}
 
     def take_crashed(self, runner_id: RunnerId, now_ms: int) -> list[EndedRun]:
-        """Remove the runs of a runner that has crashed, and return those that count."""
-        return [
+        """Remove the runs of a runner that has crashed, and return those that count.
+
+        Runs that the host had given up count if none was lost with the runner.
+        """
+        runs = [
             run
-            for run in self._take_ended(runner_id, now_ms)
-            if now_ms - run.ended_ms <= MAX_AGE_MS_BY_END[run.end]
+            for run in self._take_ended(runner_id, now_ms, RunEnd)
+            if run.end and now_ms - run.ended_ms <= MAX_AGE_MS_BY_END[run.end]
         ]
+        if any(run.end is RunEnd.LOST for run in runs):
+            return [run for run in runs if run.end is not RunEnd.GIVEN_UP]
+        return runs
 
     def take_survived(self, runner_id: RunnerId, since_ms: int) -> list[EndedRun]:
         """Remove and return the runs that the runner has survived.
 
+        A run that the host gave up may still crash it.
+
         :param since_ms: when a request arrived that the runner has answered.
         """
-        return self._take_ended(runner_id, since_ms)
+        return self._take_ended(runner_id, since_ms, ANSWERED_ENDS)
 
     def take_expired(self, now_ms: int) -> list[EndedRun]:
         """Remove and return the runs that don't count any more."""
@@ -87,9 +101,12 @@
                 expired_runs.append(runs.popleft())
         return expired_runs
 
-    def _take_ended(self, runner_id: RunnerId, before_ms: int) -> list[EndedRun]:
+    def _take_ended(
+        self, runner_id: RunnerId, before_ms: int, ends: Iterable[RunEnd]
+    ) -> list[EndedRun]:
         taken_runs = []
-        for end, runs in self._runs_by_end.items():
+        for end in ends:
+            runs = self._runs_by_end[end]
             taken = [
                 run
                 for run in runs
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -5,7 +5,7 @@
 
 from figshunt.directory import PublishedRoute, PublishedRunner
 from figshunt.dispatch._call import Call, PromptPart, RoutedCall
-from figshunt.dispatch._crash_records import Suspect
+from figshunt.dispatch._suspect import Suspect
 from figshunt.types import (
     AttemptFailure,
     AttemptId,
@@ -255,26 +255,39 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CrashReport:
-    """A suspect was running at a runner that crashed ``age_ms`` ago.
+class CrashAge:
+    """A runner's process that crashed ``age_ms`` ago."""
 
-    ``crash`` identifies the runner's process.
+    process: str
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectReport:
+    """All that a host knows of a content or prompt part that crashed runners.
+
+    ``depth`` is the place of a part in its prompt. ``successes`` are those that the
+    host has seen itself, the other numbers those that it knows of. ``trial_age_ms`` is
+    the age of the latest trial unless that was passed.
     """
 
     suspect: Suspect
-    crash: str
-    age_ms: int
+    depth: int
+    crashes: tuple[CrashAge, ...]
+    successes: int = 0
+    passed_trials: int = 0
+    failed_trials: int = 0
+    trial_age_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class HostStatus:
     """The status that a host sends to its peers.
 
-    ``quarantined`` are contents and prompt parts that are refused, ``cleared`` parts
-    with which a request succeeded. ``version`` is the version
-    of the configuration in force, ``revision`` the store revision up to which
-    the host has all published items. ``can_read_store`` is set if the host can read
-    the store itself. ``known_hosts`` is how many hosts it knows to live.
+    ``suspects_digest`` is equal at hosts that know the same of suspects. ``version``
+    is the version of the configuration in force, ``revision`` the store revision up
+    to which the host has all published items. ``can_read_store`` is set if the host
+    can read the store itself. ``known_hosts`` is how many hosts it knows to live.
     """
 
     host: HostName
@@ -286,24 +299,21 @@
     data_centre: DataCentreName
     known_hosts: int = 1
     placements: tuple[PlacementNotice, ...] = ()
-    crash_reports: tuple[CrashReport, ...] = ()
+    suspects: tuple[SuspectReport, ...] = ()
     queues: tuple[QueueNotice, ...] = ()
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
-    quarantined: tuple[Suspect, ...] = ()
-    cleared: tuple[Suspect, ...] = ()
+    suspects_digest: int = 0
 
     @property
     def notice_count(self) -> int:
         """Return the number of notices of all kinds."""
         return (
             len(self.placements)
-            + len(self.crash_reports)
+            + len(self.suspects)
             + len(self.queues)
             + len(self.silences)
             + len(self.occupancies)
-            + len(self.quarantined)
-            + len(self.cleared)
         )
 
     def without_notices(self) -> "HostStatus":
@@ -313,12 +323,10 @@
         return replace(
             self,
             placements=(),
-            crash_reports=(),
+            suspects=(),
             queues=(),
             silences=(),
             occupancies=(),
-            quarantined=(),
-            cleared=(),
         )
 
 
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/_peer_filter.py
@@ -39,8 +39,8 @@
     def is_heard(self, host: HostName) -> bool:
         """Return whether a peer sent a status lately."""
 
-    def is_among_first(self, count: int) -> bool:
-        """Return whether this host is one of so many that act for all."""
+    def is_among_first(self, count: int, host: HostName | None = None) -> bool:
+        """Return whether a host, or else this one, is one of so many for all."""
 
 
 class PeerFilter:
@@ -73,12 +73,14 @@
         """Return whether a peer sent a status lately."""
         return host in self._statuses_by_host and host not in self._lost_hosts
 
-    def is_among_first(self, count: int) -> bool:
-        """Return whether this host is one of so many that act for all.
+    def is_among_first(self, count: int, host: HostName | None = None) -> bool:
+        """Return whether a host, or else this one, is one of so many for all.
 
         Hosts that hear the same peers agree on them.
         """
-        return sum(1 for host in self.statuses() if host < self._host) < count
+        hosts = {self._host, *self.statuses()}
+        judged_host = host or self._host
+        return sum(1 for other in hosts if other < judged_host) < count
 
     def rank(self, now: Moment) -> HostRank:
         """Return this host's rank among the hosts that share a bound.
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -12,6 +12,7 @@
 )
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._cold_limit import SharedBounds
+from figshunt.dispatch._crash_filter import RefusalsView
 from figshunt.dispatch._effects import AnswerAbort, BroadcastStatus
 from figshunt.dispatch._fleet_model import FleetModel, estimate_demand
 from figshunt.dispatch._held_calls import HeldCalls
@@ -43,7 +44,7 @@
     RunnerModel,
     RunningAttempt,
 )
-from figshunt.pipeline import Output
+from figshunt.pipeline import Feedback, Output
 from figshunt.types import (
     AttemptId,
     DataCentreName,
@@ -128,11 +129,13 @@
         self,
         directory: DirectoryView,
         peers: PeersView,
+        refusals: RefusalsView,
         data_centre: DataCentreName,
         bounds: SharedBounds,
         random_source: random.Random,
     ) -> None:
         self._directory = directory
+        self._refusals = refusals
         self._data_centre = data_centre
         self._random = random_source
         self._fleet = FleetModel(directory, peers, bounds)
@@ -228,6 +231,8 @@
             yield from self._hold_for_room(routed, now)
             return
         self._held_calls.release(routed.call_id)
+        if routed.trial is not None:
+            candidates = _least_occupied(candidates, estimates)
         lowest_cost = min(estimates[runner.runner_id].cost for runner in candidates)
         cheapest_runners = [
             runner
@@ -504,6 +509,10 @@
         for held_call in self._held_calls.in_order(now.monotonic_ms):
             routed = held_call.routed
             has_time = now.monotonic_ms < held_call.until_ms
+            if routed.trial is None and self._refusals.refuses(routed.call):
+                self._held_calls.release(routed.call_id)
+                yield Feedback(CallAdmitted(routed))
+                continue
             if routed.pool in full_pools and has_time:
                 continue
             yield from self._place(routed, now)
@@ -511,6 +520,16 @@
                 full_pools.add(routed.pool)
 
 
+def _least_occupied(
+    runners: list[PublishedRunner], estimates: Mapping[RunnerId, Estimate]
+) -> list[PublishedRunner]:
+    """Return the runners whose crash would harm the fewest requests."""
+    fewest = min(estimates[runner.runner_id].streams for runner in runners)
+    return [
+        runner for runner in runners if estimates[runner.runner_id].streams == fewest
+    ]
+
+
 def _without_harmful(
     routed: RoutedCall,
     runners: list[PublishedRunner],
--- a/figshunt/dispatch/_retry_policy.py
+++ b/figshunt/dispatch/_retry_policy.py
@@ -43,7 +43,7 @@
     def may_retry(self, routed: RoutedCall, now: Moment) -> bool:
         """Return whether a request that may have run may be sent again."""
         repeatability = routed.route.repeatability
-        if repeatability is Repeatability.RUN_ONCE:
+        if repeatability is Repeatability.RUN_ONCE or routed.trial is not None:
             return False
         if routed.answer_started and repeatability is not Repeatability.RESUMABLE:
             return False
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -272,6 +272,7 @@
             revision=self.items.revision,
             can_read_store=self.items.is_available(ItemOrigin.STORE),
             data_centre=self._settings.data_centre,
+            suspects_digest=self.core.crashes.digest,
         )
 
     def _run_due_timers(self) -> None:
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -10,7 +10,6 @@
 
 from figshunt.dispatch import (
     BroadcastStatus,
-    CrashReport,
     HostStatus,
     OccupancyNotice,
     PeerStatusReceived,
@@ -18,6 +17,7 @@
     QueueNotice,
     SilenceNotice,
     Suspect,
+    SuspectReport,
 )
 from figshunt.exchange import Outgoing, StatusExchange
 from figshunt.gateway._status_codec import decode_bundle, encode_bundle
@@ -69,9 +69,7 @@
         self._random = random_source
         self._bad_datagram_limit = LogRateLimit(clock, BAD_DATAGRAM_LOG_INTERVAL_MS)
         self._placements: list[PlacementNotice] = []
-        self._crash_reports: list[CrashReport] = []
-        self._quarantined: list[Suspect] = []
-        self._cleared: list[Suspect] = []
+        self._suspects_by_key: dict[Suspect, SuspectReport] = {}
         self._queues_by_runner: dict[RunnerId, QueueNotice] = {}
         self._silences_by_runner: dict[RunnerId, SilenceNotice] = {}
         self._occupancies_by_runner: dict[tuple[RunnerId, int], OccupancyNotice] = {}
@@ -106,9 +104,9 @@
     def schedule_notices(self, effect: BroadcastStatus) -> None:
         """Add notices to the next batch."""
         self._placements.extend(effect.placements)
-        self._crash_reports.extend(effect.crash_reports)
-        self._quarantined.extend(effect.quarantined)
-        self._cleared.extend(effect.cleared)
+        self._suspects_by_key.update(
+            (report.suspect, report) for report in effect.suspects
+        )
         self._queues_by_runner.update(
             (notice.runner_id, notice) for notice in effect.queues
         )
@@ -206,17 +204,13 @@
         """Return the queued notices by the names of their fields."""
         pending: dict[str, list[Any]] = {
             "placements": self._placements,
-            "crash_reports": self._crash_reports,
-            "quarantined": self._quarantined,
-            "cleared": self._cleared,
+            "suspects": list(self._suspects_by_key.values()),
             "queues": list(self._queues_by_runner.values()),
             "silences": list(self._silences_by_runner.values()),
             "occupancies": list(self._occupancies_by_runner.values()),
         }
         self._placements = []
-        self._crash_reports = []
-        self._quarantined = []
-        self._cleared = []
+        self._suspects_by_key = {}
         self._queues_by_runner = {}
         self._silences_by_runner = {}
         self._occupancies_by_runner = {}
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -1,6 +1,5 @@
 """CBOR encoding of the datagrams between hosts."""
 
-from collections.abc import Sequence
 from ipaddress import ip_address
 from typing import Any
 
@@ -8,7 +7,7 @@
 
 from figshunt.dispatch import (
     PRIORITY_LEVELS,
-    CrashReport,
+    CrashAge,
     HostStatus,
     OccupancyNotice,
     PartId,
@@ -18,11 +17,12 @@
     SilenceNotice,
     Suspect,
     SuspectKind,
+    SuspectReport,
 )
 from figshunt.exchange import Bundle, BundlePurpose
 from figshunt.types import DataCentreName, Fingerprint, HostName, RunnerId
 
-STATUS_FORMAT = 4
+STATUS_FORMAT = 5
 
 
 def encode_bundle(bundle: Bundle) -> bytes:
@@ -74,26 +74,21 @@
         status.data_centre,
         status.known_hosts,
         [_encode_placement(notice) for notice in status.placements],
-        [
-            [*_encode_suspect(report.suspect), report.crash, report.age_ms]
-            for report in status.crash_reports
-        ],
+        [_encode_suspect(report) for report in status.suspects],
         [[notice.runner_id, notice.backlog_ms] for notice in status.queues],
         [[notice.runner_id, notice.exclusion_ms] for notice in status.silences],
         [
             [notice.runner_id, notice.priority, notice.requests, notice.tokens]
             for notice in status.occupancies
         ],
-        [_encode_suspect(suspect) for suspect in status.quarantined],
-        [_encode_suspect(suspect) for suspect in status.cleared],
+        status.suspects_digest,
     ]
 
 
 def _decode_status(fields: list[Any]) -> HostStatus:
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
-    placements, crash_reports, queues, silences, occupancies, *suspects = notices
-    quarantined, cleared = suspects
+    placements, suspects, queues, silences, occupancies, suspects_digest = notices
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -104,10 +99,7 @@
         data_centre=DataCentreName(str(data_centre)),
         known_hosts=int(known_hosts),
         placements=tuple(_decode_placement(entry) for entry in placements),
-        crash_reports=tuple(
-            CrashReport(_decode_suspect((kind, fingerprint)), str(crash), int(age_ms))
-            for kind, fingerprint, crash, age_ms in crash_reports
-        ),
+        suspects=tuple(_decode_suspect(entry) for entry in suspects),
         queues=tuple(
             QueueNotice(RunnerId(str(runner_id)), int(backlog_ms))
             for runner_id, backlog_ms in queues
@@ -125,8 +117,7 @@
             )
             for runner_id, priority, requests, tokens in occupancies
         ),
-        quarantined=tuple(_decode_suspect(entry) for entry in quarantined),
-        cleared=tuple(_decode_suspect(entry) for entry in cleared),
+        suspects_digest=int(suspects_digest),
     )
 
 
@@ -137,13 +128,33 @@
     return level
 
 
-def _encode_suspect(suspect: Suspect) -> list[str]:
-    return [suspect.kind.value, suspect.fingerprint]
+def _encode_suspect(report: SuspectReport) -> list[Any]:
+    return [
+        report.suspect.kind.value,
+        report.suspect.fingerprint,
+        report.depth,
+        [[crash.process, crash.age_ms] for crash in report.crashes],
+        report.successes,
+        report.passed_trials,
+        report.failed_trials,
+        report.trial_age_ms,
+    ]
 
 
-def _decode_suspect(fields: Sequence[Any]) -> Suspect:
-    kind, fingerprint = fields
-    return Suspect(SuspectKind(kind), Fingerprint(str(fingerprint)))
+def _decode_suspect(fields: list[Any]) -> SuspectReport:
+    kind, fingerprint, depth, crashes, *counts = fields
+    successes, passed_trials, failed_trials, trial_age_ms = counts
+    return SuspectReport(
+        suspect=Suspect(SuspectKind(kind), Fingerprint(str(fingerprint))),
+        depth=int(depth),
+        crashes=tuple(
+            CrashAge(str(process), int(age_ms)) for process, age_ms in crashes
+        ),
+        successes=int(successes),
+        passed_trials=int(passed_trials),
+        failed_trials=int(failed_trials),
+        trial_age_ms=None if trial_age_ms is None else int(trial_age_ms),
+    )
 
 
 def _encode_placement(notice: PlacementNotice) -> list[Any]:
--- a/figshunt/runtime/_metrics.py
+++ b/figshunt/runtime/_metrics.py
@@ -19,6 +19,7 @@
     "answers": ("route",),
     "repeats": ("route",),
     "refusals": ("code", "step"),
+    "trials": ("result",),
 }
 HELP_BY_COUNTER = {
     "requests": "Requests that ended, by route and result.",
@@ -29,6 +30,7 @@
     "answers": "Answers of runners that were given to callers, by route.",
     "repeats": "Requests sent to a further runner, by route.",
     "refusals": "Requests answered with an error of this host.",
+    "trials": "Requests sent to try a refused content or prompt part, by result.",
 }
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.45, 0.9, 2, 5, 10, 30, 60)
 
--- a/tests/dispatch/test_crash_fleet.py
+++ b/tests/dispatch/test_crash_fleet.py
@@ -1,10 +1,12 @@
 """Hosts together bound what a request that crashes its runners can do."""
 
+import random
 import unittest
 
 from figshunt.dispatch import Call
 from tests.dispatch.crash_fleet import (
     MAX_LATE_REQUESTS,
+    WINDOW_MS,
     CrashFleet,
     FleetRunner,
     has_part,
@@ -12,6 +14,13 @@
 
 CRASH_MS = 100
 
+# A sound part that several causes made suspect is served again within twice the
+# users' window.
+MAX_WRONG_REFUSAL_MS = 2 * WINDOW_MS
+
+# The first trials come 1 s and 2 s after the crash before, the third a minute later.
+MAX_TRIALS_IN_20_S = 2
+
 
 def crash_on_content(call: Call, runner: FleetRunner) -> int | None:
     return CRASH_MS if call.fingerprint == "deadly" else None
@@ -26,6 +35,43 @@
     return CRASH_MS if has_part(call, "deadly") else None
 
 
+def run_drawn_scenario(seed: int) -> tuple[CrashFleet, list[str]]:
+    """Play 30 s of a fleet with causes and disturbances drawn from a seed."""
+    rng = random.Random(seed)
+    causes = rng.sample(["content-1", "content-2", "part-1"], rng.randint(1, 3))
+    crash_ms = rng.choice([5, 100, 280, 2_000])
+
+    def crash_on_causes(call: Call, runner: FleetRunner) -> int | None:
+        parts = call.prompt.parts if call.prompt else ()
+        found = {call.fingerprint, *(part.part_id for part in parts)}
+        return crash_ms if found.intersection(causes) else None
+
+    fleet = CrashFleet(crash_on_causes, hosts=rng.choice([2, 4, 8]), seed=seed)
+    fleet.loss_share = rng.choice([0.0, 0.03, 0.3])
+    disturbances = {
+        rng.randrange(60): rng.choice(["store", "cut", "restart"]) for _ in range(3)
+    }
+    for step in range(60):
+        match disturbances.get(step):
+            case "store":
+                fleet.set_store(False)
+            case "cut":
+                fleet.cut_hosts = {rng.choice(fleet.hosts)}
+            case "restart":
+                fleet.start_host(rng.choice(fleet.hosts))
+        if step % 10 == 9:
+            fleet.set_store(True)
+            fleet.cut_hosts = set()
+        cause = rng.choice(causes)
+        route = rng.choice(["note", "chat"])
+        content = cause if cause.startswith("content") else f"x{step}"
+        fleet.call(content, "shared", cause, route=route)
+        for number in range(4):
+            fleet.call(f"sound-{step}-{number}", "shared", route=route)
+            fleet.run(125)
+    return fleet, causes
+
+
 class CrashFleetTest(unittest.TestCase):
     """Guards against crashes that don't add up over hosts and time."""
 
@@ -94,6 +140,63 @@
                 self.send_for(fleet, 30, per_s=3)
                 self.assertLessEqual(fleet.late_contents("deadly"), MAX_LATE_REQUESTS)
 
+    def test_host_that_missed_all_datagrams_learns_what_is_refused(self) -> None:
+        """The others hear its status, which shows that it knows something else."""
+        fleet = CrashFleet(crash_on_content)
+        deaf_host = fleet.hosts[-1]
+        fleet.cut_hosts = {deaf_host}
+        for host in fleet.hosts[:2]:
+            fleet.call("deadly", host=host)
+            fleet.run(200)
+        fleet.run(1_500)
+        fleet.cut_hosts = set()
+        fleet.run(1_500)
+        arrivals = len(fleet.arrivals)
+        fleet.call("deadly", host=deaf_host)
+        self.assertEqual(arrivals, len(fleet.arrivals))
+
+    def test_sound_part_of_deadly_contents_is_served_again(self) -> None:
+        """Two contents crash runners, so that more crashes speak against the part."""
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                fleet = CrashFleet(crash_on_content, seed=seed)
+                self.crash_by_two_contents(fleet)
+                since_ms = fleet.now_ms + MAX_WRONG_REFUSAL_MS
+                for number in range(60):
+                    fleet.call(f"sound-{number}", "shared")
+                    fleet.run(300)
+                self.assertEqual([], fleet.refused_since(since_ms, without="deadly"))
+
+    def crash_by_two_contents(self, fleet: CrashFleet) -> None:
+        fleet.crasher = lambda call, runner: (
+            CRASH_MS if call.fingerprint.startswith("deadly") else None
+        )
+        for number in range(3):
+            for content in ("deadly", "deadly-too"):
+                fleet.call(content, "shared", host=fleet.hosts[number])
+                fleet.run(500)
+
+    def test_part_is_tried_by_one_host_at_a_time(self) -> None:
+        fleet = CrashFleet(crash_on_part, hosts=8)
+        for number in range(4):
+            fleet.call(f"x{number}", "shared", "deadly", host=fleet.hosts[number])
+            fleet.run(1_000)
+        crashes = len(fleet.crashes)
+        for number in range(200):
+            for host in fleet.hosts:
+                fleet.call(f"y{number}-{host}", "shared", "deadly", host=host)
+            fleet.run(100)
+        self.assertLessEqual(len(fleet.crashes) - crashes, MAX_TRIALS_IN_20_S)
+
+    def test_drawn_causes_and_disturbances(self) -> None:
+        """Contents and parts crash runners while hosts, links and the store fail."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                fleet, causes = run_drawn_scenario(seed)
+                for cause in causes:
+                    late = max(fleet.late_contents(cause), fleet.late_parts(cause))
+                    self.assertLessEqual(late, MAX_LATE_REQUESTS)
+
 
 if __name__ == "__main__":
     unittest.main()
