Limit the memory for incomplete heads, events and bodies of all answers together

What callers saw: runners in trouble that send bytes without end make a host exceed its memory, and all its other requests end with it. Cause: each head and each event may take 512 KiB, and only complete answers had a limit for all together. Buffers take several times the bytes: the event loop allocates 256 KiB for each read, and a growing buffer is moved over the heap again and again. Change: ReceiveBudget counts what connections to runners hold, of heads, events and bodies alike, 16 MiB in all; beyond that none may exceed an equal share. The caller's task gives bytes back once it has dropped them. Connections read 32 KiB at once, and events and bodies are kept in the chunks in which they came. The cell's client has the same budget. AnswerBuffers is replaced; its two tests are kept for the budget, the one of the single answer now through a connection.

--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -17,7 +17,6 @@
     ReplyStarted,
     StartCallAttempt,
 )
-from figshunt.gateway._answer_buffers import MAX_ANSWER_BYTES, AnswerBuffers
 from figshunt.gateway._codecs import CallCodec
 from figshunt.gateway._runner_channels import Channel, ChannelPool
 from figshunt.runtime import (
@@ -25,6 +24,7 @@
     EventStreamReader,
     MessageSink,
     OversizedResponseError,
+    ReceiveBudget,
     allow_body,
     attach_comments,
 )
@@ -35,6 +35,9 @@
 
 EXPIRY_CHECK_INTERVAL_S = 2.0
 
+# As large as the largest request body that the front listener accepts.
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
 # After so many events of one stream other calls are served, and the stream ends if the
 # core has cancelled it. One read may contain tens of thousands of short events.
 EVENTS_PER_TURN = 32
@@ -47,8 +50,7 @@
         super().__init__()
         self._codec = codec
         self._message_sink = message_sink
-        self._channels = ChannelPool()
-        self._answer_buffers = AnswerBuffers()
+        self._channels = ChannelPool(ReceiveBudget())
         self._tasks_by_attempt: dict[AttemptId, asyncio.Task[None]] = {}
         self._expiry_task: asyncio.Task[None] | None = None
 
@@ -138,23 +140,15 @@
         if head.is_stream:
             await self._read_events(attempt, channel, head, response)
             return head
-        body = await self._read_body(attempt, response)
+        body = await self._read_body(response)
         self._check_not_reset(channel, head)
         self._message_sink.submit(ReplyComplete(attempt.attempt_id, head, body))
         return head
 
-    async def _read_body(
-        self, attempt: StartCallAttempt, response: aiohttp.ClientResponse
-    ) -> bytes:
+    async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
         allow_body(response, MAX_ANSWER_BYTES)
-        body = bytearray()
-        try:
-            async for data in response.content.iter_any():
-                self._answer_buffers.grow(attempt.attempt_id, len(data))
-                body += data
-        finally:
-            self._answer_buffers.release(attempt.attempt_id)
-        return bytes(body)
+        chunks = [data async for data in response.content.iter_any()]
+        return b"".join(chunks)
 
     async def _read_events(
         self,
--- a/figshunt/gateway/_runner_channels.py
+++ b/figshunt/gateway/_runner_channels.py
@@ -7,7 +7,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
-from figshunt.runtime import BoundedConnector
+from figshunt.runtime import BoundedConnector, ReceiveBudget
 
 # Runners accept connections within a few ms, and TCP retransmits a lost first
 # packet only after a second. After this timeout there is still time to try another
@@ -43,14 +43,15 @@
 class Channel:
     """One connection to a runner, opened with its first request."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, budget: ReceiveBudget) -> None:
         self.address = address
         self.is_used = False
         self.expires_s = 0.0
         self._protocol: ResponseHandler | None = None
+        self._share = budget.open_share()
         self._session = aiohttp.ClientSession(
             connector=BoundedConnector(
-                limit=1, keepalive_timeout=IDLE_TIMEOUT_S + 5, force_close=False
+                self._share, keepalive_timeout=IDLE_TIMEOUT_S + 5, force_close=False
             ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             response_class=ChannelResponse,
@@ -99,15 +100,21 @@
             protocol.exception(), aiohttp.ClientOSError
         )
 
+    def release_received(self) -> None:
+        """Give what was received back to the budget, as it has been passed on."""
+        self._share.release()
+
     async def close(self) -> None:
-        """Close the connection."""
+        """Close the connection, after its last response was dropped."""
+        self.release_received()
         await self._session.close()
 
 
 class ChannelPool:
     """Idle channels by runner address; the most recently used is reused first."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: ReceiveBudget) -> None:
+        self._budget = budget
         self._idle_by_address: dict[str, list[Channel]] = {}
 
     async def acquire(self, address: str) -> Channel:
@@ -118,11 +125,12 @@
             if channel.is_reusable:
                 return channel
             await channel.close()
-        return Channel(address)
+        return Channel(address, self._budget)
 
     async def release(self, channel: Channel) -> None:
         """Keep a channel whose response is complete for reuse, or close it."""
         idle_channels = self._idle_by_address.setdefault(channel.address, [])
+        channel.release_received()
         if channel.is_reusable and len(idle_channels) < MAX_IDLE_CHANNELS:
             idle_channels.append(channel)
         else:
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -2,6 +2,7 @@
 
 from figshunt.runtime._bounded_connector import (
     BoundedConnector,
+    BoundedResponseHandler,
     OversizedResponseError,
     allow_body,
 )
@@ -23,11 +24,17 @@
 from figshunt.runtime._log_rate_limit import LogRateLimit
 from figshunt.runtime._message_sink import MessageSink
 from figshunt.runtime._metrics import Metrics
+from figshunt.runtime._receive_budget import (
+    MAX_RECEIVED_BYTES,
+    ReceiveBudget,
+    ReceiveShare,
+)
 from figshunt.runtime._unexpected_error_log import UnexpectedErrorLog
 from figshunt.runtime._wake_timer import WakeTimer
 
 __all__ = [
     "BoundedConnector",
+    "BoundedResponseHandler",
     "EventBatch",
     "EventLog",
     "EventStreamReader",
@@ -35,9 +42,12 @@
     "LogOutput",
     "LogRateLimit",
     "MAX_EVENT_BYTES",
+    "MAX_RECEIVED_BYTES",
     "MessageSink",
     "Metrics",
     "OversizedResponseError",
+    "ReceiveBudget",
+    "ReceiveShare",
     "ServerSentEvent",
     "UnexpectedErrorLog",
     "WakeTimer",
--- a/figshunt/runtime/_bounded_connector.py
+++ b/figshunt/runtime/_bounded_connector.py
@@ -8,11 +8,17 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http_exceptions import HttpProcessingError
 
+from figshunt.runtime._receive_budget import ReceiveShare
+
 # Limit for a response's head. It exceeds the most that the event loop reads at
 # once, which may contain the start of the body as well.
 MAX_HEAD_BYTES = 512 * 1024
 
 
+# The most that is read from a connection at once.
+MAX_READ_BYTES = 32 * 1024
+
+
 class OversizedResponseError(aiohttp.ClientPayloadError):
     """A server sent more of a body than is allowed."""
 
@@ -22,26 +28,42 @@
 
     The HTTP library limits the lines and the number of the headers, but neither
     what may come before and between them nor the size of a body. All bytes count,
-    including those of the framing.
+    including those of the framing. They also count towards the connection's share of
+    a budget, from which the owner of the share takes them.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, share: ReceiveShare) -> None:
         super().__init__(loop)
+        self._share = share
         self._allowed_bytes = MAX_HEAD_BYTES
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Let the transport read less at once than by default.
+
+        It allocates as much for each read, and what it keeps of that is scattered
+        over the heap.
+        """
+        setattr(transport, "max_size", MAX_READ_BYTES)
+        super().connection_made(transport)
+
     def allow(self, max_bytes: int) -> None:
-        """Allow ``max_bytes`` more, instead of what was still allowed before."""
+        """Allow ``max_bytes`` more, instead of what was still allowed before.
+
+        What was received so far has been passed on.
+        """
         self._allowed_bytes = max_bytes
+        self._share.release()
 
     def set_response_params(self, **params: Any) -> None:
         """Prepare for the response to the next request."""
-        self._allowed_bytes = MAX_HEAD_BYTES
+        self.allow(MAX_HEAD_BYTES)
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
         """Parse the data, or fail the response if it exceeds what is allowed."""
         self._allowed_bytes -= len(data)
-        if self._allowed_bytes >= 0:
+        has_room = self._share.try_grow(len(data))
+        if self._allowed_bytes >= 0 and has_room:
             super().data_received(data)
             return
         detail = "server sent more than is allowed"
@@ -53,12 +75,16 @@
 
 
 class BoundedConnector(aiohttp.TCPConnector):
-    """A connector whose connections are :class:`BoundedResponseHandler` objects."""
+    """A connector for one :class:`BoundedResponseHandler` at a time.
+
+    :param share: what its connections may hold; the caller releases it once it has
+        dropped what it received.
+    """
 
-    def __init__(self, **options: Any) -> None:
-        super().__init__(**options)
+    def __init__(self, share: ReceiveShare, **options: Any) -> None:
+        super().__init__(limit=1, **options)
         factory: functools.partial[Any] = functools.partial(
-            BoundedResponseHandler, loop=self._loop
+            BoundedResponseHandler, loop=self._loop, share=share
         )
         self._factory = factory
 
--- a/figshunt/runtime/_event_stream.py
+++ b/figshunt/runtime/_event_stream.py
@@ -31,26 +31,33 @@
 
 
 class EventStreamReader:
-    """Splits a byte stream into events."""
+    """Splits a byte stream into events.
+
+    Bytes are kept as they were received, since a growing buffer that is moved again
+    and again would need several times its size on the heap.
+    """
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._chunks: list[bytes] = []
 
     @property
     def pending_bytes(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return bytes(self._buffer)
+        return b"".join(self._chunks)
 
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
         """Append bytes and yield each event that they complete."""
         # What was received before contains no terminator except for its start.
-        search_start = max(0, len(self._buffer) - len(EVENT_TERMINATOR) + 1)
-        self._buffer += data
-        while (end := self._buffer.find(EVENT_TERMINATOR, search_start)) >= 0:
-            raw = bytes(self._buffer[: end + len(EVENT_TERMINATOR)])
-            del self._buffer[: len(raw)]
-            search_start = 0
-            yield _parse_event(raw)
+        previous_end = self._chunks[-1][-1:] if self._chunks else b""
+        if data:
+            self._chunks.append(data)
+        if EVENT_TERMINATOR not in previous_end + data:
+            return
+        buffer = self.pending_bytes
+        *events, rest = buffer.split(EVENT_TERMINATOR)
+        self._chunks = [rest] if rest else []
+        for event in events:
+            yield _parse_event(event + EVENT_TERMINATOR)
 
 
 def attach_comments(events: Iterable[ServerSentEvent]) -> Iterator[ServerSentEvent]:
--- /dev/null
+++ b/figshunt/runtime/_receive_budget.py
@@ -0,0 +1,54 @@
+"""Limits the memory for what servers have sent and this process hasn't passed on."""
+
+# Limit for incomplete heads, events and bodies of all connections together, about a
+# tenth of the memory of the smallest known hosts. Buffers and parsers take several
+# times the bytes themselves.
+MAX_RECEIVED_BYTES = 16 * 1024 * 1024
+
+
+class ReceiveBudget:
+    """Counts the bytes that connections hold.
+
+    While all connections together exceed the limit, none may grow beyond an equal
+    share of it. Small answers are thus received even while servers in trouble send
+    bytes without end.
+    """
+
+    def __init__(self, max_bytes: int = MAX_RECEIVED_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self.held_bytes = 0
+        self.holders = 0
+
+    def open_share(self) -> "ReceiveShare":
+        """Return the share of one more connection, which holds nothing yet."""
+        return ReceiveShare(self)
+
+    def has_room(self, size_bytes: int) -> bool:
+        """Return whether one of the holders may hold so much."""
+        return (
+            self.held_bytes <= self._max_bytes
+            or size_bytes <= self._max_bytes // max(1, self.holders)
+        )
+
+
+class ReceiveShare:
+    """What one connection holds of a budget."""
+
+    def __init__(self, budget: ReceiveBudget) -> None:
+        self._budget = budget
+        self._size_bytes = 0
+
+    def try_grow(self, added_bytes: int) -> bool:
+        """Count bytes that were received and return whether they may be held."""
+        if not self._size_bytes and added_bytes:
+            self._budget.holders += 1
+        self._size_bytes += added_bytes
+        self._budget.held_bytes += added_bytes
+        return self._budget.has_room(self._size_bytes)
+
+    def release(self) -> None:
+        """Forget the bytes, which were passed on or dropped."""
+        if self._size_bytes:
+            self._budget.holders -= 1
+        self._budget.held_bytes -= self._size_bytes
+        self._size_bytes = 0
--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -11,6 +11,8 @@
     BoundedConnector,
     EventStreamReader,
     MessageSink,
+    ReceiveBudget,
+    ReceiveShare,
     allow_body,
     join_events,
 )
@@ -45,23 +47,13 @@
     def __init__(self, message_sink: MessageSink) -> None:
         super().__init__()
         self._message_sink = message_sink
-        self._session: aiohttp.ClientSession | None = None
+        self._receive_budget = ReceiveBudget()
         self._tasks_by_attempt: dict[AttemptId, asyncio.Task[None]] = {}
 
-    async def on_start(self) -> None:
-        """Open the client session."""
-        self._session = aiohttp.ClientSession(
-            connector=BoundedConnector(limit=0, force_close=True),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-            auto_decompress=False,
-        )
-
     async def on_stop(self) -> None:
-        """Cancel the attempts in flight and close the session."""
+        """Cancel the attempts in flight."""
         for task in tuple(self._tasks_by_attempt.values()):
             task.cancel()
-        if self._session is not None:
-            await self._session.close()
 
     def start_attempt(self, effect: StartAttempt) -> None:
         """Send an attempt in a task of its own."""
@@ -79,9 +71,13 @@
 
     async def _run_attempt(self, effect: StartAttempt) -> None:
         attempt_id = effect.attempt_id
+        share = self._receive_budget.open_share()
         try:
-            async with asyncio.timeout(effect.timeout_ms / 1000):
-                await self._send_request(effect)
+            async with (
+                asyncio.timeout(effect.timeout_ms / 1000),
+                _open_session(share) as session,
+            ):
+                await self._send_request(session, effect)
         except aiohttp.ClientConnectorError as error:
             self._submit_unreachable(effect, ColdEvidence.CONNECTION_REFUSED)
             self._submit_failure(
@@ -100,12 +96,15 @@
             self._submit_failure(
                 attempt_id, AttemptFailure.PROTOCOL, _MAY_HAVE_ARRIVED, error
             )
+        finally:
+            share.release()
 
-    async def _send_request(self, effect: StartAttempt) -> None:
-        assert self._session is not None
+    async def _send_request(
+        self, session: aiohttp.ClientSession, effect: StartAttempt
+    ) -> None:
         request = effect.request
         url = URL(effect.url + request.path, encoded=True)
-        async with self._session.request(
+        async with session.request(
             request.method,
             url,
             data=request.body or None,
@@ -189,6 +188,15 @@
 _MAY_HAVE_ARRIVED = SendState.MAY_HAVE_ARRIVED
 
 
+def _open_session(share: ReceiveShare) -> aiohttp.ClientSession:
+    """Return a session for one request on a connection of its own."""
+    return aiohttp.ClientSession(
+        connector=BoundedConnector(share, force_close=True),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        auto_decompress=False,
+    )
+
+
 def _build_headers(effect: StartAttempt) -> dict[str, str]:
     headers = {
         "Content-Type": effect.request.content_type,
--- a/figshunt/standins/_endless_runner.py
+++ b/figshunt/standins/_endless_runner.py
@@ -13,15 +13,24 @@
     """Answers each request with ``start``, then repeats ``repeated`` without end.
 
     It stops when the peer closes the connection.
+
+    :param pause_s: time between two writes of ``write_bytes``.
     """
 
-    def __init__(self, start: bytes, repeated: bytes) -> None:
+    def __init__(
+        self,
+        start: bytes,
+        repeated: bytes,
+        pause_s: float = 0.0,
+        write_bytes: int = WRITE_BYTES,
+    ) -> None:
         super().__init__()
         self.port = 0
         self.sent_bytes = 0
         self.open_connections = 0
         self._start = start
-        self._repeated = repeated * max(1, WRITE_BYTES // len(repeated))
+        self._repeated = repeated * max(1, write_bytes // len(repeated))
+        self._pause_s = pause_s
         self._server: asyncio.Server | None = None
 
     @property
@@ -51,7 +60,7 @@
                 await writer.drain()
                 self.sent_bytes += len(self._repeated)
                 # Lets the peer run, which shares the event loop in tests.
-                await asyncio.sleep(0)
+                await asyncio.sleep(self._pause_s)
         except (OSError, asyncio.IncompleteReadError):
             pass
         except asyncio.CancelledError:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -1,5 +1,6 @@
 """Answers of runners in trouble that never end."""
 
+import asyncio
 import unittest
 
 from figshunt.dispatch import (
@@ -8,14 +9,17 @@
     ReplyEvent,
     StartCallAttempt,
 )
-from figshunt.gateway._answer_buffers import (
+from figshunt.gateway._runner_caller import (
+    EVENTS_PER_TURN,
     MAX_ANSWER_BYTES,
-    MAX_BUFFERED_BYTES,
-    AnswerBuffers,
-    AnswerTooLargeError,
+    RunnerCaller,
 )
-from figshunt.gateway._runner_caller import EVENTS_PER_TURN, RunnerCaller
 from figshunt.platform import PlatformCallCodec
+from figshunt.runtime import (
+    MAX_RECEIVED_BYTES,
+    BoundedResponseHandler,
+    ReceiveBudget,
+)
 from figshunt.standins import EndlessRunner
 from figshunt.types import AttemptFailure, AttemptId, CancelReason, RunnerId
 from tests.builders import MAX_ENDLESS_BYTES, build_call, build_endless_answers
@@ -75,25 +79,38 @@
         )
 
 
-class AnswerBuffersTest(unittest.TestCase):
+class ReceiveBudgetTest(unittest.IsolatedAsyncioTestCase):
     """Guards against many endless answers that together take all memory."""
 
     def test_small_answers_are_received_beside_endless_ones(self) -> None:
-        buffers = AnswerBuffers()
-        answers = MAX_BUFFERED_BYTES // MAX_ANSWER_BYTES * 2
-        for number in range(answers):
-            buffers.grow(AttemptId(f"endless-{number}"), MAX_ANSWER_BYTES // 2)
-        buffers.grow(AttemptId("small"), 1_000)
-        with self.assertRaises(AnswerTooLargeError):
-            buffers.grow(AttemptId("endless-0"), 1_000)
-        buffers.release(AttemptId("endless-0"))
-        buffers.grow(AttemptId("endless-1"), 1_000)
+        budget = ReceiveBudget()
+        answers = MAX_RECEIVED_BYTES // MAX_ANSWER_BYTES * 2
+        endless = [budget.open_share() for _ in range(answers)]
+        for share in endless:
+            share.try_grow(MAX_ANSWER_BYTES // 2)
+        self.assertTrue(budget.open_share().try_grow(1_000))
+        self.assertFalse(endless[0].try_grow(1_000))
+        endless[0].release()
+        self.assertTrue(endless[1].try_grow(1_000))
+
+    async def test_single_answer_is_limited(self) -> None:
+        share = ReceiveBudget(2 * MAX_ANSWER_BYTES).open_share()
+        handler = BoundedResponseHandler(asyncio.get_running_loop(), share)
+        handler.allow(MAX_ANSWER_BYTES)
+        handler.data_received(b"x" * MAX_ANSWER_BYTES)
+        self.assertIsNone(handler.exception())
+        handler.data_received(b"x")
+        self.assertIsNotNone(handler.exception())
 
-    def test_single_answer_is_limited(self) -> None:
-        buffers = AnswerBuffers()
-        buffers.grow(AttemptId("a"), MAX_ANSWER_BYTES)
-        with self.assertRaises(AnswerTooLargeError):
-            buffers.grow(AttemptId("a"), 1)
+    async def test_bytes_are_given_back_once_they_were_passed_on(self) -> None:
+        budget = ReceiveBudget()
+        share = budget.open_share()
+        handler = BoundedResponseHandler(asyncio.get_running_loop(), share)
+        for release in (share.release, lambda: handler.allow(1_000)):
+            handler.data_received(b"x" * 100)
+            self.assertEqual((100, 1), (budget.held_bytes, budget.holders))
+            release()
+            self.assertEqual((0, 0), (budget.held_bytes, budget.holders))
 
 
 if __name__ == "__main__":
