Try a content that was never served only after a minute

What callers saw: nothing new; each trial of a content that crashes its runners ends one more runner with all that runs there. Cause: a content concerns few callers, and one that was never served is most probably the cause of its crashes, yet it was tried 8 s after the last one.

--- a/figshunt/dispatch/_suspect_record.py
+++ b/figshunt/dispatch/_suspect_record.py
@@ -32,7 +32,8 @@
 # How long after the last crash a suspect is tried. Each failed trial leads to the next
 # of these delays, so that trials crash few runners in all. So does each crash that was
 # not needed to refuse a part, if at least this share of its runs crashed. A content
-# concerns few callers, so that each of its trials and crashes does.
+# concerns few callers, so that each of its trials and crashes does, and that it was
+# never served.
 TRIAL_DELAYS_MS_BY_KIND = {
     SuspectKind.CONTENT: (8_000, 64_000, 512_000, 4_096_000),
     SuspectKind.PART: (1_000, 2_000, 64_000, 512_000, 4_096_000),
@@ -166,6 +167,8 @@
         reasons = self.ended_trials if is_content else self.failed_trials
         if is_content or self.crash_share >= PROBABLE_CRASH_SHARE:
             reasons += max(0, self.charged_crashes - CRASHES_BY_KIND[self.kind])
+        if is_content and not self.successes:
+            reasons += 1
         delays_ms = TRIAL_DELAYS_MS_BY_KIND[self.kind]
         delay_ms = delays_ms[min(reasons, len(delays_ms) - 1)]
         due_ms = self.last_crash_ms + delay_ms
