Limit what a host receives from the store and from readers of its copy

What callers saw: nothing yet; found while looking for other readers after the report of bytes without end. Cause: the store's responses had no limit but their timeout, and a peer that reads the copy of published items could send 16 MiB a message, of which several are queued, to a host that reads none of them. Change: 16 MiB for a response of the store, 1 KiB for a message of a reader. The cell's readers of load reports have the library's limit for a line.

--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -22,6 +22,9 @@
 # A published value has at most 1 MB, but a copy of all items may have several.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
+# A reader sends nothing, so that what a listener receives is bounded like this.
+MAX_READER_MESSAGE_BYTES = 1_024
+
 # Without changes a mirror sends an empty message this often, which confirms that it
 # can still read the store.
 HEARTBEAT_S = 0.5
@@ -66,7 +69,8 @@
             self._address.ip,
             self._address.port,
             compression=None,
-            max_size=MAX_MESSAGE_BYTES,
+            max_size=MAX_READER_MESSAGE_BYTES,
+            max_queue=1,
             ping_interval=None,
             close_timeout=CONNECT_TIMEOUT_S,
         )
--- a/figshunt/platform/_store_client.py
+++ b/figshunt/platform/_store_client.py
@@ -10,6 +10,7 @@
 from figshunt.directory import PublishedItem
 from figshunt.gateway import Address, HistoryLostError, Listing, SourceError
 from figshunt.platform._items import LISTED_PREFIXES
+from figshunt.runtime import BoundedConnector, ReceiveBudget, allow_body
 
 # The store responds within a few ms. A call that takes longer than this is lost or
 # the store is slow, and the next attempt uses a new connection.
@@ -19,6 +20,9 @@
 # How long a response may be overdue after a watch's wait time before it fails.
 WATCH_GRACE_S = 0.5
 
+# A published value has at most 1 MB, but a response may contain several.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
 HISTORY_LOST_STATUS = 410
 
 # The empty prefix matches all items, so one watch is enough.
@@ -31,6 +35,7 @@
     def __init__(self, store: Address) -> None:
         self._url = f"http://{store.ip}:{store.port}"
         self._session: aiohttp.ClientSession | None = None
+        self._share = ReceiveBudget(MAX_RESPONSE_BYTES).open_share()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -78,7 +83,8 @@
     ) -> Mapping[str, Any]:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
+                connector=BoundedConnector(self._share),
+                timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
             )
         parameters = {
             name: value for name, value in query.items() if name != "after" or value
@@ -88,6 +94,7 @@
             async with self._session.get(
                 self._url + path, params=parameters, timeout=timeout
             ) as response:
+                allow_body(response, MAX_RESPONSE_BYTES)
                 if response.status == HISTORY_LOST_STATUS:
                     raise HistoryLostError(
                         "the store has discarded the changes since this revision"
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -5,6 +5,10 @@
 import unittest
 from collections.abc import Iterable
 
+from websockets.asyncio.client import connect
+from websockets.exceptions import ConnectionClosed
+from websockets.frames import CloseCode
+
 from figshunt.directory import (
     DirectoryMessage,
     EvacuationPublished,
@@ -82,6 +86,20 @@
             random.Random(1),
         )
 
+        self.listener_port = listener.port
+
+    async def test_connection_that_sends_much_is_closed(self) -> None:
+        """Guards against peers that fill the memory of a host which reads nothing."""
+        url = f"ws://{LOOPBACK}:{self.listener_port}"
+        async with connect(url, compression=None, proxy=None) as connection:
+            await connection.send(b"x" * 100_000)
+            with self.assertRaises(ConnectionClosed) as caught:
+                async with asyncio.timeout(5):
+                    while True:
+                        await connection.recv()
+        assert caught.exception.rcvd is not None
+        self.assertEqual(CloseCode.MESSAGE_TOO_BIG, caught.exception.rcvd.code)
+
     async def start_reader(self) -> None:
         await self.reader.start()
         self.addAsyncCleanup(self.reader.stop)
