Try a probable cause less often after trials with both results

What callers saw: a part that crashes half of its runners gets up to nine requests more than allowed, most of them trials that other runners pass. Cause: only failed trials delayed the next one. Change: for a suspect that crashed a quarter of its runs, crashes beyond those that refuse it delay its trials, and so do passed trials once one has failed.

--- a/figshunt/dispatch/_suspect_record.py
+++ b/figshunt/dispatch/_suspect_record.py
@@ -24,21 +24,20 @@
 # Evidence for a suspect grows with its successes, which many requests bring to a part.
 SUCCESS_FACTOR_BY_KIND = {SuspectKind.CONTENT: 4, SuspectKind.PART: 2}
 
-# If a part crashed this share of its runs, and this many contents would have to explain
-# its crashes, the part explains them better.
-PROBABLE_PART_SHARE = 0.25
+# A part that crashed this share of its runs is probably a cause. If this many contents
+# would have to explain its crashes, it explains them better.
+PROBABLE_CRASH_SHARE = 0.25
 MAX_CONTENT_CAUSES = 4
 
 # How long after the last crash a suspect is tried. Each failed trial leads to the next
 # of these delays, so that trials crash few runners in all. So does each crash that was
-# not needed to refuse a part, if at least this share of its runs crashed. A content
-# concerns few callers, so that each of its trials and crashes does, and that it was
+# not needed to refuse a probable cause, and each trial that was passed beside failed
+# ones. A content counts as one, as it concerns few callers, even more so if it was
 # never served.
 TRIAL_DELAYS_MS_BY_KIND = {
     SuspectKind.CONTENT: (8_000, 64_000, 512_000, 4_096_000),
     SuspectKind.PART: (1_000, 2_000, 64_000, 512_000, 4_096_000),
 }
-PROBABLE_CRASH_SHARE = 0.5
 
 # Successes before the first crash that count for a suspect. What was sound until now
 # may begin to crash runners, so that they must not outweigh many crashes.
@@ -148,7 +147,7 @@
         causes = [other for other in others if crashes & other.times_ms_by_crash.keys()]
         return (
             len(causes) >= MAX_CONTENT_CAUSES
-            and self.crash_share >= PROBABLE_PART_SHARE
+            and self.crash_share >= PROBABLE_CRASH_SHARE
         )
 
     def judge(self, explained: Collection[str]) -> bool:
@@ -164,9 +163,11 @@
     def next_trial_ms(self) -> int:
         """Return when the suspect may be tried again."""
         is_content = self.kind is SuspectKind.CONTENT
-        reasons = self.ended_trials if is_content else self.failed_trials
+        reasons = self.failed_trials
         if is_content or self.crash_share >= PROBABLE_CRASH_SHARE:
             reasons += max(0, self.charged_crashes - CRASHES_BY_KIND[self.kind])
+            if is_content or self.failed_trials:
+                reasons += self.passed_trials
         if is_content and not self.successes:
             reasons += 1
         delays_ms = TRIAL_DELAYS_MS_BY_KIND[self.kind]
--- a/tests/dispatch/test_crash_fleet.py
+++ b/tests/dispatch/test_crash_fleet.py
@@ -35,6 +35,11 @@
     return CRASH_MS if has_part(call, "deadly") else None
 
 
+def crash_on_part_at_some_runners(call: Call, runner: FleetRunner) -> int | None:
+    is_prone = int(runner.entry.address[1:]) % 2 == 0
+    return CRASH_MS if has_part(call, "deadly") and is_prone else None
+
+
 def run_drawn_scenario(seed: int) -> tuple[CrashFleet, list[str]]:
     """Play 30 s of a fleet with causes and disturbances drawn from a seed."""
     rng = random.Random(seed)
@@ -100,6 +105,18 @@
                 self.send_for(fleet, 30)
                 self.assertLessEqual(fleet.late_contents("deadly"), MAX_LATE_REQUESTS)
 
+    def test_part_that_crashes_some_runners_is_bounded(self) -> None:
+        """No two requests with the part are alike, and half of them are served."""
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                fleet = CrashFleet(crash_on_part_at_some_runners, seed=seed)
+                for number in range(60):
+                    fleet.call(f"deadly-{number}", "shared", "deadly")
+                    for sound in range(6):
+                        fleet.call(f"sound-{number}-{sound}", "shared")
+                        fleet.run(80)
+                self.assertLessEqual(fleet.late_parts("deadly"), MAX_LATE_REQUESTS)
+
     def test_crashes_while_the_store_is_silent_are_counted_later(self) -> None:
         """No entry tells of the ends of runners until it is back."""
         for seed in self.SEEDS:
