Credit a suspect's earlier successes once and not for each host

What callers saw: a part that was sound until it begins to crash runners is sent on, the more hosts there are. Cause: each host credited up to 25 successes from before the first crash, and they were added up; with 78 hosts no number of crashes would have outweighed them. Change: the largest count of a host is merged by maximum, 24 at most.

--- a/figshunt/dispatch/_crash_records.py
+++ b/figshunt/dispatch/_crash_records.py
@@ -47,9 +47,9 @@
     Suspects are judged in order: first those that crashed the largest share of their
     runners, which are those that were never served, then those with more crashes, then
     contents before parts and later parts before earlier ones, which more requests
-    share. A crash that a refused suspect explains doesn't count against
-    those judged after it. Contents with equally many crashes are judged alike, as any
-    of them may be the cause and refusing each one harms a single caller.
+    share. A crash that a refused suspect explains doesn't count against those judged
+    after it. Contents with equally many crashes are judged alike, as any of them may be
+    the cause and refusing each one harms a single caller.
     """
 
     def __init__(self, witness: Witness) -> None:
@@ -59,11 +59,6 @@
         self._refused: set[Suspect] = set()
         self.digest = 0
 
-    @property
-    def refused(self) -> frozenset[Suspect]:
-        """Return the suspects that are refused now."""
-        return frozenset(self._refused)
-
     def get(self, suspect: Suspect) -> SuspectRecord | None:
         """Return the record of a suspect, or ``None`` if it ran during no crash."""
         return self._records.get(suspect)
@@ -87,6 +82,9 @@
             record.add_crash(crash.process, now_ms - crash.age_ms)
         known_successes = record.successes_by_witness.get(witness, 0)
         record.successes_by_witness[witness] = max(known_successes, report.successes)
+        record.earlier_successes = max(
+            record.earlier_successes, report.earlier_successes
+        )
         told_trial_ms = (
             None if report.trial_age_ms is None else now_ms - report.trial_age_ms
         )
@@ -161,6 +159,7 @@
                 for crash, time_ms in record.times_ms_by_crash.items()
             ),
             record.successes_by_witness.get(self._witness, 0),
+            record.earlier_successes,
             record.passed_trials,
             record.failed_trials,
             None if record.trial_ms is None else now_ms - record.trial_ms,
@@ -184,8 +183,9 @@
         record = self._records.get(suspect)
         if record is None:
             record = SuspectRecord(suspect.kind, depth)
-            successes = min(MAX_EARLIER_SUCCESSES, self._successes.get(suspect, 0))
-            record.successes_by_witness[self._witness] = successes
+            record.earlier_successes = min(
+                MAX_EARLIER_SUCCESSES, self._successes.get(suspect, 0)
+            )
             self._records[suspect] = record
         self._records.move_to_end(suspect)
         while len(self._records) > MAX_SUSPECTS:
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -267,14 +267,15 @@
     """All that a host knows of a content or prompt part that crashed runners.
 
     ``depth`` is the place of a part in its prompt. ``successes`` are those that the
-    host has seen itself, the other numbers those that it knows of. ``trial_age_ms`` is
-    the age of the latest trial unless that was passed.
+    host has seen itself since the first crash, the other numbers those that it knows
+    of. ``trial_age_ms`` is the age of the latest trial unless that was passed.
     """
 
     suspect: Suspect
     depth: int
     crashes: tuple[CrashAge, ...]
     successes: int = 0
+    earlier_successes: int = 0
     passed_trials: int = 0
     failed_trials: int = 0
     trial_age_ms: int | None = None
--- a/figshunt/dispatch/_suspect_record.py
+++ b/figshunt/dispatch/_suspect_record.py
@@ -41,7 +41,7 @@
 
 # Successes before the first crash that count for a suspect. What was sound until now
 # may begin to crash runners, so that they must not outweigh many crashes.
-MAX_EARLIER_SUCCESSES = 25
+MAX_EARLIER_SUCCESSES = 24
 
 # A trial without a result within this time counts as none.
 TRIAL_TIMEOUT_MS = 20_000
@@ -74,7 +74,8 @@
     All are facts that only grow. Hosts merge them by union and maximum, so that it
     doesn't matter how often and in which order they are told. ``depth`` is the place
     of a part in its prompt. Each host counts the requests with the suspect that it saw
-    served, up to ``MAX_EARLIER_SUCCESSES`` of them before the first crash.
+    served since the first crash; ``earlier_successes`` is the largest count of a host
+    before that, up to ``MAX_EARLIER_SUCCESSES``.
     ``trial_ms`` is the start of the latest trial, unless that was passed.
     ``charged_crashes`` is the result of the last judgement: how many crashes no other
     suspect explains.
@@ -84,6 +85,7 @@
     depth: int = 0
     times_ms_by_crash: dict[str, int] = field(default_factory=dict)
     successes_by_witness: dict[Witness, int] = field(default_factory=dict)
+    earlier_successes: int = 0
     passed_trials: int = 0
     failed_trials: int = 0
     trial_ms: int | None = None
@@ -111,7 +113,7 @@
     @property
     def successes(self) -> int:
         """Return how many requests with the suspect were served, at least."""
-        return sum(self.successes_by_witness.values())
+        return self.earlier_successes + sum(self.successes_by_witness.values())
 
     @property
     def ended_trials(self) -> int:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -135,6 +135,7 @@
         report.depth,
         [[crash.process, crash.age_ms] for crash in report.crashes],
         report.successes,
+        report.earlier_successes,
         report.passed_trials,
         report.failed_trials,
         report.trial_age_ms,
@@ -143,7 +144,8 @@
 
 def _decode_suspect(fields: list[Any]) -> SuspectReport:
     kind, fingerprint, depth, crashes, *counts = fields
-    successes, passed_trials, failed_trials, trial_age_ms = counts
+    successes, earlier_successes, *trials = counts
+    passed_trials, failed_trials, trial_age_ms = trials
     return SuspectReport(
         suspect=Suspect(SuspectKind(kind), Fingerprint(str(fingerprint))),
         depth=int(depth),
@@ -151,6 +153,7 @@
             CrashAge(str(process), int(age_ms)) for process, age_ms in crashes
         ),
         successes=int(successes),
+        earlier_successes=int(earlier_successes),
         passed_trials=int(passed_trials),
         failed_trials=int(failed_trials),
         trial_age_ms=None if trial_age_ms is None else int(trial_age_ms),
--- a/tests/dispatch/test_crash_fleet.py
+++ b/tests/dispatch/test_crash_fleet.py
@@ -117,6 +117,21 @@
                         fleet.run(80)
                 self.assertLessEqual(fleet.late_parts("deadly"), MAX_LATE_REQUESTS)
 
+    def test_part_that_was_sound_before_is_bounded(self) -> None:
+        """Many hosts saw it succeed before it began to crash runners."""
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                fleet = CrashFleet(lambda call, runner: None, hosts=8, seed=seed)
+                for number in range(240):
+                    fleet.call(f"early-{number}", "shared", "deadly")
+                    fleet.run(25)
+                fleet.run(1_000)
+                fleet.crasher = crash_on_part
+                for number in range(40):
+                    fleet.call(f"late-{number}", "shared", "deadly")
+                    fleet.run(500)
+                self.assertLessEqual(fleet.late_parts("deadly"), MAX_LATE_REQUESTS)
+
     def test_crashes_while_the_store_is_silent_are_counted_later(self) -> None:
         """No entry tells of the ends of runners until it is back."""
         for seed in self.SEEDS:
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -180,7 +180,7 @@
         content = Suspect(SuspectKind.CONTENT, Fingerprint("c1"))
         status = build_host_status(
             suspects=(
-                SuspectReport(part, 2, (CrashAge("e1/1000", 250),), 9, 1, 2, 80),
+                SuspectReport(part, 2, (CrashAge("e1/1000", 250),), 9, 24, 1, 2, 80),
                 SuspectReport(content, 0, ()),
             ),
             suspects_digest=2**64 - 1,
