Play requests behind the end of a stream while a host that stops is paused

Callers saw: the users' record, a request that was passed on to a runner 2.704 s after SIGTERM and whose channel was closed 2 ms later. The turn lasts less than a millisecond, so that it shows in one stop of several. A host that isn't scheduled for 24 ms handles all bytes and timers of that time in one turn. Change: two hosts that are stopped and paused by turns, so that their pauses cover all moments around the close; no request without an answer may have reached a runner, however soon after its last byte its channel ends. The entry host of the stop's test becomes a base case that both use.

--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -12,6 +12,12 @@
     Fleet,
     create_seeded_random,
 )
+from tests.harness._next_request_callers import (
+    NextRequestCallers,
+    TimedRunner,
+    build_stream_path,
+    wait_for_stream_end,
+)
 from tests.harness._processes import (
     ManagedProcess,
     start_module,
@@ -45,15 +51,19 @@
     "FaultProxy",
     "Fleet",
     "ManagedProcess",
+    "NextRequestCallers",
     "ProxyMode",
     "RawCaller",
     "RawResponse",
     "SITUATIONS",
     "Situation",
     "StopCallers",
+    "TimedRunner",
     "VirtualCell",
     "VirtualDaemon",
+    "build_stream_path",
     "create_seeded_random",
     "open_raw_caller",
     "start_module",
+    "wait_for_stream_end",
 ]
