Close a kept connection only when its caller sends no more requests

Callers saw: a stream that began before a SIGTERM ended in the stop, its head didn't announce a close, and the next request on its channel got a closed channel. Cause: a connection was half-closed in the turn in which its response ended, or at once if it was idle at the close. The same with idle timeouts, which counted from the last received byte and not from the end of a response. Change: CallerConnection waits until no request has come for NEXT_REQUEST_S since the last response, or since the connection's start, before it closes without an announcement. A request that comes is served or refused, and its response announces the close. Whole requests that come behind a close are counted (drain_finished discarded=, requests_discarded, figshunt_discarded_requests_total). Both front ends use the class. test_idle_close_is_seen_at_once keeps its check, for a connection whose caller is given no time. A stop of a host that has just answered takes 0.5 s longer.

--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -113,6 +113,7 @@
             self,
             clock,
             self._log,
+            self._metrics.count,
             build_unread_budget(settings.memory_bytes),
         )
         self.runners = RunnerCaller(
@@ -201,6 +202,7 @@
             connections=self.front.open_connections,
             unsent_bytes=self.front.unsent_bytes,
             **self.front.open_requests.count_by_ending(),
+            discarded=self.front.discarded_requests,
         )
 
     async def _end_requests(self, until_s: float) -> None:
--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers: accepts requests and streams responses back."""
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -40,7 +41,7 @@
     MessageSink,
     ReceiveBudget,
 )
-from figshunt.types import Clock, Moment, RequestId, Step
+from figshunt.types import Clock, CountEvent, Moment, RequestId, Step
 
 MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -121,6 +122,7 @@
         message_sink: MessageSink,
         clock: Clock,
         log: EventLog,
+        count: Callable[[CountEvent], None],
         unread_budget: ReceiveBudget | None = None,
     ) -> None:
         super().__init__()
@@ -130,7 +132,10 @@
         self._clock = clock
         self._log = log
         self._queues_by_call: dict[RequestId, tuple[AnswerQueue, web.BaseRequest]] = {}
-        self._server = CallerServer(self._build_connection)
+        self._count = count
+        self._server = CallerServer(
+            self._build_connection, report_discarded=self._report_discarded
+        )
         self._http_server: web.Server | None = None
         self._body_budget = BodyBudget()
         self._unread_budget = unread_budget or ReceiveBudget()
@@ -152,6 +157,11 @@
         """Return the bytes of responses that the system hasn't taken yet."""
         return self._server.unsent_bytes
 
+    @property
+    def discarded_requests(self) -> int:
+        """Return the number of requests that came behind the close of a connection."""
+        return self._server.discarded_requests
+
     async def on_start(self) -> None:
         """Start listening."""
         self._http_server = web.Server(
@@ -181,7 +191,7 @@
         self.open_requests.start_count()
 
     async def stop_accepting(self) -> None:
-        """Stop listening, and close each connection once it has no request.
+        """Stop listening, and close each connection once no more requests come on it.
 
         Requests that are received on connections which are still open are served.
         """
@@ -212,6 +222,15 @@
             )
             request.transport.abort()
 
+    def _report_discarded(self, requests: int) -> None:
+        self._log.write(
+            "requests_discarded",
+            "warning",
+            step=Step.FRONT_LISTENER.value,
+            requests=requests,
+        )
+        self._count(CountEvent("discarded_requests", amount=requests))
+
     def _build_connection(self) -> CallerConnection:
         assert self._http_server is not None
         return CallerConnection(
--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -19,8 +19,10 @@
 # Larger than any answer.
 MAX_SEND_BUFFER_BYTES = 64 * 1024 * 1024
 
-# A caller that has opened a connection sends its first request within this time.
-FIRST_REQUEST_S = 0.5
+# A caller that goes on using its connection sends its next request within this time
+# after a response or the connection's start: two ways of at most 200 ms, the time that
+# operators allow for a request on its way, and 100 ms of its own.
+NEXT_REQUEST_S = 0.5
 
 # Disables the library's own timer, which closes connections with unread requests.
 NO_KEEPALIVE_TIMEOUT_S = 10 * 365 * 24 * 3600.0
@@ -31,15 +33,24 @@
 
     aiohttp's own ``close`` discards what is received of a request in progress.
     :meth:`close_when_idle` closes a connection once each whole request on it has its
-    response and no part of a further one has arrived.
-
-    :param idle_timeout_s: time without received bytes after which a connection that
-        waits for a request, or for the rest of one, is closed.
+    response, no part of a further one has arrived, and the caller has had time to send
+    one. ``discarded_requests`` is the number of whole requests that were received
+    behind a close; none of them is processed.
+
+    :param idle_timeout_s: time without received bytes or a response after which a
+        connection that waits for a request, or for the rest of one, is closed.
+    :param next_request_s: time in which a caller sends its next request after a
+        response, or its first one.
     :param options: those of aiohttp's connection handler.
     """
 
     def __init__(
-        self, manager: web.Server, *, idle_timeout_s: float, **options: Any
+        self,
+        manager: web.Server,
+        *,
+        idle_timeout_s: float,
+        next_request_s: float = NEXT_REQUEST_S,
+        **options: Any,
     ) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(
@@ -51,9 +62,13 @@
         )
         self._framing = RequestFraming()
         self._responses = 0
+        self.discarded_requests = 0
+        self._next_request_s = next_request_s
         self._idle_timeout_s = idle_timeout_s
-        self._opened_s = self._last_received_s = loop.time()
+        # When the caller could begin to prepare its next request.
+        self._invited_s = self._last_received_s = loop.time()
         self._idle_timer = loop.call_later(idle_timeout_s, self._check_idle_timeout)
+        self._quiet_timer: asyncio.TimerHandle | None = None
         self._closes_when_idle = False
         self._has_sent_last = False
         self._open_transport: asyncio.Transport | None = None
@@ -83,7 +98,10 @@
         return self._open_transport is not None
 
     def close_when_idle(self) -> None:
-        """Close the connection now if it is idle, or else as soon as it is."""
+        """Close the connection once it is idle and its caller sends no more requests.
+
+        It is closed at once if nothing has come for ``next_request_s``.
+        """
         self._closes_when_idle = True
         self._close_if_idle()
 
@@ -108,7 +126,7 @@
             self._open_transport.abort()
 
     def set_idle_timeout(self, idle_timeout_s: float) -> None:
-        """Replace the idle timeout, which counts from the last received byte."""
+        """Replace the idle timeout, which counts from the last byte or response."""
         self._idle_timeout_s = idle_timeout_s
         self._idle_timer.cancel()
         self._check_idle_timeout()
@@ -129,6 +147,9 @@
         """Count and parse received bytes; discard them after the last response."""
         self._last_received_s = self._now_s()
         if self._has_sent_last:
+            completed = self._framing.completed
+            self._framing.feed(data)
+            self.discarded_requests += self._framing.completed - completed
             return
         self._framing.feed(data)
         super().data_received(data)
@@ -139,6 +160,8 @@
         """Report the end of the connection."""
         super().connection_lost(exc)
         self._idle_timer.cancel()
+        if self._quiet_timer is not None:
+            self._quiet_timer.cancel()
         self._closed.set()
         for listener in self._close_listeners:
             listener()
@@ -153,7 +176,9 @@
         """Write a response; after the last one, wait until the caller has read it."""
         result = await super().finish_response(request, resp, start_time)
         self._responses += 1
+        self._invited_s = self._now_s()
         if not result[0].keep_alive:
+            self.discarded_requests += max(0, self._framing.completed - self._responses)
             self._shut_down_sending()
             await self._linger()
         elif self._closes_when_idle:
@@ -162,18 +187,26 @@
         return result
 
     def _close_if_idle(self) -> None:
+        if self._quiet_timer is not None:
+            self._quiet_timer.cancel()
+            self._quiet_timer = None
         if self.transport is None or self._has_sent_last or not self.is_idle:
             return
-        wait_s = self._opened_s + FIRST_REQUEST_S - self._now_s()
-        if not self._framing.completed and wait_s > 0:
-            asyncio.get_running_loop().call_later(wait_s, self._close_if_idle)
+        wait_s = self._invited_s + self._next_request_s - self._now_s()
+        if wait_s > 0:
+            loop = asyncio.get_running_loop()
+            self._quiet_timer = loop.call_later(wait_s, self._close_if_idle)
         elif not _has_unread_bytes(self.transport):
             self._close_idle()
 
     def _check_idle_timeout(self) -> None:
         if self.transport is None or self._has_sent_last:
             return
-        wait_s = self._last_received_s + self._idle_timeout_s - self._now_s()
+        wait_s = max(
+            self._last_received_s + self._idle_timeout_s,
+            self._invited_s + max(self._idle_timeout_s, self._next_request_s),
+        )
+        wait_s -= self._now_s()
         waits_for_response = self._framing.completed > self._responses
         if waits_for_response or _has_unread_bytes(self.transport):
             wait_s = self._idle_timeout_s
--- a/figshunt/runtime/_caller_server.py
+++ b/figshunt/runtime/_caller_server.py
@@ -18,15 +18,22 @@
 class CallerServer:
     """Accepts caller connections, and stops without losing whole requests.
 
+    ``discarded_requests`` is the number of whole requests on ended connections that
+    were received behind a close; none of them was processed.
+
     :param build_connection: returns the protocol of one connection.
+    :param report_discarded: is told how many such requests a connection had.
     """
 
     def __init__(
         self,
         build_connection: Callable[[], CallerConnection],
         tls_context: ssl.SSLContext | None = None,
+        report_discarded: Callable[[int], None] | None = None,
     ) -> None:
+        self.discarded_requests = 0
         self._build_connection = build_connection
+        self._report_discarded = report_discarded
         self._tls_context = tls_context
         self._socket: socket.socket | None = None
         self._server: asyncio.Server | None = None
@@ -148,7 +155,7 @@
         connection = self._build_connection()
         self._connections.add(connection)
         self._all_closed.clear()
-        connection.on_close(lambda: self._forget(connection))
+        connection.on_close(lambda: self._end(connection))
         if self._tls_context is not None:
             # The event loop doesn't tell the protocol that its handshake failed.
             asyncio.get_running_loop().call_later(
@@ -156,6 +163,13 @@
             )
         return connection
 
+    def _end(self, connection: CallerConnection) -> None:
+        if connection.discarded_requests:
+            self.discarded_requests += connection.discarded_requests
+            if self._report_discarded is not None:
+                self._report_discarded(connection.discarded_requests)
+        self._forget(connection)
+
     def _forget_if_not_made(self, connection: CallerConnection) -> None:
         if not connection.is_made:
             self._forget(connection)
--- a/figshunt/runtime/_metrics.py
+++ b/figshunt/runtime/_metrics.py
@@ -21,6 +21,7 @@
     "refusals": ("code", "step"),
     "trials": ("result",),
     "orphaned_requests": ("message",),
+    "discarded_requests": (),
 }
 HELP_BY_COUNTER = {
     "requests": "Requests that ended, by route and result.",
@@ -33,6 +34,7 @@
     "refusals": "Requests answered with an error of this host.",
     "trials": "Requests sent to try a refused content or prompt part, by result.",
     "orphaned_requests": "Requests answered because an error left them no owner.",
+    "discarded_requests": "Requests received behind the close of a connection.",
 }
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.45, 0.9, 2, 5, 10, 30, 60)
 
@@ -78,7 +80,8 @@
         if counter is None:
             self._other_events.labels(effect.counter).inc(effect.amount)
         else:
-            counter.labels(**effect.labels).inc(effect.amount)
+            labelled = counter.labels(**effect.labels) if effect.labels else counter
+            labelled.inc(effect.amount)
 
     def observe(self, effect: ObserveDuration) -> None:
         """Add one duration to the latency histogram."""
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -29,6 +29,7 @@
 from figshunt.settings import Address, LimitSettings, TlsSettings
 from figshunt.types import (
     Clock,
+    CountEvent,
     EndAnswer,
     ErrorCode,
     FailAnswer,
@@ -69,6 +70,7 @@
         message_sink: MessageSink,
         clock: Clock,
         log: EventLog,
+        count: Callable[[CountEvent], None],
     ) -> None:
         super().__init__()
         self._address = address
@@ -78,7 +80,10 @@
         self._log = log
         self._streams_by_request: dict[RequestId, AnswerStream] = {}
         self._app_runner: web.AppRunner | None = None
-        self._server = CallerServer(self._build_protocol, _build_ssl_context(tls))
+        self._count = count
+        self._server = CallerServer(
+            self._build_protocol, _build_ssl_context(tls), self._report_discarded
+        )
         self._requests_in_progress = 0
         self._is_draining = False
         self.port = address.port
@@ -122,7 +127,7 @@
         self._is_draining = True
 
     async def stop_accepting(self) -> None:
-        """Stop listening, and close each connection once it has no request.
+        """Stop listening, and close each connection once no more requests come on it.
 
         Requests that are received on connections which are still open are served.
         A head that is never completed is given the time that a body has.
@@ -139,6 +144,11 @@
         """Return the number of connections that haven't ended."""
         return self._server.open_connections
 
+    @property
+    def discarded_requests(self) -> int:
+        """Return the number of requests that came behind the close of a connection."""
+        return self._server.discarded_requests
+
     @property
     def requests_in_progress(self) -> int:
         """Return the number of requests whose answer is not complete."""
@@ -157,6 +167,15 @@
             self._log_slow_caller(effect.request_id)
             stream.abort_connection()
 
+    def _report_discarded(self, requests: int) -> None:
+        self._log.write(
+            "requests_discarded",
+            "warning",
+            step=Step.CALLER_LISTENER.value,
+            requests=requests,
+        )
+        self._count(CountEvent("discarded_requests", amount=requests))
+
     def _build_protocol(self) -> CallerProtocol:
         assert self._app_runner is not None and self._app_runner.server is not None
         return CallerProtocol(
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -71,6 +71,7 @@
             self,
             clock,
             self._log,
+            self._metrics.count,
         )
         self.admin_listener = AdminListener(
             settings.admin_address, CoreView(self.core, clock), self._metrics
@@ -146,7 +147,9 @@
                 connections=self.caller_listener.open_connections,
                 limit_ms=limit_ms,
             )
-        self._log.write("drain_finished")
+        self._log.write(
+            "drain_finished", discarded=self.caller_listener.discarded_requests
+        )
 
     def _max_request_ms(self) -> int:
         tables = self.core.revisions.current()
--- a/tests/integration/test_next_requests_around_a_stop.py
+++ b/tests/integration/test_next_requests_around_a_stop.py
@@ -14,7 +14,7 @@
     TimedRunner,
     build_stream_path,
 )
-from tests.integration.entry_host_case import EntryHostCase
+from tests.integration.entry_host_case import NOT_RUN_STATUS, EntryHostCase
 
 SEED = 46
 CHANNELS = 60
@@ -28,6 +28,12 @@
 PAUSE_S = 0.024
 PAUSE_INTERVAL_S = 0.040
 
+# The grace period ends after 8 s, and open streams are ended 1 s before.
+STOP_S = (0.1, 6.9)
+STOP_CHANNELS = 150
+NEXT_REQUEST_DELAYS_S = (0.0, 0.003, 0.02)
+MAX_UNANSWERED_SHARE = 1 / 50
+
 
 class NextRequestsAroundStopTest(EntryHostCase):
     def build_engine(self) -> PlatformRunner:
@@ -57,6 +63,32 @@
         }
         self.assertEqual(set(), unanswered_ids & self.run_ids)
 
+    async def test_next_requests_are_answered_at_any_moment_of_a_stop(self) -> None:
+        """Guards against a close right behind a response that didn't announce it."""
+        rng = random.Random(SEED)
+        callers = NextRequestCallers(
+            self.port, self.build_timed_stream, self.build_booking, rng
+        )
+        schedule = [
+            (rng.uniform(*STOP_S), NEXT_REQUEST_DELAYS_S[number % 3])
+            for number in range(STOP_CHANNELS)
+        ]
+        exchanges = await callers.play(
+            lambda: self.process.signal(signal.SIGTERM), schedule
+        )
+        self.assertEqual(0, await self.process.wait())
+        self.assertLess(STOP_CHANNELS / 2, len(exchanges))
+        unanswered = [
+            exchange for exchange in exchanges if exchange.ending is not Ending.ANSWERED
+        ]
+        self.assertLessEqual(
+            len(unanswered),
+            MAX_UNANSWERED_SHARE * len(exchanges),
+            [str(exchange) for exchange in unanswered],
+        )
+        for exchange in exchanges:
+            self.assertIn(exchange.status, (None, 200, NOT_RUN_STATUS))
+
     async def play_with_pauses(
         self, process: ManagedProcess, port: int, phase_s: float
     ) -> list[Exchange]:
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -12,6 +12,8 @@
 from figshunt.runtime._caller_server import HANDSHAKE_TIMEOUT_S
 
 LOOPBACK = "127.0.0.1"
+SLOW_ANSWER_S = 0.6
+LONG_S = 60.0
 REQUEST = b"GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"
 
 
@@ -19,6 +21,8 @@
     if request.path == "/large":
         size = int(request.query.get("size", 32 * 1024 * 1024))
         return web.Response(body=b"v" * size)
+    if request.path == "/slow":
+        await asyncio.sleep(SLOW_ANSWER_S)
     if request.path == "/refused":
         response = web.Response(status=503)
         response.force_close()
@@ -30,9 +34,13 @@
     async def asyncSetUp(self) -> None:
         self.http_server = web.Server(answer)
         self.connections: list[CallerConnection] = []
+        self.next_request_s = 0.0
         self.server = CallerServer(self.build_connection)
         await self.server.start(LOOPBACK, 0, backlog=16)
         self.addAsyncCleanup(self.server.close)
+        self.connect_caller()
+
+    def connect_caller(self) -> None:
         self.caller = socket.socket()
         # A large receive buffer would take answers that the test leaves unread.
         self.caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -41,7 +49,9 @@
         self.caller.setblocking(False)
 
     def build_connection(self) -> CallerConnection:
-        connection = CallerConnection(self.http_server, idle_timeout_s=60.0)
+        connection = CallerConnection(
+            self.http_server, idle_timeout_s=60.0, next_request_s=self.next_request_s
+        )
         self.connections.append(connection)
         return connection
 
@@ -56,6 +66,36 @@
         self.server.close_idle_connections()
         self.assertEqual(b"", self.caller.recv(1))
 
+    async def test_next_request_is_answered_although_a_close_is_wanted(self) -> None:
+        """Guards against a close right behind a response that didn't announce it."""
+        self.next_request_s = LONG_S
+        self.connect_caller()
+        self.caller.sendall(REQUEST)
+        self.assertIn(b" 200 OK", await self.receive())
+        self.server.close_idle_connections()
+        self.caller.sendall(REQUEST)
+        self.assertIn(b" 200 OK", await self.receive())
+
+    async def test_idle_timeout_counts_from_the_end_of_a_response(self) -> None:
+        """Guards against a close right behind a response that took long."""
+        self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1))
+        self.assertIn(b" 200 OK", await self.receive())
+        self.connections[0].set_idle_timeout(SLOW_ANSWER_S)
+        self.caller.sendall(REQUEST)
+        self.assertIn(b" 200 OK", await self.receive())
+
+    async def test_requests_behind_a_close_are_counted(self) -> None:
+        """Guards against requests that nobody answers and no log tells of."""
+        self.caller.sendall(REQUEST)
+        await self.receive()
+        self.server.close_idle_connections()
+        self.caller.sendall(REQUEST * 2)
+        self.assertEqual(b"", await self.receive())
+        self.caller.close()
+        async with asyncio.timeout(5.0):
+            await self.server.wait_closed()
+        self.assertEqual(2, self.server.discarded_requests)
+
     async def test_silent_connections_accepted_in_any_turn_before_a_stop_end(
         self,
     ) -> None:
