Treat a chunk size with a sign as invalid

Callers saw: nothing from this process any more, after one request of another caller. Cause: RequestFraming read chunk sizes with int(), which takes a sign. A negative size moves the position back; after "-6" and a line end it comes to the start of the same line, and the event loop never returns. Before only the HTTP library's parser read chunk sizes; it refuses them. Change: a chunk size is one or more hexadecimal digits, as the parser has it.

--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -7,6 +7,9 @@
 HEAD_END = b"\r\n\r\n"
 EMPTY_LINES = re.compile(rb"[\r\n]*")
 
+# A sign would move the position back, without an end.
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
+
 # What is kept of the start of an incomplete line. A chunk's size has at most 16
 # digits; the extensions behind it have no limit, nor does the parser limit them.
 MAX_LINE_START_BYTES = 64
@@ -131,11 +134,11 @@
             self._complete()
 
     def _start_chunk(self, line: bytes) -> None:
-        try:
-            size = int(line.partition(b";")[0], 16)
-        except ValueError:
+        digits = CHUNK_SIZE.match(line)
+        if digits is None:
             self._state = FramingState.INVALID
             return
+        size = int(digits[0], 16)
         if size:
             self._state = FramingState.CHUNK
             self._remaining_bytes = size + len(LINE_END)
--- a/tests/runtime/test_request_framing.py
+++ b/tests/runtime/test_request_framing.py
@@ -50,14 +50,16 @@
         self.assertEqual(1, framing.completed)
 
     def test_invalid_bytes_end_the_count(self) -> None:
-        """Guards against connections that stay open after bytes of no request."""
+        """Guards against connections that stay open, and loops without an end."""
         for data in (
             b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
         ):
             with self.subTest(data):
                 framing = RequestFraming()
                 framing.feed(data)
+                self.assertTrue(framing.is_between_requests)
                 framing.feed(b"POST / HTTP/1.1\r\n")
                 self.assertEqual(0, framing.completed)
                 self.assertTrue(framing.is_between_requests)
