Treat a content length of more digits than 64 bits take as invalid

Callers saw: a request that was in progress got no answer, after further bytes on its channel. Cause: RequestFraming read the length with int(), which raises for more than 4300 digits. The event loop ended the connection, with the requests on it, and the request with that length got no 400. Change: more than 20 digits without leading zeros are invalid. The HTTP library's parser refuses them, and takes leading zeros. Measured: a request in progress, then one with 5000 digits: no response before, 200 and 400 now. With 30 zeros and a "3", 200 and 200 before and now. test_invalid_bytes_end_the_count raises ValueError on the code before.

--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -10,6 +10,9 @@
 # A sign would move the position back, without an end.
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
 
+# The parser refuses lengths of more than 64 bits, but not leading zeros.
+MAX_LENGTH_DIGITS = 20
+
 # What is kept of the start of an incomplete line. A chunk's size has at most 16
 # digits; the extensions behind it have no limit, nor does the parser limit them.
 MAX_LINE_START_BYTES = 64
@@ -125,11 +128,12 @@
             self._state = FramingState.CHUNK_SIZE
             return
         length = values_by_name.get(b"content-length", b"0")
-        if not length.isdigit():
+        digits = length.lstrip(b"0")
+        if not length.isdigit() or len(digits) > MAX_LENGTH_DIGITS:
             self._state = FramingState.INVALID
-        elif int(length):
+        elif digits:
             self._state = FramingState.BODY
-            self._remaining_bytes = int(length)
+            self._remaining_bytes = int(digits)
         else:
             self._complete()
 
--- a/tests/runtime/test_request_framing.py
+++ b/tests/runtime/test_request_framing.py
@@ -53,6 +53,7 @@
         """Guards against connections that stay open, and loops without an end."""
         for data in (
             b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            b"POST / HTTP/1.1\r\nContent-Length: " + b"1" * 5_000 + b"\r\n\r\n",
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
         ):
