Bound the memory of a head that comes behind the close of a connection

Callers saw: nothing yet; a host could run out of memory. Cause: counts the requests behind a close with RequestFraming, which keeps an incomplete head whole. Before the close the HTTP library's parser limits heads; behind it nothing does, for up to MAX_LINGER_S per connection. Change: a head of more than 64 kB behind a close ends the count.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -16,6 +16,9 @@
 LINGER_S = 1.0
 MAX_LINGER_S = 10.0
 
+# Behind the last response no parser limits the size of a head.
+MAX_DISCARDED_HEAD_BYTES = 64 * 1024
+
 # Larger than any answer.
 MAX_SEND_BUFFER_BYTES = 64 * 1024 * 1024
 
@@ -147,9 +150,7 @@
         """Count and parse received bytes; discard them after the last response."""
         self._last_received_s = self._now_s()
         if self._has_sent_last:
-            completed = self._framing.completed
-            self._framing.feed(data)
-            self.discarded_requests += self._framing.completed - completed
+            self._count_discarded(data)
             return
         self._framing.feed(data)
         super().data_received(data)
@@ -186,6 +187,13 @@
             asyncio.get_running_loop().call_soon(self._close_if_idle)
         return result
 
+    def _count_discarded(self, data: bytes) -> None:
+        completed = self._framing.completed
+        self._framing.feed(data)
+        self.discarded_requests += self._framing.completed - completed
+        if self._framing.pending_bytes > MAX_DISCARDED_HEAD_BYTES:
+            self._framing.stop()
+
     def _close_if_idle(self) -> None:
         if self._quiet_timer is not None:
             self._quiet_timer.cancel()
--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -54,6 +54,16 @@
             return True
         return self._state is FramingState.HEAD and not self._pending
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of what is kept of an incomplete head or line."""
+        return len(self._pending)
+
+    def stop(self) -> None:
+        """Count no further requests."""
+        self._state = FramingState.INVALID
+        self._pending.clear()
+
     def feed(self, data: bytes) -> None:
         """Process bytes in the order in which they are received.
 
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import ssl
+import tracemalloc
 import unittest
 
 from aiohttp import web
@@ -96,6 +97,17 @@
             await self.server.wait_closed()
         self.assertEqual(2, self.server.discarded_requests)
 
+    async def test_endless_head_behind_a_close_is_not_kept(self) -> None:
+        """Guards against memory that grows with bytes that are discarded."""
+        self.caller.sendall(REQUEST.replace(b"/", b"/refused", 1))
+        await self.receive()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(64):
+            data = b"v" * 500_000
+            await asyncio.get_running_loop().sock_sendall(self.caller, data)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 4_000_000)
+
     async def test_silent_connections_accepted_in_any_turn_before_a_stop_end(
         self,
     ) -> None:
