Treat the preface of HTTP/2 as invalid

Callers saw: nothing; a connection without a request stayed open for as long as its caller wanted, also in a stop. Cause: the HTTP library's parser takes "PRI * HTTP/2.0" and the empty line for the start of a preface, and passes no request on. RequestFraming counted one, which never gets a response, so that the connection was never idle. Found by feeding the same drawn bytes to both. Change: the method PRI is invalid. The rest of the preface still gets 400. test_invalid_bytes_end_the_count fails on the code before.

--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -10,6 +10,9 @@
 # A sign would move the position back, without an end.
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
 
+# The parser waits for the rest of the preface of HTTP/2, and then refuses it.
+PREFACE_METHOD = b"PRI "
+
 # The parser refuses lengths of more than 64 bits, but not leading zeros.
 MAX_LENGTH_DIGITS = 20
 
@@ -130,6 +133,9 @@
                 self._complete()
 
     def _start_body(self, head: bytes) -> None:
+        if head.startswith(PREFACE_METHOD):
+            self._state = FramingState.INVALID
+            return
         values_by_name = {}
         for line in head.split(LINE_END)[1:]:
             name, _, value = line.partition(b":")
--- a/tests/runtime/test_request_framing.py
+++ b/tests/runtime/test_request_framing.py
@@ -52,6 +52,7 @@
     def test_invalid_bytes_end_the_count(self) -> None:
         """Guards against connections that stay open, and loops without an end."""
         for data in (
+            b"PRI * HTTP/2.0\r\n\r\n",
             b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
             b"POST / HTTP/1.1\r\nContent-Length: " + b"1" * 5_000 + b"\r\n\r\n",
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
