Announce the close behind a response to a request that isn't read whole

Callers saw: a reset while they sent a body that the cell had answered with 404 or 413, so that the answer could be lost. Cause: the HTTP library closes a connection, at once and with unread bytes, if a response is complete before the body of its request. The response didn't announce it; entry hosts announce the close with each such response by themselves. Change: CallerConnection announces the close with such a response, half-closes and reads on, as it does with a last response. A connection whose unread body arrives whole while the response is written could be kept before, and is closed now.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -175,6 +175,9 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; after the last one, wait until the caller has read it."""
+        if not request.content.is_eof() and isinstance(resp, web.StreamResponse):
+            # The library closes the connection at once, without an announcement.
+            resp.force_close()
         result = await super().finish_response(request, resp, start_time)
         self._responses += 1
         self._invited_s = self._now_s()
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -164,19 +164,24 @@
             received += len(data)
         self.assertLess(limit // 2, received)
 
-    async def test_caller_that_sends_a_refused_body_reads_the_refusal(self) -> None:
+    async def test_caller_that_sends_an_unread_body_reads_the_response(self) -> None:
         """Guards against a reset, and against waiting long for what is discarded."""
         piece = b"v" * 500_000
-        head = REQUEST.replace(b"/", b"/refused", 1).strip()
-        head += b"\r\nContent-Length: 8000000\r\n\r\n"
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(10.0):
-            for data in (head, *[piece] * 16):
-                await loop.sock_sendall(self.caller, data)
-                await asyncio.sleep(LINGER_S / 10)
-        self.assertIn(b" 503 ", await self.receive())
-        async with asyncio.timeout(5.0):
-            await self.server.wait_closed()
+        for path, status in ((b"/refused", b" 503 "), (b"/", b" 200 ")):
+            with self.subTest(path):
+                head = REQUEST.replace(b"/", path, 1).strip()
+                head += b"\r\nContent-Length: 8000000\r\n\r\n"
+                async with asyncio.timeout(10.0):
+                    for data in (head, *[piece] * 16):
+                        await loop.sock_sendall(self.caller, data)
+                        await asyncio.sleep(LINGER_S / 10)
+                response = await self.receive()
+                self.assertIn(status, response)
+                self.assertIn(b"Connection: close", response)
+                async with asyncio.timeout(5.0):
+                    await self.server.wait_closed()
+                self.connect_caller()
 
 
 if __name__ == "__main__":
