Count idle times from the end of a TLS handshake

Callers saw: nothing; a connection stayed open for as long as its caller wanted, if its handshake had taken longer than the idle timeout. Cause: times counted from the acceptance of a connection. An idle timer that fires before the handshake ends finds no transport and isn't set again; the same if a stop replaces the timeout meanwhile. And the time for the first request was short by the handshake. Change: both times and the timer start with connection_made. The new test fails on the code before.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -143,6 +143,9 @@
         assert isinstance(transport, asyncio.Transport)
         self._open_transport = transport
         super().connection_made(transport)
+        # The TLS handshake has taken up to some seconds.
+        self._invited_s = self._last_received_s = self._now_s()
+        self.set_idle_timeout(self._idle_timeout_s)
         if self._closes_when_idle:
             self._close_if_idle()
 
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -85,6 +85,17 @@
         self.caller.sendall(REQUEST)
         self.assertIn(b" 200 OK", await self.receive())
 
+    async def test_idle_timeout_counts_from_the_end_of_a_handshake(self) -> None:
+        """Guards against connections that stay open after a slow TLS handshake."""
+        connection = CallerConnection(self.http_server, idle_timeout_s=0.01)
+        await asyncio.sleep(0.1)
+        accepted, self.caller = socket.socketpair()
+        self.addCleanup(self.caller.close)
+        self.caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: connection, accepted)
+        self.assertEqual(b"", await self.receive())
+
     async def test_requests_behind_a_close_are_counted(self) -> None:
         """Guards against requests that nobody answers and no log tells of."""
         self.caller.sendall(REQUEST)
