--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -7,6 +7,15 @@
 HEAD_END = b"\r\n\r\n"
 EMPTY_LINES = re.compile(rb"[\r\n]*")
 
+# A sign would move the position back, without an end.
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
+
+# The parser waits for the rest of the preface of HTTP/2, and then refuses it.
+PREFACE_METHOD = b"PRI "
+
+# The parser refuses lengths of more than 64 bits, but not leading zeros.
+MAX_LENGTH_DIGITS = 20
+
 # What is kept of the start of an incomplete line. A chunk's size has at most 16
 # digits; the extensions behind it have no limit, nor does the parser limit them.
 MAX_LINE_START_BYTES = 64
@@ -48,6 +57,16 @@
             return True
         return self._state is FramingState.HEAD and not self._pending
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the size of what is kept of an incomplete head or line."""
+        return len(self._pending)
+
+    def stop(self) -> None:
+        """Count no further requests."""
+        self._state = FramingState.INVALID
+        self._pending.clear()
+
     def feed(self, data: bytes) -> None:
         """Process bytes in the order in which they are received.
 
@@ -114,6 +133,9 @@
                 self._complete()
 
     def _start_body(self, head: bytes) -> None:
+        if head.startswith(PREFACE_METHOD):
+            self._state = FramingState.INVALID
+            return
         values_by_name = {}
         for line in head.split(LINE_END)[1:]:
             name, _, value = line.partition(b":")
@@ -122,20 +144,21 @@
             self._state = FramingState.CHUNK_SIZE
             return
         length = values_by_name.get(b"content-length", b"0")
-        if not length.isdigit():
+        digits = length.lstrip(b"0")
+        if not length.isdigit() or len(digits) > MAX_LENGTH_DIGITS:
             self._state = FramingState.INVALID
-        elif int(length):
+        elif digits:
             self._state = FramingState.BODY
-            self._remaining_bytes = int(length)
+            self._remaining_bytes = int(digits)
         else:
             self._complete()
 
     def _start_chunk(self, line: bytes) -> None:
-        try:
-            size = int(line.partition(b";")[0], 16)
-        except ValueError:
+        digits = CHUNK_SIZE.match(line)
+        if digits is None:
             self._state = FramingState.INVALID
             return
+        size = int(digits[0], 16)
         if size:
             self._state = FramingState.CHUNK
             self._remaining_bytes = size + len(LINE_END)
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import ssl
+import tracemalloc
 import unittest
 
 from aiohttp import web
@@ -84,6 +85,17 @@
         self.caller.sendall(REQUEST)
         self.assertIn(b" 200 OK", await self.receive())
 
+    async def test_idle_timeout_counts_from_the_end_of_a_handshake(self) -> None:
+        """Guards against connections that stay open after a slow TLS handshake."""
+        connection = CallerConnection(self.http_server, idle_timeout_s=0.01)
+        await asyncio.sleep(0.1)
+        accepted, self.caller = socket.socketpair()
+        self.addCleanup(self.caller.close)
+        self.caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.connect_accepted_socket(lambda: connection, accepted)
+        self.assertEqual(b"", await self.receive())
+
     async def test_requests_behind_a_close_are_counted(self) -> None:
         """Guards against requests that nobody answers and no log tells of."""
         self.caller.sendall(REQUEST)
@@ -96,6 +108,17 @@
             await self.server.wait_closed()
         self.assertEqual(2, self.server.discarded_requests)
 
+    async def test_endless_head_behind_a_close_is_not_kept(self) -> None:
+        """Guards against memory that grows with bytes that are discarded."""
+        self.caller.sendall(REQUEST.replace(b"/", b"/refused", 1))
+        await self.receive()
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(64):
+            data = b"v" * 500_000
+            await asyncio.get_running_loop().sock_sendall(self.caller, data)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 4_000_000)
+
     async def test_silent_connections_accepted_in_any_turn_before_a_stop_end(
         self,
     ) -> None:
@@ -152,19 +175,24 @@
             received += len(data)
         self.assertLess(limit // 2, received)
 
-    async def test_caller_that_sends_a_refused_body_reads_the_refusal(self) -> None:
+    async def test_caller_that_sends_an_unread_body_reads_the_response(self) -> None:
         """Guards against a reset, and against waiting long for what is discarded."""
         piece = b"v" * 500_000
-        head = REQUEST.replace(b"/", b"/refused", 1).strip()
-        head += b"\r\nContent-Length: 8000000\r\n\r\n"
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(10.0):
-            for data in (head, *[piece] * 16):
-                await loop.sock_sendall(self.caller, data)
-                await asyncio.sleep(LINGER_S / 10)
-        self.assertIn(b" 503 ", await self.receive())
-        async with asyncio.timeout(5.0):
-            await self.server.wait_closed()
+        for path, status in ((b"/refused", b" 503 "), (b"/", b" 200 ")):
+            with self.subTest(path):
+                head = REQUEST.replace(b"/", path, 1).strip()
+                head += b"\r\nContent-Length: 8000000\r\n\r\n"
+                async with asyncio.timeout(10.0):
+                    for data in (head, *[piece] * 16):
+                        await loop.sock_sendall(self.caller, data)
+                        await asyncio.sleep(LINGER_S / 10)
+                response = await self.receive()
+                self.assertIn(status, response)
+                self.assertIn(b"Connection: close", response)
+                async with asyncio.timeout(5.0):
+                    await self.server.wait_closed()
+                self.connect_caller()
 
 
 if __name__ == "__main__":
