--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -67,6 +67,19 @@
         self.server.close_idle_connections()
         self.assertEqual(b"", self.caller.recv(1))
 
+    async def test_request_is_answered_in_any_turn_before_a_close(self) -> None:
+        """Guards against handlers that start and are cancelled by a close."""
+        for turns in range(7):
+            with self.subTest(turns=turns):
+                self.connect_caller()
+                self.caller.sendall(REQUEST)
+                self.assertIn(b" 200 OK", await self.receive())
+                self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                self.connections[-1].close_when_idle()
+                self.assertIn(b" 200 OK", await self.receive())
+
     async def test_next_request_is_answered_although_a_close_is_wanted(self) -> None:
         """Guards against a close right behind a response that didn't announce it."""
         self.next_request_s = LONG_S
