Play requests behind the end of a stream while a cell's daemon stops

Cause: only entry hosts were tested for requests that callers send right behind the end of a stream, when its head didn't announce the close. Change: test_cell_next_requests, with and without pauses of the process around the close. CellCase holds the set-up that it shares with test_cell_requests_around_a_stop, whose checks are unchanged.

--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -13,6 +13,7 @@
     create_seeded_random,
 )
 from tests.harness._next_request_callers import (
+    END_PATH,
     NextRequestCallers,
     TimedRunner,
     build_stream_path,
@@ -45,6 +46,7 @@
     "RAW_CALL_TIMEOUT_S",
     "ACCEPT_S",
     "Balancer",
+    "END_PATH",
     "DaemonHandle",
     "Ending",
     "Exchange",
--- a/tests/integration/test_cell_requests_around_a_stop.py
+++ b/tests/integration/test_cell_requests_around_a_stop.py
@@ -6,19 +6,7 @@
 import random
 import signal
 import unittest
-from urllib.parse import quote
-
-from aiohttp import web
-
-from figshunt.standins import WebStandin
-from tests.builders import (
-    CALLER_KEY,
-    build_documents,
-    build_pool,
-    build_raw_request,
-    build_route,
-    build_runner,
-)
+
 from tests.harness import (
     ACCEPT_S,
     SITUATIONS,
@@ -29,86 +17,33 @@
     StopCallers,
     open_raw_caller,
 )
+from tests.integration.cell_case import (
+    BODY_TIMEOUT_MS,
+    NOT_RUN_STATUS,
+    CellCase,
+    build_call,
+)
 
 SEED = 42
-LARGE_ANSWER_BYTES = 600_000
-SERVICE_S = 0.2
 PAUSE_S = 1.2
 
-# Bodies that callers send late on a busy machine are still accepted.
-BODY_TIMEOUT_MS = 10_000
-NOT_RUN_STATUS = 503
-
-
-class RecordingService(WebStandin):
-    """Answers all calls and records their paths."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.paths: set[str] = set()
-
-    def build_app(self) -> web.Application:
-        """Return the application to serve."""
-        app = web.Application()
-        app.router.add_route("*", "/{tail:.*}", self._serve)
-        return app
-
-    async def _serve(self, request: web.Request) -> web.Response:
-        self.paths.add(request.path)
-        await request.read()
-        await asyncio.sleep(SERVICE_S)
-        is_large = "large" in request.path
-        return web.Response(body=bytes(LARGE_ANSWER_BYTES if is_large else 100))
-
 
 def build(situation: Situation, request_id: str) -> bytes:
-    return build_raw_request(
-        f"/route/roster/{quote(request_id)}",
-        {"Host": "h.example", "Authorization": f"Bearer {CALLER_KEY}"},
-        situation.body,
-        chunk_bytes=7_000 if situation.is_chunked else None,
-    )
+    chunk_bytes = 7_000 if situation.is_chunked else None
+    return build_call(request_id, situation.body, chunk_bytes=chunk_bytes)
 
 
-class CellRequestsAroundStopTest(unittest.IsolatedAsyncioTestCase):
+class CellRequestsAroundStopTest(CellCase):
     """Guards against whole requests that end with neither an answer nor a refusal."""
 
     async def asyncSetUp(self) -> None:
-        # The loop's debug mode slows the service and the callers, which share it.
-        asyncio.get_running_loop().set_debug(False)
-        self.service = RecordingService()
-        await self.service.start()
-        self.addAsyncCleanup(self.service.stop)
-        self.fleet = await self.start_fleet()
-        self.daemon = self.fleet.daemons_by_seat[0]
-        self.process = self.daemon.process
+        await super().asyncSetUp()
         self.callers = self.build_callers(self.fleet)
 
-    async def start_fleet(self) -> Fleet:
-        fleet = Fleet(self.build_documents(1), seats=1)
-        fleet.settings_overrides["drain_grace_ms"] = round(ACCEPT_S * 1000)
-        fleet.settings_overrides["limits"] = {"body_timeout_ms": BODY_TIMEOUT_MS}
-        await fleet.__aenter__()
-        self.addAsyncCleanup(fleet.__aexit__)
-        return fleet
-
     def build_callers(self, fleet: Fleet) -> StopCallers:
         port = fleet.daemons_by_seat[0].caller_port
         return StopCallers(port, build, random.Random(SEED))
 
-    def build_documents(self, revision: int) -> tuple[dict[str, object], ...]:
-        pool = build_pool(
-            "plains",
-            [build_runner("plain-1", self.service.url)],
-            kind="plain",
-            reports_load=False,
-            limit=1_000,
-            cold_limit=1_000,
-        )
-        return build_documents(
-            revision, routes=[build_route("roster", pool="plains")], pools=[pool]
-        )
-
     def check(self, exchanges: list[Exchange]) -> None:
         self.assertLess(0, sum(entry.status == 200 for entry in exchanges))
         for exchange in exchanges:
