Let callers of a cell read refusals of bodies that they are still sending

Cause: a 404, a 413 or a 400 that is sent before the body is whole didn't announce the close. The HTTP library then closes the connection at once, and what the caller goes on sending resets it, so that the caller sees an error in place of the refusal. Entry hosts announce it. Change: the caller listener announces the close with each response whose request has an incomplete body.

--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -234,11 +234,14 @@
     ) -> None:
         """Announce the close with the response to the last received request.
 
-        Callers take it that no request behind such a response has been processed.
+        Callers take it that no request behind such a response has been processed. A
+        connection also ends with a response to a request whose body isn't whole, as
+        the next request can't be found without reading all of that body.
         """
         connection = request.protocol
         assert isinstance(connection, CallerProtocol)
-        if self._is_draining and not connection.has_further_request:
+        is_last = self._is_draining and not connection.has_further_request
+        if is_last or not request.content.is_eof():
             response.force_close()
             response.headers["Connection"] = "close"
 
--- a/tests/services/test_caller_listener.py
+++ b/tests/services/test_caller_listener.py
@@ -34,6 +34,7 @@
 LISTENER_LIMITS = {"body_bytes": 4096, "header_bytes": 2048, "body_timeout_ms": 300}
 FAST_BATCH = BatchProfile(token_ms=0.1, token_ms_per_request=0.0)
 VALID_BODY = build_completion_body(tokens=2)
+REFUSED_BODY_BYTES = 1_600_000
 
 
 def build_http(
@@ -273,6 +274,28 @@
         )
         self.assertIn(b"[DONE]", await self.exchange(build_http(VALID_BODY)))
 
+    async def test_caller_that_sends_a_refused_body_reads_the_refusal(self) -> None:
+        """Guards against refusals that are lost as the connection is reset."""
+        too_large = build_http(b"", content_length=REFUSED_BODY_BYTES)
+        unknown = build_http(b"", path="/x", content_length=REFUSED_BODY_BYTES)
+        chunk = b"%x\r\n" % REFUSED_BODY_BYTES
+        chunked = MALFORMED_CHUNK.replace(b"zz\r\n", chunk)
+        for name, head, status in (
+            ("413", too_large, b" 413 "),
+            ("413 within a chunk", chunked, b" 413 "),
+            ("404", unknown, b" 404 "),
+        ):
+            with self.subTest(name):
+                reader, writer = await self.connect(head)
+                async with asyncio.timeout(10):
+                    for _ in range(16):
+                        writer.write(bytes(REFUSED_BODY_BYTES // 16))
+                        await writer.drain()
+                        await asyncio.sleep(0.02)
+                    answer = await reader.read()
+                self.assertIn(status, answer.splitlines()[0])
+                self.assertIn(b"connection: close", answer.lower())
+
     async def test_runner_receives_path_unchanged(self) -> None:
         """Guards against request splitting by a line break decoded from the path."""
         path = "/route/roster/a%20b%0d%0aX-Evil:%201%0d%0a%ff?q=%0a"
