Don't count a refused request as discarded when its body ends

Cause: bytes behind a close were counted as a further request once they completed one, although the request was the one that the last response had refused. requests_discarded was logged and figshunt_discarded_requests_total grew, which operators read as a request that got no answer. Change: CallerConnection compares whole requests with responses. Measured: test_caller_that_sends_a_refused_body_reads_the_refusal of tests.runtime: 1 request counted before, 0 now; test_requests_behind_a_close_are_counted passes.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -147,9 +147,8 @@
         """Count and parse received bytes; discard them after the last response."""
         self._last_received_s = self._now_s()
         if self._has_sent_last:
-            completed = self._framing.completed
             self._framing.feed(data)
-            self.discarded_requests += self._framing.completed - completed
+            self._count_discarded()
             return
         self._framing.feed(data)
         super().data_received(data)
@@ -178,7 +177,7 @@
         self._responses += 1
         self._invited_s = self._now_s()
         if not result[0].keep_alive:
-            self.discarded_requests += max(0, self._framing.completed - self._responses)
+            self._count_discarded()
             self._shut_down_sending()
             await self._linger()
         elif self._closes_when_idle:
@@ -186,6 +185,10 @@
             asyncio.get_running_loop().call_soon(self._close_if_idle)
         return result
 
+    def _count_discarded(self) -> None:
+        # The request of the last response may have been incomplete when it was sent.
+        self.discarded_requests = max(0, self._framing.completed - self._responses)
+
     def _close_if_idle(self) -> None:
         if self._quiet_timer is not None:
             self._quiet_timer.cancel()
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -165,6 +165,8 @@
         self.assertIn(b" 503 ", await self.receive())
         async with asyncio.timeout(5.0):
             await self.server.wait_closed()
+        # The request has a response, although its body came behind the close.
+        self.assertEqual(0, self.server.discarded_requests)
 
 
 if __name__ == "__main__":
