Let callers with TLS read refusals of bodies that they are still sending

Cause: a TLS connection can't be half-closed, so that it was closed at once behind its last response. What the caller went on sending reset it. Change: CallerConnection reads on for the rest of a refused request; between requests such connections still close at once, as their callers see no end until then. With TLS, what is pipelined behind a last response can still reset the connection.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -248,16 +248,21 @@
     def _shut_down_sending(self) -> None:
         """Half-close the connection behind the bytes that are still to be sent."""
         self._has_sent_last = True
-        if self.transport is None or not self.transport.can_write_eof():
+        if self.transport is None:
             return
-        self.transport.write_eof()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
         # The library pauses reading while nobody takes the body of a request.
         self.transport.resume_reading()
 
     async def _linger(self) -> None:
         """Wait until all bytes are sent and the caller has had time to read them."""
         transport = self.transport
-        if transport is None or not transport.can_write_eof():
+        if transport is None:
+            return
+        # With TLS the caller sees no close meanwhile, so it only waits for the rest
+        # of a request that was refused.
+        if not transport.can_write_eof() and self._framing.is_between_requests:
             return
         end_s = self._now_s() + MAX_LINGER_S
         while not self._closed.is_set():
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -30,6 +30,16 @@
     return web.Response()
 
 
+def build_anonymous_tls(protocol: int) -> ssl.SSLContext:
+    """Return a context that needs no certificate."""
+    context = ssl.SSLContext(protocol)
+    context.maximum_version = ssl.TLSVersion.TLSv1_2
+    context.set_ciphers("AECDH-AES256-SHA:@SECLEVEL=0")
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context
+
+
 class CallerConnectionTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.http_server = web.Server(answer)
@@ -168,6 +178,29 @@
         # The request has a response, although its body came behind the close.
         self.assertEqual(0, self.server.discarded_requests)
 
+    async def test_caller_with_tls_reads_the_refusal_of_its_body(self) -> None:
+        """Guards against a reset where a connection can't be closed by halves."""
+        context = build_anonymous_tls(ssl.PROTOCOL_TLS_SERVER)
+        server = CallerServer(self.build_connection, context)
+        await server.start(LOOPBACK, 0, backlog=16)
+        self.addAsyncCleanup(server.close)
+        context = build_anonymous_tls(ssl.PROTOCOL_TLS_CLIENT)
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK, server.port, ssl=context
+        )
+        self.addCleanup(writer.transport.abort)
+        head = REQUEST.replace(b"/", b"/refused", 1).strip()
+        async with asyncio.timeout(10.0):
+            for data in (
+                head + b"\r\nContent-Length: 8000000\r\n\r\n",
+                *[bytes(500_000)] * 16,
+            ):
+                writer.write(data)
+                await writer.drain()
+                await asyncio.sleep(LINGER_S / 50)
+            self.assertIn(b" 503 ", await reader.read())
+            await server.wait_closed()
+
 
 if __name__ == "__main__":
     unittest.main()
