Let callers of a cell read what was sent of an answer that is cut

Cause: an answer whose runner ends within it was ended with the transport's close, which stops reading at once. What the caller sends behind its request resets the connection, and the rest of the answer is lost, with the error event that tells whether the request may have run. Change: CallerConnection.break_off_response half-closes behind the sent part and reads on, as behind a last response. A chunked body has no last chunk, as before. What is pipelined behind it counts as discarded. HTTP/1.0 callers are still reset, as only that shows them the cut.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -71,6 +71,7 @@
         self._quiet_timer: asyncio.TimerHandle | None = None
         self._closes_when_idle = False
         self._has_sent_last = False
+        self._is_broken_off = False
         self._open_transport: asyncio.Transport | None = None
         self._closing_task: asyncio.Task[None] | None = None
         self._closed = asyncio.Event()
@@ -130,6 +131,13 @@
         # The system limits the size by itself.
         info.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MAX_SEND_BUFFER_BYTES)
 
+    def break_off_response(self) -> None:
+        """End the connection behind what was sent of the response in progress.
+
+        The caller sees that its body, sent in chunks, isn't complete.
+        """
+        self._is_broken_off = True
+
     def abort(self) -> None:
         """End the connection at once, with all that is unsent."""
         if self._open_transport is not None:
@@ -183,10 +191,14 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; after the last one, wait until the caller has read it."""
-        result = await super().finish_response(request, resp, start_time)
+        if self._is_broken_off:
+            # The library would complete the body.
+            result = resp, True
+        else:
+            result = await super().finish_response(request, resp, start_time)
         self._responses += 1
         self._invited_s = self._now_s()
-        if not result[0].keep_alive:
+        if self._is_broken_off or not result[0].keep_alive:
             self._count_discarded()
             self._shut_down_sending()
             await self._linger()
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -401,7 +401,9 @@
             # the caller that it is truncated.
             http_request.transport.abort()
         else:
-            http_request.transport.close()
+            connection = http_request.protocol
+            assert isinstance(connection, CallerProtocol)
+            connection.break_off_response()
 
 
 def _build_ssl_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
--- a/tests/services/test_caller_listener.py
+++ b/tests/services/test_caller_listener.py
@@ -36,6 +36,8 @@
 FAST_BATCH = BatchProfile(token_ms=0.1, token_ms_per_request=0.0)
 VALID_BODY = build_completion_body(tokens=2)
 REFUSED_BODY_BYTES = 1_600_000
+CUT_ANSWER_BYTES = 600_000
+CUT_PATH = "/cut"
 
 
 def build_http(
@@ -179,6 +181,11 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         response = web.StreamResponse()
         await response.prepare(request)
+        if request.path == CUT_PATH:
+            await response.write(bytes(CUT_ANSWER_BYTES))
+            assert request.transport is not None
+            request.transport.close()
+            return response
         try:
             while True:
                 await response.write(bytes(2**16))
@@ -297,6 +304,20 @@
                 self.assertIn(status, answer.splitlines()[0])
                 self.assertIn(b"connection: close", answer.lower())
 
+    async def test_caller_reads_what_was_sent_of_a_cut_answer(self) -> None:
+        """Guards against a reset by what the caller sends behind its request."""
+        request = build_http(b"", path=f"/route/flood{CUT_PATH}", method="GET")
+        reader, writer = await self.connect(request, limit=1024)
+        await reader.read(1)
+        while self.daemon.caller_listener.requests_in_progress:
+            await asyncio.sleep(0.01)
+        writer.write(request)
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        self.assertLess(CUT_ANSWER_BYTES, len(answer))
+        self.assertFalse(answer.endswith(b"\r\n0\r\n\r\n"))
+
     async def test_body_that_arrives_during_a_pause_is_accepted(self) -> None:
         """Guards against a timeout that is due before the last bytes are read."""
         reader, writer = await self.connect(build_http(VALID_BODY)[:-5])
