--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -77,6 +77,7 @@
         self._quiet_timer: asyncio.TimerHandle | None = None
         self._closes_when_idle = False
         self._has_sent_last = False
+        self._is_broken_off = False
         self._open_transport: asyncio.Transport | None = None
         self._closing_task: asyncio.Task[None] | None = None
         self._closed = asyncio.Event()
@@ -98,6 +99,16 @@
             or not self._framing.is_between_requests
         )
 
+    @property
+    def has_whole_request(self) -> bool:
+        """Return whether a whole request waits for its response."""
+        return self._framing.completed > self._responses
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that the event loop hasn't read yet."""
+        return self.transport is not None and _has_unread_bytes(self.transport)
+
     @property
     def is_made(self) -> bool:
         """Return whether the connection was made, with any TLS handshake."""
@@ -126,6 +137,13 @@
         # The system limits the size by itself.
         info.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, MAX_SEND_BUFFER_BYTES)
 
+    def break_off_response(self) -> None:
+        """End the connection behind what was sent of the response in progress.
+
+        The caller sees that its body, sent in chunks, isn't complete.
+        """
+        self._is_broken_off = True
+
     def abort(self) -> None:
         """End the connection at once, with all that is unsent."""
         if self._open_transport is not None:
@@ -156,7 +174,7 @@
         """Count and parse received bytes; discard them after the last response."""
         self._last_received_s = self._now_s()
         if self._has_sent_last:
-            self._count_discarded(data)
+            self._discard(data)
             return
         self._framing.feed(data)
         super().data_received(data)
@@ -183,11 +201,15 @@
         """Write a response; after the last one, wait until the caller has read it."""
         if self._is_rest_lost(request) and isinstance(resp, web.StreamResponse):
             resp.force_close()
-        result = await super().finish_response(request, resp, start_time)
+        if self._is_broken_off:
+            # The library would complete the body.
+            result = resp, True
+        else:
+            result = await super().finish_response(request, resp, start_time)
         self._responses += 1
         self._invited_s = self._now_s()
-        if not result[0].keep_alive:
-            self.discarded_requests += max(0, self._framing.completed - self._responses)
+        if self._is_broken_off or not result[0].keep_alive:
+            self._count_discarded()
             self._shut_down_sending()
             await self._linger()
         elif self._closes_when_idle:
@@ -207,12 +229,15 @@
             return True
         return not request.content.is_eof()
 
-    def _count_discarded(self, data: bytes) -> None:
-        completed = self._framing.completed
+    def _discard(self, data: bytes) -> None:
         self._framing.feed(data)
-        self.discarded_requests += self._framing.completed - completed
         if self._framing.pending_bytes > MAX_DISCARDED_HEAD_BYTES:
             self._framing.stop()
+        self._count_discarded()
+
+    def _count_discarded(self) -> None:
+        # The request of the last response may have been incomplete when it was sent.
+        self.discarded_requests = max(0, self._framing.completed - self._responses)
 
     def _close_if_idle(self) -> None:
         if self._quiet_timer is not None:
@@ -224,7 +249,7 @@
         if wait_s > 0:
             loop = asyncio.get_running_loop()
             self._quiet_timer = loop.call_later(wait_s, self._close_if_idle)
-        elif not _has_unread_bytes(self.transport):
+        elif not self.has_unread_bytes:
             self._close_idle()
 
     def _check_idle_timeout(self) -> None:
@@ -235,8 +260,7 @@
             self._invited_s + max(self._idle_timeout_s, self._next_request_s),
         )
         wait_s -= self._now_s()
-        waits_for_response = self._framing.completed > self._responses
-        if waits_for_response or _has_unread_bytes(self.transport):
+        if self.has_whole_request or self.has_unread_bytes:
             wait_s = self._idle_timeout_s
         if wait_s <= 0:
             self._close_idle()
@@ -264,16 +288,21 @@
     def _shut_down_sending(self) -> None:
         """Half-close the connection behind the bytes that are still to be sent."""
         self._has_sent_last = True
-        if self.transport is None or not self.transport.can_write_eof():
+        if self.transport is None:
             return
-        self.transport.write_eof()
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
         # The library pauses reading while nobody takes the body of a request.
         self.transport.resume_reading()
 
     async def _linger(self) -> None:
         """Wait until all bytes are sent and the caller has had time to read them."""
         transport = self.transport
-        if transport is None or not transport.can_write_eof():
+        if transport is None:
+            return
+        # With TLS the caller sees no close meanwhile, so it only waits for the rest
+        # of a request that was refused.
+        if not transport.can_write_eof() and self._framing.is_between_requests:
             return
         end_s = self._now_s() + MAX_LINGER_S
         while not self._closed.is_set():
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -20,6 +20,7 @@
 )
 from figshunt.runtime import CallerServer, EventLog, MessageSink
 from figshunt.services._answer_stream import AnswerEffect, AnswerStream
+from figshunt.services._body_timeout import limit_body_time
 from figshunt.services._caller_protocol import CallerProtocol
 from figshunt.services._error_response import (
     build_error_body,
@@ -269,8 +270,10 @@
         )
         if (http_request.content_length or 0) > self._limits.body_bytes:
             raise _build_error(ErrorCode.BODY_TOO_LARGE, too_large_detail)
+        connection = http_request.protocol
+        assert isinstance(connection, CallerProtocol)
         try:
-            async with asyncio.timeout(self._limits.body_timeout_ms / 1000):
+            async with limit_body_time(connection, self._limits.body_timeout_ms / 1000):
                 return await http_request.read()
         except web.HTTPRequestEntityTooLarge as error:
             raise _build_error(ErrorCode.BODY_TOO_LARGE, too_large_detail) from error
@@ -395,7 +398,9 @@
             # the caller that it is truncated.
             http_request.transport.abort()
         else:
-            http_request.transport.close()
+            connection = http_request.protocol
+            assert isinstance(connection, CallerProtocol)
+            connection.break_off_response()
 
 
 def _build_ssl_context(tls: TlsSettings | None) -> ssl.SSLContext | None:
--- a/tests/services/test_caller_listener.py
+++ b/tests/services/test_caller_listener.py
@@ -4,6 +4,7 @@
 import gzip
 import json
 import random
+import time
 import unittest
 
 from aiohttp import web
@@ -34,6 +35,9 @@
 LISTENER_LIMITS = {"body_bytes": 4096, "header_bytes": 2048, "body_timeout_ms": 300}
 FAST_BATCH = BatchProfile(token_ms=0.1, token_ms_per_request=0.0)
 VALID_BODY = build_completion_body(tokens=2)
+REFUSED_BODY_BYTES = 1_600_000
+CUT_ANSWER_BYTES = 600_000
+CUT_PATH = "/cut"
 
 
 def build_http(
@@ -177,6 +181,11 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         response = web.StreamResponse()
         await response.prepare(request)
+        if request.path == CUT_PATH:
+            await response.write(bytes(CUT_ANSWER_BYTES))
+            assert request.transport is not None
+            request.transport.close()
+            return response
         try:
             while True:
                 await response.write(bytes(2**16))
@@ -273,6 +282,53 @@
         )
         self.assertIn(b"[DONE]", await self.exchange(build_http(VALID_BODY)))
 
+    async def test_caller_that_sends_a_refused_body_reads_the_refusal(self) -> None:
+        """Guards against refusals that are lost as the connection is reset."""
+        too_large = build_http(b"", content_length=REFUSED_BODY_BYTES)
+        unknown = build_http(b"", path="/x", content_length=REFUSED_BODY_BYTES)
+        chunk = b"%x\r\n" % REFUSED_BODY_BYTES
+        chunked = MALFORMED_CHUNK.replace(b"zz\r\n", chunk)
+        for name, head, status in (
+            ("413", too_large, b" 413 "),
+            ("413 within a chunk", chunked, b" 413 "),
+            ("404", unknown, b" 404 "),
+        ):
+            with self.subTest(name):
+                reader, writer = await self.connect(head)
+                async with asyncio.timeout(10):
+                    for _ in range(16):
+                        writer.write(bytes(REFUSED_BODY_BYTES // 16))
+                        await writer.drain()
+                        await asyncio.sleep(0.02)
+                    answer = await reader.read()
+                self.assertIn(status, answer.splitlines()[0])
+                self.assertIn(b"connection: close", answer.lower())
+
+    async def test_caller_reads_what_was_sent_of_a_cut_answer(self) -> None:
+        """Guards against a reset by what the caller sends behind its request."""
+        request = build_http(b"", path=f"/route/flood{CUT_PATH}", method="GET")
+        reader, writer = await self.connect(request, limit=1024)
+        await reader.read(1)
+        while self.daemon.caller_listener.requests_in_progress:
+            await asyncio.sleep(0.01)
+        writer.write(request)
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        self.assertLess(CUT_ANSWER_BYTES, len(answer))
+        self.assertFalse(answer.endswith(b"\r\n0\r\n\r\n"))
+
+    async def test_body_that_arrives_during_a_pause_is_accepted(self) -> None:
+        """Guards against a timeout that is due before the last bytes are read."""
+        reader, writer = await self.connect(build_http(VALID_BODY)[:-5])
+        while not self.daemon.caller_listener.requests_in_progress:
+            await asyncio.sleep(0.001)
+        writer.write(VALID_BODY[-5:])
+        time.sleep(2 * LISTENER_LIMITS["body_timeout_ms"] / 1000)
+        async with asyncio.timeout(10):
+            answer = await reader.readuntil(b"\r\n\r\n")
+        self.assertIn(b" 200 ", answer.splitlines()[0])
+
     async def test_runner_receives_path_unchanged(self) -> None:
         """Guards against request splitting by a line break decoded from the path."""
         path = "/route/roster/a%20b%0d%0aX-Evil:%201%0d%0a%ff?q=%0a"
