Accept no sign in the size of a request's chunk

Callers saw: nothing in any record; found while looking for other causes of requests that are passed on and closed. One request, without a valid key, whose chunk size is -6 stops the event loop of a host forever, with all requests in progress on it. Cause: RequestFraming parsed chunk sizes with int(), which accepts signs, and skipped -4 bytes, that is, it went back to the start of the same line. The HTTP library's parser refuses the size, but gets the bytes after the framing. Both front ends use it. Change: a chunk size consists of hexadecimal digits; anything else is invalid. Measured: RequestFraming.feed of a head with chunked framing and '-6\r\nxxxx' did not return within 5 s (timeout 5) before, and returns now. python -m unittest tests.runtime.test_request_framing: 2 subtests fail before, all pass now.

--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -11,6 +11,9 @@
 # digits; the extensions behind it have no limit, nor does the parser limit them.
 MAX_LINE_START_BYTES = 64
 
+# ``int`` accepts signs, prefixes and underscores as well.
+CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
+
 
 class FramingState(Enum):
     """The part of a request to which the next byte belongs.
@@ -131,11 +134,11 @@
             self._complete()
 
     def _start_chunk(self, line: bytes) -> None:
-        try:
-            size = int(line.partition(b";")[0], 16)
-        except ValueError:
+        digits = line.partition(b";")[0]
+        if not CHUNK_SIZE.fullmatch(digits):
             self._state = FramingState.INVALID
             return
+        size = int(digits, 16)
         if size:
             self._state = FramingState.CHUNK
             self._remaining_bytes = size + len(LINE_END)
--- a/tests/runtime/test_request_framing.py
+++ b/tests/runtime/test_request_framing.py
@@ -54,10 +54,14 @@
         for data in (
             b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            # "-6" instead would be read again and again.
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\nabc",
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0x3\r\n",
         ):
             with self.subTest(data):
                 framing = RequestFraming()
                 framing.feed(data)
+                self.assertTrue(framing.is_between_requests)
                 framing.feed(b"POST / HTTP/1.1\r\n")
                 self.assertEqual(0, framing.completed)
                 self.assertTrue(framing.is_between_requests)
