Accept at most 20 digits in the length of a request's body

Callers saw: nothing in any record. A request in progress was passed on to a runner, and its channel was closed without an answer, as in the users' record; the caller's next request on the channel had a Content-Length of more than 4300 digits. Cause: int() raises ValueError for more digits than that, and the event loop ends a connection whose data_received raises. The HTTP library would have answered the first request, and the second one with 400. Change: a length of more digits than the parser's 64 bits have counts as invalid; leading zeros don't count. Measured: python -m unittest tests.runtime.test_request_framing tests.runtime.test_caller_connection: 1 failure and 1 error before (the caller of the request in progress received nothing), all 13 pass now.

--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -11,6 +11,9 @@
 # digits; the extensions behind it have no limit, nor does the parser limit them.
 MAX_LINE_START_BYTES = 64
 
+# ``int`` fails on some thousand digits. The parser's limit is 64 bits.
+MAX_LENGTH_DIGITS = 20
+
 # ``int`` accepts signs, prefixes and underscores as well.
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
 
@@ -125,11 +128,12 @@
             self._state = FramingState.CHUNK_SIZE
             return
         length = values_by_name.get(b"content-length", b"0")
-        if not length.isdigit():
+        digits = length.lstrip(b"0")
+        if not length.isdigit() or len(digits) > MAX_LENGTH_DIGITS:
             self._state = FramingState.INVALID
-        elif int(length):
+        elif digits:
             self._state = FramingState.BODY
-            self._remaining_bytes = int(length)
+            self._remaining_bytes = int(digits)
         else:
             self._complete()
 
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -76,6 +76,16 @@
         self.caller.sendall(REQUEST)
         self.assertIn(b" 200 OK", await self.receive())
 
+    async def test_invalid_bytes_leave_the_request_before_them_its_response(
+        self,
+    ) -> None:
+        """Guards against a channel that is closed while its request is in progress."""
+        invalid = REQUEST.strip() + b"\r\nContent-Length: %s\r\n\r\n" % (b"1" * 5_000)
+        self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1))
+        await asyncio.sleep(SLOW_ANSWER_S / 4)
+        self.caller.sendall(invalid)
+        self.assertIn(b" 200 OK", await self.receive())
+
     async def test_idle_timeout_counts_from_the_end_of_a_response(self) -> None:
         """Guards against a close right behind a response that took long."""
         self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1))
--- a/tests/runtime/test_request_framing.py
+++ b/tests/runtime/test_request_framing.py
@@ -53,6 +53,7 @@
         """Guards against connections that stay open after bytes of no request."""
         for data in (
             b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+            b"POST / HTTP/1.1\r\nContent-Length: %s\r\n\r\n" % (b"1" * 5_000),
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
             # "-6" instead would be read again and again.
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\nabc",
