Give the HTTP library one request at a time

Callers saw: a request behind one with 'Upgrade: h2c', received at once with it, was never answered, and its channel never closed. A whole request with invalid bytes, or with a further request behind 'Connection: close', received at once with it, was answered with 400. Cause: aiohttp drops the bytes behind a request whose upgrade it doesn't know, and if it finds invalid bytes, also the whole requests that it parsed from the same bytes. CallerConnection counted the dropped request as one that waits for its response. Change: RequestFraming.feed returns where requests end, and CallerConnection passes the bytes up to there to the library separately. Measured: python -m unittest tests.runtime.test_caller_connection -k at_once_are: before, the second request got no answer within 5 s, and the two other callers got 400; now all get the expected responses. In each of these cases the dropped request had not been passed on.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -151,8 +151,14 @@
             self._framing.feed(data)
             self.discarded_requests += self._framing.completed - completed
             return
-        self._framing.feed(data)
-        super().data_received(data)
+        # With bytes behind a request, the library drops the request if they are invalid,
+        # and the bytes if the request asks for an upgrade.
+        start = 0
+        for end in self._framing.feed(data):
+            super().data_received(data[start:end])
+            start = end
+        if start < len(data):
+            super().data_received(data[start:])
         if self._closes_when_idle and self.is_idle:
             asyncio.get_running_loop().call_soon(self._close_if_idle)
 
--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -54,17 +54,24 @@
             return True
         return self._state is FramingState.HEAD and not self._pending
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> list[int]:
         """Process bytes in the order in which they are received.
 
         The time is proportional to their number, whatever pieces they come in.
+
+        :returns: the positions in ``data`` behind each request that it completes.
         """
         position = 0
+        ends = []
         while position < len(data) and self._state is not FramingState.INVALID:
+            completed = self.completed
             if self._state in (FramingState.BODY, FramingState.CHUNK):
                 position = self._skip(data, position)
             else:
                 position = self._read_text(data, position)
+            if self.completed > completed:
+                ends.append(position)
+        return ends
 
     def _skip(self, data: bytes, position: int) -> int:
         skipped = min(len(data) - position, self._remaining_bytes)
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -1,6 +1,7 @@
 """Connections of callers that end only between requests."""
 
 import asyncio
+import re
 import socket
 import ssl
 import unittest
@@ -86,6 +87,25 @@
         self.caller.sendall(invalid)
         self.assertIn(b" 200 OK", await self.receive())
 
+    async def test_requests_received_at_once_are_answered_one_by_one(self) -> None:
+        """Guards against bytes behind a request with which the library drops it."""
+        upgrade = REQUEST.strip() + b"\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        closing = REQUEST.strip() + b"\r\nConnection: close\r\n\r\n"
+        for data, statuses in (
+            (upgrade + REQUEST, [b"200", b"200"]),
+            (REQUEST + b"\0\0", [b"200", b"400"]),
+            (closing + REQUEST, [b"200"]),
+        ):
+            with self.subTest(data):
+                self.connect_caller()
+                self.caller.sendall(data)
+                received = b""
+                while received.count(b"HTTP/1.") < len(statuses):
+                    piece = await self.receive()
+                    self.assertTrue(piece, received)
+                    received += piece
+                self.assertEqual(statuses, re.findall(rb"HTTP/1.. (\d+)", received))
+
     async def test_idle_timeout_counts_from_the_end_of_a_response(self) -> None:
         """Guards against a close right behind a response that took long."""
         self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1))
