--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -151,8 +151,8 @@
             self._framing.feed(data)
             self.discarded_requests += self._framing.completed - completed
             return
-        # With bytes behind a request, the library drops the request if they are invalid,
-        # and the bytes if the request asks for an upgrade.
+        # If bytes come behind a request, the library drops the request if they are
+        # invalid, and the bytes if the request asks for an upgrade.
         start = 0
         for end in self._framing.feed(data):
             super().data_received(data[start:end])
--- a/tests/integration/entry_host_case.py
+++ b/tests/integration/entry_host_case.py
@@ -37,7 +37,7 @@
         await self.store.start()
         self.addAsyncCleanup(self.store.stop)
         self.engine = self.build_engine()
-        self.booking = PlatformRunner("b1")
+        self.booking = self.build_booking_runner()
         self.booking.answer_bytes = LARGE_ANSWER_BYTES
         for runner, pool in ((self.engine, "engines"), (self.booking, "bookings")):
             await runner.start()
@@ -52,6 +52,7 @@
         for service in document["services"]:
             service["maxConns"] = 1_000
         document["services"][0]["engine"] |= {"slots": 1_000, "kvCapacity": 10_000_000}
+        self.document = document
         self.store.put("op/config", document)
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
@@ -75,6 +76,10 @@
         """Return the engine, which isn't started."""
         return PlatformRunner("e1", events=10, event_interval_ms=20)
 
+    def build_booking_runner(self) -> PlatformRunner:
+        """Return the runner without an engine, which isn't started."""
+        return PlatformRunner("b1")
+
     @property
     def run_ids(self) -> set[str]:
         """Return the ids of the requests that were passed on to a runner."""
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -4,6 +4,7 @@
 import re
 import socket
 import ssl
+import time
 import unittest
 
 from aiohttp import web
@@ -114,6 +115,18 @@
         self.caller.sendall(REQUEST)
         self.assertIn(b" 200 OK", await self.receive())
 
+    async def test_request_at_the_idle_timeout_is_answered(self) -> None:
+        """Guards against a close in the turn in which a request can be read."""
+        self.caller.sendall(REQUEST)
+        self.assertIn(b" 200 OK", await self.receive())
+        idle_s = 0.4
+        self.connections[0].set_idle_timeout(idle_s)
+        loop = asyncio.get_running_loop()
+        # The request is sent and the timeout is due in the same turn.
+        loop.call_later(idle_s / 2, time.sleep, idle_s)
+        loop.call_later(idle_s * 3 / 4, self.caller.sendall, REQUEST)
+        self.assertIn(b" 200 OK", await self.receive())
+
     async def test_requests_behind_a_close_are_counted(self) -> None:
         """Guards against requests that nobody answers and no log tells of."""
         self.caller.sendall(REQUEST)
