End the connection behind a stream for an HTTP/1.0 caller

Callers saw: a caller that speaks HTTP/1.0 and asks to keep its connection never sees the end of its stream; what it reads next belongs to the stream as far as it can tell. Cause: the response has neither a length nor chunks, and aiohttp keeps the connection, although it doesn't announce that. Change: a stream for a version below 1.1 is the last response on its connection. Measured: python -m unittest tests.gateway.test_gateway -k http_1_0: before, no end within 5 s; now the stream ends with its five events.

--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -353,6 +353,9 @@
                     open_request.stage = RequestStage.ANSWERING
                     response = web.StreamResponse(status=head.status)
                     self._add_headers(request, response, head)
+                    if request.version < HttpVersion11:
+                        # Nothing else tells these callers where the body ends.
+                        response.force_close()
                     await response.prepare(request)
                 case AnswerEvent(_, data):
                     assert response is not None
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -7,6 +7,7 @@
 
 from figshunt.standins import RunnerBehaviour
 from figshunt.types import PoolName
+from tests.builders import build_raw_request
 from tests.gateway.fixture import (
     CALLER_API_KEY,
     LOOPBACK,
@@ -268,6 +269,26 @@
                 line = await self.read_status_line((head % length).encode())
                 self.assertIn(status, line)
 
+    async def test_stream_for_http_1_0_ends_with_its_connection(self) -> None:
+        """Guards against callers that wait for an end that nothing delimits."""
+        data = build_raw_request(
+            "/chat/1",
+            {
+                "Connection": "keep-alive",
+                "Authorization": f"Token {CALLER_API_KEY}",
+                "Host": "h.example",
+                "X-Figshunt-Attempt-Id": "r1",
+                "X-Figshunt-Token-Counts": "100,20",
+            },
+        ).replace(b"HTTP/1.1", b"HTTP/1.0")
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK, self.fixture.daemon.front.port
+        )
+        self.addCleanup(writer.close)
+        writer.write(data)
+        async with asyncio.timeout(5):
+            self.assertEqual(5, (await reader.read()).count(b"data: token"))
+
     async def test_malformed_requests_reach_no_runner(self) -> None:
         key = f"Host: h.example\r\nAuthorization: Token {CALLER_API_KEY}\r\n".encode()
         cases = {
