Refuse settings whose fields have other types, whatever that raises

Callers saw: nothing; operators see a host that reads its settings file no more. Cause: a field of another type raised AttributeError, IndexError or OverflowError, which read_platform_settings didn't turn into FigshuntError. That ends the task that watches the file, and a reload by SIGHUP logs an error of the event loop. Change: all errors of decoding mean that the settings are invalid. Measured: python -m unittest tests.platform.test_settings: 5 of 6 subtests fail before, none now.

--- a/figshunt/platform/_settings.py
+++ b/figshunt/platform/_settings.py
@@ -15,6 +15,16 @@
 # The port that deploy/system.toml declares for metrics.
 DEFAULT_METRICS_PORT = 9464
 
+# What decoding raises for a file that can't be read, or a field of another type.
+INVALID_FIELD_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    OSError,
+    TypeError,
+    ValueError,
+)
+
 
 def settings_path() -> Path:
     """Return the path of the settings file from the environment.
@@ -38,7 +48,7 @@
         return _decode(tomllib.loads(path.read_text(encoding="utf-8")))
     except KeyError as error:
         raise _settings_error(f"{path}: missing field {error}") from error
-    except (OSError, ValueError, TypeError) as error:
+    except INVALID_FIELD_ERRORS as error:
         raise _settings_error(f"{path}: {type(error).__name__}: {error}") from error
 
 
