--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -27,9 +27,6 @@
 # operators allow for a request on its way, and 100 ms of its own.
 NEXT_REQUEST_S = 0.5
 
-# The upgrade behind which the library keeps what it has read.
-SUPPORTED_UPGRADE = "websocket"
-
 # Disables the library's own timer, which closes connections with unread requests.
 NO_KEEPALIVE_TIMEOUT_S = 10 * 365 * 24 * 3600.0
 
@@ -176,8 +173,15 @@
         if self._has_sent_last:
             self._discard(data)
             return
-        self._framing.feed(data)
-        super().data_received(data)
+        # If bytes come behind a request, the library drops the request if they are
+        # invalid, and the bytes if the request asks for an upgrade.
+        start = 0
+        for end in self._framing.feed(data):
+            super().data_received(data[start:end])
+            start = end
+        # The library calls this without data to parse what it has put off.
+        if start < len(data) or not data:
+            super().data_received(data[start:])
         if self._closes_when_idle and self.is_idle:
             asyncio.get_running_loop().call_soon(self._close_if_idle)
 
@@ -199,7 +203,8 @@
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
         """Write a response; after the last one, wait until the caller has read it."""
-        if self._is_rest_lost(request) and isinstance(resp, web.StreamResponse):
+        if not request.content.is_eof() and isinstance(resp, web.StreamResponse):
+            # The library closes the connection at once, without an announcement.
             resp.force_close()
         if self._is_broken_off:
             # The library would complete the body.
@@ -217,18 +222,6 @@
             asyncio.get_running_loop().call_soon(self._close_if_idle)
         return result
 
-    def _is_rest_lost(self, request: web.BaseRequest) -> bool:
-        """Return whether the library doesn't process what comes behind a request.
-
-        It closes the connection behind a body that isn't read whole. Its parser drops
-        what is read together with the end of a request for an unsupported upgrade.
-        """
-        protocol = request.headers.get("Upgrade", "").lower()
-        is_dropped = request._message.upgrade and protocol != SUPPORTED_UPGRADE
-        if is_dropped and self.has_further_request:
-            return True
-        return not request.content.is_eof()
-
     def _discard(self, data: bytes) -> None:
         self._framing.feed(data)
         if self._framing.pending_bytes > MAX_DISCARDED_HEAD_BYTES:
--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -7,13 +7,14 @@
 HEAD_END = b"\r\n\r\n"
 EMPTY_LINES = re.compile(rb"[\r\n]*")
 
-# A sign would move the position back, without an end.
+# ``int`` accepts signs as well, and a negative size would move the position back.
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]+")
 
 # The parser waits for the rest of the preface of HTTP/2, and then refuses it.
 PREFACE_METHOD = b"PRI "
 
-# The parser refuses lengths of more than 64 bits, but not leading zeros.
+# ``int`` fails on some thousand digits. The parser refuses lengths of more than 64
+# bits, but not leading zeros.
 MAX_LENGTH_DIGITS = 20
 
 # What is kept of the start of an incomplete line. A chunk's size has at most 16
@@ -67,17 +68,24 @@
         self._state = FramingState.INVALID
         self._pending.clear()
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes) -> list[int]:
         """Process bytes in the order in which they are received.
 
         The time is proportional to their number, whatever pieces they come in.
+
+        :returns: the positions in ``data`` behind each request that it completes.
         """
         position = 0
+        ends = []
         while position < len(data) and self._state is not FramingState.INVALID:
+            completed = self.completed
             if self._state in (FramingState.BODY, FramingState.CHUNK):
                 position = self._skip(data, position)
             else:
                 position = self._read_text(data, position)
+            if self.completed > completed:
+                ends.append(position)
+        return ends
 
     def _skip(self, data: bytes, position: int) -> int:
         skipped = min(len(data) - position, self._remaining_bytes)
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -1,12 +1,15 @@
 """Connections of callers that end only between requests."""
 
 import asyncio
+import re
 import socket
 import ssl
+import time
 import tracemalloc
 import unittest
 
 from aiohttp import web
+from aiohttp.web_protocol import MAX_MSG_QUEUE_SIZE
 
 from figshunt.runtime import CallerConnection, CallerServer
 from figshunt.runtime._caller_connection import LINGER_S
@@ -100,6 +103,35 @@
         self.caller.sendall(REQUEST)
         self.assertIn(b" 200 OK", await self.receive())
 
+    async def test_invalid_bytes_leave_the_request_before_them_its_response(
+        self,
+    ) -> None:
+        """Guards against a channel that is closed while its request is in progress."""
+        invalid = REQUEST.strip() + b"\r\nContent-Length: %s\r\n\r\n" % (b"1" * 5_000)
+        self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1))
+        await asyncio.sleep(SLOW_ANSWER_S / 4)
+        self.caller.sendall(invalid)
+        self.assertIn(b" 200 OK", await self.receive())
+
+    async def test_requests_received_at_once_are_answered_one_by_one(self) -> None:
+        """Guards against bytes behind a request with which the library drops it."""
+        upgrade = REQUEST.strip() + b"\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+        closing = REQUEST.strip() + b"\r\nConnection: close\r\n\r\n"
+        for data, statuses in (
+            (upgrade + REQUEST, [b"200", b"200"]),
+            (REQUEST + b"\0\0", [b"200", b"400"]),
+            (closing + REQUEST, [b"200"]),
+        ):
+            with self.subTest(data):
+                self.connect_caller()
+                self.caller.sendall(data)
+                received = b""
+                while received.count(b"HTTP/1.") < len(statuses):
+                    piece = await self.receive()
+                    self.assertTrue(piece, received)
+                    received += piece
+                self.assertEqual(statuses, re.findall(rb"HTTP/1.. (\d+)", received))
+
     async def test_idle_timeout_counts_from_the_end_of_a_response(self) -> None:
         """Guards against a close right behind a response that took long."""
         self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1))
@@ -119,6 +151,18 @@
         await loop.connect_accepted_socket(lambda: connection, accepted)
         self.assertEqual(b"", await self.receive())
 
+    async def test_request_at_the_idle_timeout_is_answered(self) -> None:
+        """Guards against a close in the turn in which a request can be read."""
+        self.caller.sendall(REQUEST)
+        self.assertIn(b" 200 OK", await self.receive())
+        idle_s = 0.4
+        self.connections[0].set_idle_timeout(idle_s)
+        loop = asyncio.get_running_loop()
+        # The request is sent and the timeout is due in the same turn.
+        loop.call_later(idle_s / 2, time.sleep, idle_s)
+        loop.call_later(idle_s * 3 / 4, self.caller.sendall, REQUEST)
+        self.assertIn(b" 200 OK", await self.receive())
+
     async def test_requests_behind_a_close_are_counted(self) -> None:
         """Guards against requests that nobody answers and no log tells of."""
         self.caller.sendall(REQUEST)
@@ -131,14 +175,13 @@
             await self.server.wait_closed()
         self.assertEqual(2, self.server.discarded_requests)
 
-    async def test_close_is_announced_before_requests_that_the_parser_drops(
-        self,
-    ) -> None:
-        """Guards against requests that wait for an answer on an open connection."""
-        upgrade = b"\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
-        self.caller.sendall(REQUEST.strip() + upgrade + REQUEST)
-        self.assertIn(b"Connection: close", await self.receive())
-        self.assertEqual(b"", await self.receive())
+    async def test_many_pipelined_requests_are_answered(self) -> None:
+        """Guards against requests that the library has put off and never parses."""
+        count = 3 * MAX_MSG_QUEUE_SIZE
+        self.caller.sendall(REQUEST.replace(b"/", b"/slow", 1) + REQUEST * (count - 1))
+        received = b""
+        while received.count(b" 200 OK") < count:
+            received += await self.receive()
 
     async def test_endless_head_behind_a_close_is_not_kept(self) -> None:
         """Guards against memory that grows with bytes that are discarded."""
--- a/tests/runtime/test_request_framing.py
+++ b/tests/runtime/test_request_framing.py
@@ -54,9 +54,10 @@
         for data in (
             b"PRI * HTTP/2.0\r\n\r\n",
             b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
-            b"POST / HTTP/1.1\r\nContent-Length: " + b"1" * 5_000 + b"\r\n\r\n",
+            b"POST / HTTP/1.1\r\nContent-Length: %s\r\n\r\n" % (b"1" * 5_000),
             b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+            # "-6" instead would be read again and again.
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-5\r\nabc",
         ):
             with self.subTest(data):
                 framing = RequestFraming()
