Send next requests behind streams that end in a stop in the soak

A request that had reached a runner was excused if its channel was closed after its time limit or while its runner worked on. Change: For each stop, 24 / hosts callers (at least 3) begin a stream 0.1 to 0.5 s before SIGTERM that ends up to 6 s after it, and send their next requests 0, 3 or 20 ms after each response, until their channel ends. A request that reached a runner and got a closed channel counts as lost at any time, unless a fault or its runner excuses it; callers with an HTTP library are checked for it too.

--- a/tests/harness/_next_request_callers.py
+++ b/tests/harness/_next_request_callers.py
@@ -30,17 +30,24 @@
 
 
 class TimedRunner(PlatformRunner):
-    """A runner whose streams have two events and end when their paths say."""
+    """A runner whose streams send their last event when their paths say.
+
+    Those whose paths name no time are sent at the usual interval.
+    """
 
     async def _stream(
         self, request: web.Request, headers: dict[str, str]
     ) -> web.StreamResponse:
+        if END_PATH not in request.path:
+            return await super()._stream(request, headers)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        await response.write(b"id: 0\ndata: token\n\n")
-        await wait_for_stream_end(request.path)
-        await response.write(b"id: 1\ndata: token\n\n")
+        first_number = int(request.headers.get("Last-Event-Id", "-1")) + 1
+        for number in range(first_number, self._events):
+            if number == self._events - 1:
+                await wait_for_stream_end(request.path)
+            await response.write(b"id: %d\ndata: token\n\n" % number)
         await response.write_eof()
         return response
 
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -47,7 +47,8 @@
     ``leaving_told_s`` has the times at which a host first passed on an answer in which
     a runner says that it is leaving, by the names of both. ``exchanges`` has the
     requests whose ending was observed. ``preceding_ids`` has the id of the request
-    before each pipelined one.
+    before each pipelined one. ``invited_s`` has the time at which the response before
+    a request on its channel had been read, for requests sent right behind it.
     """
 
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
@@ -57,6 +58,7 @@
         self.leaving_told_s: dict[tuple[str, str], float] = {}
         self.exchanges: list[Exchange] = []
         self.preceding_ids: dict[str, str] = {}
+        self.invited_s: dict[str, float] = {}
         self._fleet = fleet
         self._seed = seed
         self.is_stopped = False
@@ -100,11 +102,12 @@
             ) as response:
                 self._record_leaving(host, response.headers)
                 body = await response.read()
-        except aiohttp.ClientPayloadError as error:
-            now_s = time.monotonic()
-            self.exchanges.append(Exchange(request_id, Ending.CUT, None, None, now_s))
-            return type(error).__name__
         except (aiohttp.ClientError, OSError) as error:
+            if not isinstance(error, TimeoutError):
+                is_cut = isinstance(error, aiohttp.ClientPayloadError)
+                ending = Ending.CUT if is_cut else Ending.CLOSED_BEFORE
+                now_s = time.monotonic()
+                self.exchanges.append(Exchange(request_id, ending, None, None, now_s))
             return type(error).__name__
         except TimeoutError:
             return "no response in time"
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from figshunt.standins import PlatformRunner, PlatformStore, RunnerBehaviour
+from figshunt.standins import PlatformStore, RunnerBehaviour
 from tests.gateway.fixture import build_document, write_settings
-from tests.harness import FaultProxy, ManagedProcess, start_module
+from tests.harness import FaultProxy, ManagedProcess, TimedRunner, start_module
 from tests.soak._disturbances import DisturbanceLog, Part
 from tests.soak._plan import PLANNED_KINDS, Fault, FaultKind
 
@@ -73,7 +73,7 @@
     """
 
     def __init__(self, runner_id: str, pool: str, scale: SoakScale) -> None:
-        self.standin = PlatformRunner(
+        self.standin = TimedRunner(
             runner_id, scale.stream_events, scale.event_interval_ms
         )
         self.pool = pool
--- a/tests/soak/_raw_callers.py
+++ b/tests/soak/_raw_callers.py
@@ -5,7 +5,13 @@
 import time
 
 from tests.builders import build_raw_request
-from tests.harness import Ending, Exchange, RawCaller, open_raw_caller
+from tests.harness import (
+    Ending,
+    Exchange,
+    RawCaller,
+    build_stream_path,
+    open_raw_caller,
+)
 from tests.soak._callers import Callers
 from tests.soak._fleet import Host, SoakFleet
 from tests.soak._plan import Fault, FaultKind, draw_moment
@@ -14,6 +20,14 @@
 CALLS_PER_STOP = 72
 MIN_CALLS_PER_STOP = 4
 
+# Streams around a stop, fewer for each host in larger fleets. They begin before it,
+# so that their heads don't announce the close of their channels.
+MAX_STREAMS = 24
+MIN_STREAMS = 3
+STREAM_ENDS_S = ((0.0, 3.0), (2.4, 3.0), (3.0, 6.0))
+STREAM_LIMIT_S = 12.0
+NEXT_REQUEST_DELAYS_S = (0.0, 0.003, 0.02)
+
 # Channels to a host are opened this long before it stops.
 OPENED_BEFORE_S = 0.5
 BODY_BYTES = (0, 60_000, 300_000)
@@ -39,17 +53,41 @@
         await asyncio.gather(*(self._run_caller(rng) for rng in rngs))
 
     async def run_around_stops(self, plan: list[Fault]) -> None:
-        """Use channels at random times after SIGTERM, opened before it or as late."""
-        count = max(MIN_CALLS_PER_STOP, CALLS_PER_STOP // len(self._fleet.hosts))
+        """Use channels after SIGTERM, at random times or behind streams that end."""
+        hosts = len(self._fleet.hosts)
+        counts = {
+            self._call_after: max(MIN_CALLS_PER_STOP, CALLS_PER_STOP // hosts),
+            self._call_behind_stream: max(MIN_STREAMS, MAX_STREAMS // hosts),
+        }
         await asyncio.gather(
             *(
-                self._call_after(fault, random.Random(self._rng.random()))
+                call(fault, random.Random(self._rng.random()))
+                for call, count in counts.items()
                 for fault in plan
                 if fault.kind is FaultKind.HOST_STOPPED
                 for _ in range(count)
             )
         )
 
+    async def _call_behind_stream(self, fault: Fault, rng: random.Random) -> None:
+        """Send requests right behind a stream that ends in a stop."""
+        before_s = rng.uniform(0.1, OPENED_BEFORE_S)
+        lasts_s = before_s + rng.uniform(*rng.choice(STREAM_ENDS_S))
+        await asyncio.sleep(fault.start_s - before_s)
+        host = self._fleet.hosts[fault.target % len(self._fleet.hosts)]
+        caller = await open_raw_caller(host.ip, host.front_port)
+        if caller is None:
+            return
+        request_id = self._callers.next_id("chat")
+        headers = self._callers.register(host, "chat", request_id, STREAM_LIMIT_S)
+        path = build_stream_path("/chat/1", time.monotonic() + lasts_s)
+        data = build_raw_request(path, headers, request_id.encode())
+        kept = await self._exchange(caller, [request_id], [data], 0.0)
+        while kept is not None and not self._callers.is_stopped:
+            invited_s = time.monotonic()
+            await asyncio.sleep(rng.choice(NEXT_REQUEST_DELAYS_S))
+            kept = await self._call(host, kept, rng, invited_s)
+
     async def _call_after(self, fault: Fault, rng: random.Random) -> None:
         moment_s = draw_moment(rng)
         opens_late, warms_up = rng.random() < 0.2, rng.random() < 0.3
@@ -87,7 +125,7 @@
         return await open_raw_caller(host.ip, port, pace)
 
     async def _call(
-        self, host: Host, caller: RawCaller, rng: random.Random
+        self, host: Host, caller: RawCaller, rng: random.Random, invited_s: float = 0.0
     ) -> RawCaller | None:
         """Send requests; return the caller if its channel can be used again."""
         count = rng.choice((1, 1, 1, 2, 3))
@@ -95,10 +133,16 @@
             self._callers.next_id(rng.choice(("chat", "book"))) for _ in range(count)
         ]
         self._callers.preceding_ids.update(zip(ids[1:], ids, strict=False))
+        self._callers.invited_s[ids[0]] = invited_s
         first, *others = [self._build(host, request_id, rng) for request_id in ids]
         pieces = _cut(first, rng)
         pieces[-1] += b"".join(others)
         pause_s = rng.uniform(0.0, MAX_PIECE_PAUSE_S)
+        return await self._exchange(caller, ids, pieces, pause_s)
+
+    async def _exchange(
+        self, caller: RawCaller, ids: list[str], pieces: list[bytes], pause_s: float
+    ) -> RawCaller | None:
         try:
             exchanges = await caller.exchange_all(ids, pieces, pause_s)
         except TimeoutError:
--- a/tests/soak/_rules.py
+++ b/tests/soak/_rules.py
@@ -13,7 +13,7 @@
 from tests.harness import RAW_CALL_TIMEOUT_S, Ending, Exchange
 from tests.soak._callers import Callers, SentRequest
 from tests.soak._disturbances import STABLE_S, Part
-from tests.soak._fleet import GRACE_S, ProxiedRunner, SoakFleet
+from tests.soak._fleet import GRACE_S, ProxiedRunner, SoakFleet, Stop
 
 RETRY_RATIO = 0.2
 RETRY_SLACK = 50
@@ -32,6 +32,14 @@
 LAST_SENT_S = 3.0
 LAST_WORK_S = GRACE_S * 5 / 6
 
+UNANSWERED = (Ending.LOST, Ending.CLOSED_BEFORE)
+
+# Requests sent this soon behind a response that didn't announce a close find their
+# channel open, except for a share and a number of them.
+NEXT_REQUEST_S = 0.3
+MAX_CLOSED_SHARE = 1 / 50
+MAX_CLOSED = 3
+
 
 @dataclass(frozen=True, slots=True)
 class RunnerArrival:
@@ -48,6 +56,7 @@
     yield from _check_leaving(fleet, callers)
     yield from _check_pauses(fleet, callers)
     yield from _check_lost(fleet, callers)
+    yield from _check_next_requests(fleet, callers)
     yield from _check_stops(fleet)
 
 
@@ -203,17 +212,19 @@
 def _check_lost(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
     """Check that whole requests around planned work are answered or refused.
 
-    Behind a request that may end unanswered, its channel ends for others too.
+    Behind a request that may end unanswered, its channel ends for others too. A request
+    that reached a runner gets an answer or a refusal at any time.
     """
     arrivals_by_id: dict[str, list[RunnerArrival]] = {}
     for entry in _list_arrivals(fleet):
         arrivals_by_id.setdefault(entry.arrival.request_id, []).append(entry)
     excused_ids: set[str] = set()
     for exchange in callers.exchanges:
-        if exchange.ending not in (Ending.LOST, Ending.CUT):
-            continue
         request = callers.sent_by_id[exchange.request_id]
         arrivals = arrivals_by_id.get(exchange.request_id, [])
+        is_passed_on = bool(arrivals) and exchange.ending in UNANSWERED
+        if not is_passed_on and exchange.ending not in (Ending.LOST, Ending.CUT):
+            continue
         preceding_id = callers.preceding_ids.get(exchange.request_id)
         if preceding_id in excused_ids or _may_end_unanswered(
             fleet, request, exchange, arrivals
@@ -241,13 +252,15 @@
     is_calm = fleet.disturbances.is_calm
     if not is_calm(Part.FLEET, "", request.sent_s - STABLE_S, exchange.ended_s):
         return True
-    # A caller that waits until its own timeout has got nothing at the time limit.
-    if request.limit_s <= exchange.ended_s - request.sent_s < RAW_CALL_TIMEOUT_S:
-        return True
     for run in arrivals:
         runner_id = run.runner.standin.runner_id
         if not is_calm(Part.RUNNER, runner_id, request.sent_s, exchange.ended_s):
             return True
+    if arrivals and exchange.ending in UNANSWERED:
+        return False
+    # A caller that waits until its own timeout has got nothing at the time limit.
+    if request.limit_s <= exchange.ended_s - request.sent_s < RAW_CALL_TIMEOUT_S:
+        return True
     work_ends_s = [run.arrival.ended_s or math.inf for run in arrivals]
     return any(
         request.sent_s <= stop_s + LAST_SENT_S
@@ -256,9 +269,38 @@
     )
 
 
+def _check_next_requests(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
+    """Check that channels stay open for requests right behind a response."""
+    closed, count = [], 0
+    for exchange in callers.exchanges:
+        request = callers.sent_by_id[exchange.request_id]
+        invited_s = callers.invited_s.get(exchange.request_id, 0.0)
+        is_killed = any(
+            stop.exit_status != 0
+            and stop.started_s <= exchange.ended_s
+            and request.sent_s <= stop.ended_s
+            for stop in _list_stops(fleet, request)
+        )
+        is_calm = fleet.disturbances.is_calm(
+            Part.FLEET, "", request.sent_s - STABLE_S, exchange.ended_s
+        )
+        if request.sent_s - invited_s > NEXT_REQUEST_S or is_killed or not is_calm:
+            continue
+        count += 1
+        if exchange.ending in UNANSWERED:
+            closed.append(f"{request.host_name} {exchange}")
+    callers.results["next requests"] = count
+    callers.results["closed next requests"] = len(closed)
+    if len(closed) > max(MAX_CLOSED, MAX_CLOSED_SHARE * count):
+        yield f"{len(closed)} of {count} next requests got a closed channel: {closed}"
+
+
+def _list_stops(fleet: SoakFleet, request: SentRequest) -> list[Stop]:
+    return next(one.stops for one in fleet.hosts if one.name == request.host_name)
+
+
 def _stop_times(fleet: SoakFleet, request: SentRequest) -> list[float]:
-    host = next(host for host in fleet.hosts if host.name == request.host_name)
-    return [stop.started_s for stop in host.stops]
+    return [stop.started_s for stop in _list_stops(fleet, request)]
 
 
 def _check_stops(fleet: SoakFleet) -> Iterator[str]:
