Spread the events of the soak's streams that end in a stop

Cause: Streams that end in a stop were silent until their last event, longer than the 1.5 s without an event after which a host sends a stream to another runner. Change: Events are spread evenly until the end; the first one is sent at once. Channels still open at the end of the soak are closed.

--- a/tests/harness/_next_request_callers.py
+++ b/tests/harness/_next_request_callers.py
@@ -23,14 +23,14 @@
     return f"{prefix}{END_PATH}{end_s:.4f}"
 
 
-async def wait_for_stream_end(path: str) -> None:
-    """Wait until the time that a stream's path names."""
+async def wait_for_stream_end(path: str, parts: int = 1) -> None:
+    """Wait for one of equal parts of what is left until the time in a stream's path."""
     end_s = float(path.partition(END_PATH)[2])
-    await asyncio.sleep(end_s - asyncio.get_running_loop().time())
+    await asyncio.sleep((end_s - asyncio.get_running_loop().time()) / parts)
 
 
 class TimedRunner(PlatformRunner):
-    """A runner whose streams send their last event when their paths say.
+    """A runner whose streams spread their events until the time that their paths say.
 
     Those whose paths name no time are sent at the usual interval.
     """
@@ -45,8 +45,8 @@
         await response.prepare(request)
         first_number = int(request.headers.get("Last-Event-Id", "-1")) + 1
         for number in range(first_number, self._events):
-            if number == self._events - 1:
-                await wait_for_stream_end(request.path)
+            if number:
+                await wait_for_stream_end(request.path, self._events - number)
             await response.write(b"id: %d\ndata: token\n\n" % number)
         await response.write_eof()
         return response
--- a/tests/soak/_raw_callers.py
+++ b/tests/soak/_raw_callers.py
@@ -87,6 +87,8 @@
             invited_s = time.monotonic()
             await asyncio.sleep(rng.choice(NEXT_REQUEST_DELAYS_S))
             kept = await self._call(host, kept, rng, invited_s)
+        if kept is not None:
+            kept.close()
 
     async def _call_after(self, fault: Fault, rng: random.Random) -> None:
         moment_s = draw_moment(rng)
