End a silent attempt only if another runner can take its request

Callers saw: an answer that had begun was cut, with time left, when its runner paused and no other runner was left to resume it on. Cause: a request without data for its stall limit was cancelled at its runner as soon as its route and the budget allowed a retry. Placement, which knows the runners, was asked after that; without one, the call was refused or its answer broken off. Change: the attempts ask placement first, through a view, and wait for the runner that they have until there is another one. Each timer asks again.

--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import replace
+from typing import Protocol
 
 from figshunt.directory import Repeatability, RunnerLeaving
 from figshunt.dispatch._call import RoutedCall
@@ -80,6 +81,13 @@
 REFUSAL_VERDICTS = frozenset({ReplyVerdict.REFUSED, ReplyVerdict.WRONG_RUNNER})
 
 
+class OtherRunnersView(Protocol):
+    """Read access to the runners that could take over a request."""
+
+    def has_other_runner(self, routed: RoutedCall, now: Moment) -> bool:
+        """Return whether a runner that has not had the request may be used."""
+
+
 class CallAttemptFilter:
     """Owns the attempts in flight.
 
@@ -103,7 +111,10 @@
         OpenCallsChecked,
     )
 
-    def __init__(self, peers: PeersView, bounds: SharedBounds) -> None:
+    def __init__(
+        self, peers: PeersView, other_runners: OtherRunnersView, bounds: SharedBounds
+    ) -> None:
+        self._other_runners = other_runners
         self._retry_policy = RetryPolicy(peers, bounds)
         self._numberings = StreamNumberings()
         self._attempts: dict[AttemptId, CallAttempt] = {}
@@ -559,8 +570,9 @@
         yield Feedback(CallAttemptsChecked(frozenset(self._attempts)))
 
     def _retry_stalled(self, attempt: CallAttempt, now: Moment) -> Iterable[Output]:
-        """Send a stalled request to another runner if its route allows it."""
-        if self._retry_policy.may_retry(attempt.routed, now):
+        """Send a stalled request to another runner if there is one and it may."""
+        has_other_runner = self._other_runners.has_other_runner(attempt.routed, now)
+        if has_other_runner and self._retry_policy.may_retry(attempt.routed, now):
             yield CancelCallAttempt(attempt.attempt_id, CancelReason.DEADLINE)
             yield from self._end_attempt(
                 attempt,
--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -44,7 +44,7 @@
             bounds,
             random_source,
         )
-        self.attempts = CallAttemptFilter(self.peers, bounds)
+        self.attempts = CallAttemptFilter(self.peers, self.placement, bounds)
         pipeline = Pipeline(
             [
                 self.directory,
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -204,14 +204,16 @@
                 if occupancies:
                     yield BroadcastStatus(occupancies=occupancies)
 
+    def has_other_runner(self, routed: RoutedCall, now: Moment) -> bool:
+        """Return whether a runner that has not had the request may be used."""
+        pool = self._directory.pool(routed.pool)
+        runners = _without_tried(routed, self._directory.runners(routed.pool))
+        return bool(self._fleet.usable_runners(pool, runners, now))
+
     def _place(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
         pool = self._directory.pool(routed.pool)
         runners = self._directory.runners(routed.pool)
-        untried_runners = {
-            runner_id: runner
-            for runner_id, runner in runners.items()
-            if runner_id not in routed.tried_runner_ids
-        }
+        untried_runners = _without_tried(routed, runners)
         usable_runners = self._fleet.usable_runners(pool, untried_runners, now)
         if pool is None or not usable_runners:
             wake_ms = self._next_usable_ms(routed, now)
@@ -551,6 +553,17 @@
     ]
 
 
+def _without_tried(
+    routed: RoutedCall, runners: Mapping[RunnerId, PublishedRunner]
+) -> dict[RunnerId, PublishedRunner]:
+    """Return the runners that a call has not been sent to."""
+    return {
+        runner_id: runner
+        for runner_id, runner in runners.items()
+        if runner_id not in routed.tried_runner_ids
+    }
+
+
 def _without_harmful(
     routed: RoutedCall,
     runners: list[PublishedRunner],
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -431,6 +431,19 @@
         self.assertEqual(1, len(driver.effects_of(AnswerEnd)))
         self.assertEqual([], driver.effects_of(CancelCallAttempt))
 
+    def test_silent_stream_is_not_ended_while_no_other_runner_can_take_it(self) -> None:
+        """Guards against answers that are cut because their runner pauses."""
+        driver = build_stream_driver()
+        self.start_stream(driver)
+        self.send_event(driver, 1)
+        (other_id,) = {"e1", "e2"} - {driver.last_attempt().runner_id}
+        driver.unlist_runner(other_id)
+        for _ in range(30):
+            driver.advance(100)
+        self.assertEqual([], driver.effects_of(CancelCallAttempt))
+        self.send_event(driver, 2)
+        self.assertEqual(2, len(driver.effects_of(AnswerEvent)))
+
     def test_slow_stream_is_not_cut_once_no_other_runner_is_left(self) -> None:
         driver = build_stream_driver(gap_target_ms=100, max_runners=1)
         self.start_stream(driver)
