--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -570,7 +570,7 @@
         yield Feedback(CallAttemptsChecked(frozenset(self._attempts)))
 
     def _retry_stalled(self, attempt: CallAttempt, now: Moment) -> Iterable[Output]:
-        """Send a stalled request to another runner if there is one and it may."""
+        """Send a stalled request to another runner if that is possible and allowed."""
         has_other_runner = self._other_runners.has_other_runner(attempt.routed, now)
         if has_other_runner and self._retry_policy.may_retry(attempt.routed, now):
             yield CancelCallAttempt(attempt.attempt_id, CancelReason.DEADLINE)
