Log requests whose id was sent to the same address before

Cause: the log can't show whether a refusal may be one of an earlier send, as neither the connections nor the ids sent on them are known. Change: connections to runners remember the ids of their requests and end after 256 requests, which bounds that; request_id_repeated is logged before a request goes to an address at which an idle connection has carried its id.

--- a/figshunt/gateway/_codecs.py
+++ b/figshunt/gateway/_codecs.py
@@ -26,6 +26,12 @@
     def decode_request_id(self, headers: HeaderPairs) -> str:
         """Return the caller's id of a request, or an empty string."""
 
+    def decode_request_ids(self, headers: HeaderPairs) -> frozenset[str]:
+        """Return all ids by which a response may refer to a request.
+
+        A request without an id has an empty one.
+        """
+
     def encode_attempt(self, attempt: StartCallAttempt) -> list[tuple[str, str]]:
         """Return the headers of the request that is sent to a runner."""
 
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -117,7 +117,7 @@
             build_unread_budget(settings.memory_bytes),
         )
         self.runners = RunnerCaller(
-            call_codec, self, build_receive_budget(settings.memory_bytes)
+            call_codec, self, self._log, build_receive_budget(settings.memory_bytes)
         )
         self.peers = PeerLink(
             settings.front.ip,
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -21,6 +21,7 @@
 from figshunt.gateway._runner_channels import Channel, ChannelPool
 from figshunt.runtime import (
     MAX_EVENT_BYTES,
+    EventLog,
     EventStreamReader,
     MessageSink,
     OversizedResponseError,
@@ -29,7 +30,7 @@
     attach_comments,
     drop_tracebacks,
 )
-from figshunt.types import AttemptFailure, AttemptId, SendState
+from figshunt.types import AttemptFailure, AttemptId, SendState, Step
 
 # Headers that the HTTP library must not add to the caller's own.
 SUPPRESSED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -51,11 +52,13 @@
         self,
         codec: CallCodec,
         message_sink: MessageSink,
+        log: EventLog,
         budget: ReceiveBudget | None = None,
     ) -> None:
         super().__init__()
         self._codec = codec
         self._message_sink = message_sink
+        self._log = log
         self._channels = ChannelPool(budget or ReceiveBudget())
         self._tasks_by_attempt: dict[AttemptId, asyncio.Task[None]] = {}
         self._expiry_task: asyncio.Task[None] | None = None
@@ -96,11 +99,21 @@
     async def _send_call(self, attempt: StartCallAttempt) -> None:
         channel: Channel | None = None
         is_reusable = False
+        request_ids = self._codec.decode_request_ids(attempt.call.headers)
         try:
+            if self._channels.has_sent(attempt.address, request_ids):
+                self._log.write(
+                    "request_id_repeated",
+                    step=Step.RUNNER_CALLER.value,
+                    request=attempt.call.call_id,
+                    runner=attempt.runner_id,
+                    address=attempt.address,
+                )
             channel = await self._channels.acquire(attempt.address)
             async with channel.request(
                 attempt.call.method,
                 URL(f"http://{attempt.address}{attempt.call.target}", encoded=True),
+                request_ids,
                 data=attempt.call.body or None,
                 headers=self._codec.encode_attempt(attempt),
                 skip_auto_headers=SUPPRESSED_HEADERS,
--- a/figshunt/gateway/_runner_channels.py
+++ b/figshunt/gateway/_runner_channels.py
@@ -23,6 +23,10 @@
 # Idle connections kept per runner; those released beyond that are closed.
 MAX_IDLE_CHANNELS = 24
 
+# A connection remembers the ids of all requests that were sent on it, so their number
+# is limited.
+MAX_REQUESTS = 256
+
 
 class ChannelResponse(aiohttp.ClientResponse):
     """A response that keeps a reference to its connection's protocol.
@@ -47,6 +51,8 @@
         self.address = address
         self.is_used = False
         self.expires_s = 0.0
+        self._sent_ids: set[str] = set()
+        self._requests = 0
         self._protocol: ResponseHandler | None = None
         self._share = budget.open_share()
         self._session = aiohttp.ClientSession(
@@ -74,12 +80,24 @@
             protocol is not None
             and protocol.is_connected()
             and not protocol.should_close
+            and self._requests < MAX_REQUESTS
             and time.monotonic() < self.expires_s
         )
 
-    def request(self, method: str, url: Any, **options: Any) -> Any:
-        """Return an asynchronous context manager that sends a request."""
+    def has_sent(self, request_ids: frozenset[str]) -> bool:
+        """Return whether a request with one of the ids was sent on the connection."""
+        return not self._sent_ids.isdisjoint(request_ids)
+
+    def request(
+        self, method: str, url: Any, request_ids: frozenset[str], **options: Any
+    ) -> Any:
+        """Return an asynchronous context manager that sends a request.
+
+        :param request_ids: the ids by which its response may be identified.
+        """
         self.is_used = True
+        self._requests += 1
+        self._sent_ids |= request_ids
         return self._session.request(method, url, **options)
 
     def record_response(self, response: aiohttp.ClientResponse) -> None:
@@ -117,6 +135,11 @@
         self._budget = budget
         self._idle_by_address: dict[str, list[Channel]] = {}
 
+    def has_sent(self, address: str, request_ids: frozenset[str]) -> bool:
+        """Return whether an idle channel has carried a request with one of the ids."""
+        idle_channels = self._idle_by_address.get(address, [])
+        return any(channel.has_sent(request_ids) for channel in idle_channels)
+
     async def acquire(self, address: str) -> Channel:
         """Return a reusable idle channel, or a new one that isn't connected yet."""
         idle_channels = self._idle_by_address.get(address, [])
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -93,6 +93,14 @@
         ids = [value for name, value in headers if name.lower() == REQUEST_ID.lower()]
         return ids[0] if ids else ""
 
+    def decode_request_ids(self, headers: HeaderPairs) -> frozenset[str]:
+        """Return all ids by which a response may refer to a request.
+
+        A request without an id has an empty one.
+        """
+        ids = {value for name, value in headers if name.lower() == REQUEST_ID.lower()}
+        return frozenset(ids or {""})
+
     def encode_attempt(self, attempt: StartCallAttempt) -> list[tuple[str, str]]:
         """Return the caller's headers together with those that this system sets."""
         headers = [*attempt.call.headers, (EXPECTED_RUNNER, attempt.runner_id)]
--- a/figshunt/types/_states.py
+++ b/figshunt/types/_states.py
@@ -37,6 +37,7 @@
     PEERS = "peers"
     PLACEMENT = "placement"
     FRONT_LISTENER = "front_listener"
+    RUNNER_CALLER = "runner_caller"
     STORE = "store"
 
 
--- a/tests/gateway/test_cut_heads.py
+++ b/tests/gateway/test_cut_heads.py
@@ -11,6 +11,7 @@
 )
 from figshunt.gateway._runner_caller import RunnerCaller
 from figshunt.platform import PlatformCallCodec
+from figshunt.runtime import EventLog
 from figshunt.services import RunnerClient
 from figshunt.types import (
     AnswerHead,
@@ -46,7 +47,7 @@
         writer.close()
 
     async def test_entry_host_takes_no_cut_head_for_an_answer(self) -> None:
-        caller = RunnerCaller(PlatformCallCodec(), self.sink)
+        caller = RunnerCaller(PlatformCallCodec(), self.sink, EventLog({}))
         await caller.start()
         self.addAsyncCleanup(caller.stop)
         for self.answer in build_cut_heads():
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -23,6 +23,7 @@
     CONNECTION_BYTES,
     MAX_RECEIVED_BYTES,
     BoundedResponseHandler,
+    EventLog,
     ReceiveBudget,
 )
 from figshunt.standins import EndlessRunner
@@ -42,7 +43,7 @@
 
     async def asyncSetUp(self) -> None:
         self.sink = RecordingMessageSink()
-        self.caller = RunnerCaller(PlatformCallCodec(), self.sink)
+        self.caller = RunnerCaller(PlatformCallCodec(), self.sink, EventLog({}))
         await self.caller.start()
         self.addAsyncCleanup(self.caller.stop)
 
@@ -179,7 +180,9 @@
         """Guards against a budget that forgets what is held behind an event."""
         start = build_endless_answer("text/event-stream")
         sink = RecordingMessageSink()
-        caller = RunnerCaller(PlatformCallCodec(), sink, budget := ReceiveBudget())
+        caller = RunnerCaller(
+            PlatformCallCodec(), sink, EventLog({}), budget := ReceiveBudget()
+        )
         await caller.start()
         self.addAsyncCleanup(caller.stop)
         # All of it comes with one read.
