Test that a late copy of an earlier refusal refuses no other send of its id

Change: the runner stand-in sends copies of its 421 answers too, and prefers the copy of a refusal that has the id of the request in progress; callers of the soak may send a refused request under its id again, which the check of the repeats counts as theirs.

--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -60,6 +60,28 @@
         return values_by_name.get(name.lower())
 
 
+class EarlierResponses:
+    """Responses that were sent on a connection, as their status and first header."""
+
+    def __init__(self) -> None:
+        self._starts_by_id: dict[str, str] = {}
+
+    def add(self, request_id: str, start: str) -> None:
+        """Add the latest response."""
+        self._starts_by_id.pop(request_id, None)
+        self._starts_by_id[request_id] = start
+
+    def encode_copy(self, request_id: str) -> bytes:
+        """Return the response to an earlier request of that id, or the latest one."""
+        if request_id not in self._starts_by_id:
+            request_id = next(reversed(self._starts_by_id))
+        head = (
+            f"HTTP/1.1 {self._starts_by_id[request_id]}\r\n"
+            f"X-Figshunt-Attempt-Id: {request_id}\r\nContent-Length: 7\r\n\r\n"
+        )
+        return head.encode() + b"another"
+
+
 @dataclass(slots=True)
 class Arrival:
     """A request that reached the runner; times are in s of the steady clock.
@@ -99,8 +121,8 @@
         self.arrivals: list[Arrival] = []
         self.received_requests: list[ReceivedRequest] = []
         self.cancelled = 0
-        self._refused_ids_by_connection: dict[object, str] = {}
-        self._answered_ids_by_connection: dict[object, str] = {}
+        self._refusals_by_connection: dict[object, EarlierResponses] = {}
+        self._answers_by_connection: dict[object, EarlierResponses] = {}
         self._events = events
         self.event_interval_ms = event_interval_ms
 
@@ -143,9 +165,10 @@
         self.arrivals.append(arrival)
         if expected_runner_id is not None and expected_runner_id != self.runner_id:
             arrival.is_wrong_runner = True
+            self._record_refusal(request, "421 Misdirected Request")
             return web.Response(status=421, headers=headers)
         if self.behaviour is RunnerBehaviour.REFUSE:
-            self._refused_ids_by_connection[request.protocol] = request_id
+            self._record_refusal(request, "503 Service Unavailable")
             headers["X-Figshunt-Not-Executed"] = "1"
             if self.pause_s is not None:
                 headers["Retry-After"] = f"{self.pause_s:g}"
@@ -181,17 +204,9 @@
         if self.behaviour is RunnerBehaviour.CLOSE and request.transport is not None:
             request.transport.abort()
         if self.behaviour is RunnerBehaviour.REPEAT_REFUSAL:
-            self._repeat_response(
-                request,
-                self._refused_ids_by_connection,
-                b"503 Service Unavailable\r\nX-Figshunt-Not-Executed: 1",
-            )
+            self._repeat_response(request, self._refusals_by_connection)
         if self.behaviour is RunnerBehaviour.REPEAT_ANSWER:
-            self._repeat_response(
-                request,
-                self._answered_ids_by_connection,
-                b"200 OK\r\nX-Figshunt-Server-Stamp: stamp",
-            )
+            self._repeat_response(request, self._answers_by_connection)
         if self.behaviour in (RunnerBehaviour.TRUNCATE, RunnerBehaviour.RESET):
             await self._send_part(request)
         if self.behaviour is RunnerBehaviour.FAIL:
@@ -201,9 +216,12 @@
             return await self._send_without_end(request, headers, is_stream)
         if is_stream:
             return await self._stream(request, headers)
-        self._answered_ids_by_connection[request.protocol] = headers[
-            "X-Figshunt-Attempt-Id"
-        ]
+        self._answers_by_connection.setdefault(
+            request.protocol, EarlierResponses()
+        ).add(
+            headers["X-Figshunt-Attempt-Id"],
+            "200 OK\r\nX-Figshunt-Server-Stamp: stamp",
+        )
         text = f"served by {self.runner_id}".ljust(self.answer_bytes)
         response = web.Response(headers=headers, text=text)
         if self.behaviour is RunnerBehaviour.ANSWER_TWICE:
@@ -242,15 +260,23 @@
             await response.write(b"x" * ENDLESS_WRITE_BYTES)
 
     def _repeat_response(
-        self, request: web.Request, ids_by_connection: dict[object, str], start: bytes
+        self,
+        request: web.Request,
+        responses_by_connection: dict[object, EarlierResponses],
     ) -> None:
         """Send the response to an earlier request on this connection once more."""
-        earlier_id = ids_by_connection.get(request.protocol)
-        if earlier_id is not None and request.transport is not None:
-            request.transport.write(
-                b"HTTP/1.1 %s\r\nX-Figshunt-Attempt-Id: %s\r\n"
-                b"Content-Length: 7\r\n\r\nanother" % (start, earlier_id.encode())
-            )
+        responses = responses_by_connection.get(request.protocol)
+        if responses is not None and request.transport is not None:
+            request_id = request.headers.get("X-Figshunt-Attempt-Id", "")
+            request.transport.write(responses.encode_copy(request_id))
+
+    def _record_refusal(self, request: web.Request, status: str) -> None:
+        self._refusals_by_connection.setdefault(
+            request.protocol, EarlierResponses()
+        ).add(
+            request.headers.get("X-Figshunt-Attempt-Id", ""),
+            f"{status}\r\nX-Figshunt-Not-Executed: 1",
+        )
 
     async def _send_part(self, request: web.Request) -> None:
         """Send a part of an answer and close the connection, or reset it."""
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -16,6 +16,9 @@
     wait_until,
 )
 
+# Callers conclude from these that their request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class GatewayTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a fault anywhere between a caller and a runner."""
@@ -107,6 +110,43 @@
                 self.assertEqual(200, response.status)
                 self.assertEqual(request_id, response.headers["X-Figshunt-Attempt-Id"])
 
+    async def test_late_copy_of_a_refusal_does_not_refuse_a_repeat_under_its_id(
+        self,
+    ) -> None:
+        """Guards against a second run, and against a false "not run"."""
+        self.set_behaviour(RunnerBehaviour.REFUSE)
+        async with self.fixture.request("POST", "/book/1", "r1") as response:
+            self.assertEqual(503, response.status)
+        self.set_behaviour(RunnerBehaviour.REPEAT_REFUSAL)
+        async with self.fixture.request("POST", "/book/1", "r1") as response:
+            self.assertNotIn(response.status, NOT_RUN_STATUSES)
+        self.assertEqual(1, len(self.received_targets()))
+
+    async def test_late_copy_of_a_wrong_runner_answer_does_not_refuse_the_next_send(
+        self,
+    ) -> None:
+        """Guards against the refusal of a runner whose address another one has."""
+        for runner in self.fixture.bookings:
+            runner.behaviour = RunnerBehaviour.REPEAT_REFUSAL
+        for number in range(10):
+            for runner in self.fixture.bookings:
+                self.fixture.store.put(
+                    f"servers/former-{number}-{runner.runner_id}",
+                    runner.build_store_entry("bookings"),
+                )
+            directory = self.fixture.daemon.core.directory
+            await wait_until(
+                lambda: len(directory.runners(PoolName("bookings"))) >= 2 * number + 4
+            )
+            path = f"/book/{number}"
+            async with self.fixture.request("POST", path, f"r{number}") as response:
+                runs = self.received_targets().count(path)
+                self.assertLessEqual(runs, 1)
+                if response.status in NOT_RUN_STATUSES:
+                    self.assertEqual(0, runs)
+        arrivals = [entry for one in self.fixture.bookings for entry in one.arrivals]
+        self.assertTrue(any(arrival.is_wrong_runner for arrival in arrivals))
+
     async def test_late_copy_of_an_answer_reaches_no_other_caller(self) -> None:
         """Guards against the answer of another request on a kept connection."""
         for number in range(4):
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -21,6 +21,9 @@
 DEADLINE_GRACE_S = 4.0
 MAX_PAUSE_S = 0.03
 
+# After this time a refused request is sent under its id again.
+REPEAT_PAUSE_S = 0.3
+
 # Statuses with which a host states that the request was not executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 TOKEN_EVENT = re.compile(rb"id: (\d+)\ndata: token\n\n")
@@ -47,8 +50,10 @@
     ``leaving_told_s`` has the times at which a host first passed on an answer in which
     a runner says that it is leaving, by the names of both. ``exchanges`` has the
     requests whose ending was observed. ``preceding_ids`` has the id of the request
-    before each pipelined one. ``invited_s`` has the time at which the response before
-    a request on its channel had been read, for requests sent right behind it.
+    before each pipelined one. ``max_repeats`` is how often a refused request is sent
+    again under its id, and ``repeats_by_id`` how often that was done. ``invited_s``
+    has the time at which the response before a request on its channel had been read,
+    for requests sent right behind it.
     """
 
     def __init__(self, fleet: SoakFleet, seed: int) -> None:
@@ -62,6 +67,8 @@
         self._fleet = fleet
         self._seed = seed
         self.is_stopped = False
+        self.max_repeats = 0
+        self.repeats_by_id: Counter[str] = Counter()
         self._not_executed_ids: set[str] = set()
         self._request_numbers = itertools.count()
 
@@ -187,7 +194,13 @@
         host = rng.choice(self._fleet.hosts)
         kind = rng.choice(("chat", "book", "look"))
         request_id = self.next_id(kind)
-        self.results[await self.send(session, host, kind, request_id)] += 1
+        result = await self.send(session, host, kind, request_id)
+        while result == "503" and self.repeats_by_id[request_id] < self.max_repeats:
+            await asyncio.sleep(REPEAT_PAUSE_S)
+            self.repeats_by_id[request_id] += 1
+            self._not_executed_ids.discard(request_id)
+            result = await self.send(session, host, kind, request_id)
+        self.results[result] += 1
 
     def _record_leaving(self, host: Host, headers: Mapping[str, str]) -> None:
         if "Server-Leaving" in headers:
--- a/tests/soak/_rules.py
+++ b/tests/soak/_rules.py
@@ -79,7 +79,10 @@
             if request.pool == pool
         )
         repeats_s = list(
-            _list_repeat_times(entry for entry in arrivals if entry.runner.pool == pool)
+            _list_repeat_times(
+                (entry for entry in arrivals if entry.runner.pool == pool),
+                callers.repeats_by_id,
+            )
         )
         worst = 0.0
         for index, start_s in enumerate(repeats_s):
@@ -94,12 +97,16 @@
             yield f"pool {pool} got {worst:.0f} repeats more than its budget"
 
 
-def _list_repeat_times(arrivals: Iterable[RunnerArrival]) -> Iterator[float]:
-    seen_ids = set()
+def _list_repeat_times(
+    arrivals: Iterable[RunnerArrival], repeats_by_id: Counter[str]
+) -> Iterator[float]:
+    """Yield the times of arrivals beyond one for each time a caller sent the id."""
+    arrivals_by_id: Counter[str] = Counter()
     for entry in arrivals:
-        if entry.arrival.request_id in seen_ids:
+        request_id = entry.arrival.request_id
+        arrivals_by_id[request_id] += 1
+        if arrivals_by_id[request_id] > 1 + repeats_by_id[request_id]:
             yield entry.arrival.arrived_s
-        seen_ids.add(entry.arrival.request_id)
 
 
 def _count_between(times_s: list[float], start_s: float, end_s: float) -> int:
--- a/tests/soak/_scenarios.py
+++ b/tests/soak/_scenarios.py
@@ -60,12 +60,17 @@
     return callers.violations
 
 
-async def run_repeated_replies(seed: int, scale: SoakScale, rounds: int) -> list[str]:
+async def run_repeated_replies(
+    seed: int, scale: SoakScale, rounds: int, max_repeats: int = 0
+) -> list[str]:
     """Return the violations while runners send earlier refusals and answers again.
 
     They do so before the reply to the next request on the same connection.
+
+    :param max_repeats: how often callers send a refused request under its id again.
     """
     async with _run_loaded_fleet(seed, scale) as (fleet, callers):
+        callers.max_repeats = max_repeats
         for behaviour, duration_s in REPEATING_BEHAVIOURS * rounds:
             for runner in fleet.runners[::2]:
                 runner.standin.behaviour = behaviour
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -75,6 +75,12 @@
         scale = SoakScale(hosts=5, engines=5, bookings=4, requests_per_s=60.0)
         self.assertEqual([], await run_repeated_replies(1, scale, rounds=2))
 
+    async def test_earlier_refusals_do_not_refuse_repeats_under_the_same_id(
+        self,
+    ) -> None:
+        scale = SoakScale(hosts=3, engines=2, bookings=1, requests_per_s=60.0)
+        self.assertEqual([], await run_repeated_replies(1, scale, 2, max_repeats=3))
+
     async def test_runners_that_leave_while_the_store_is_silent_get_no_requests(
         self,
     ) -> None:
