Send no two requests of one id on a connection to a runner

Callers saw: a booking ran that had been refused with a promise, and others ran twice. Cause: an answer is matched by the caller's id alone, which names the caller's request and not the host's send. The same id goes out again when a caller repeats a request under it, or when the host sends it on after a 421 to another runner that has the address. On a kept connection the late second copy of the first refusal was then believed for the send in progress: the host sent the request on, or answered 503. Change: a connection is used only for ids that it has not carried; a request with another id gets it instead. Any answer with the request's id on that connection is then one to this send. Nothing is held back: another idle or a new connection is used. Closing of expired connections is left to the periodic check, so that none is lost if the send is cancelled meanwhile.

--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -99,8 +99,8 @@
     async def _send_call(self, attempt: StartCallAttempt) -> None:
         channel: Channel | None = None
         is_reusable = False
-        request_ids = self._codec.decode_request_ids(attempt.call.headers)
         try:
+            request_ids = self._codec.decode_request_ids(attempt.call.headers)
             if self._channels.has_sent(attempt.address, request_ids):
                 self._log.write(
                     "request_id_repeated",
@@ -109,7 +109,7 @@
                     runner=attempt.runner_id,
                     address=attempt.address,
                 )
-            channel = await self._channels.acquire(attempt.address)
+            channel = self._channels.acquire(attempt.address, request_ids)
             async with channel.request(
                 attempt.call.method,
                 URL(f"http://{attempt.address}{attempt.call.target}", encoded=True),
--- a/figshunt/gateway/_runner_channels.py
+++ b/figshunt/gateway/_runner_channels.py
@@ -140,14 +140,17 @@
         idle_channels = self._idle_by_address.get(address, [])
         return any(channel.has_sent(request_ids) for channel in idle_channels)
 
-    async def acquire(self, address: str) -> Channel:
-        """Return a reusable idle channel, or a new one that isn't connected yet."""
+    def acquire(self, address: str, request_ids: frozenset[str]) -> Channel:
+        """Return a reusable idle channel, or a new one that isn't connected yet.
+
+        It has carried no request with one of the ids. A runner may send a response
+        twice, and the second one would be taken for that to a later request.
+        """
         idle_channels = self._idle_by_address.get(address, [])
-        while idle_channels:
-            channel = idle_channels.pop()
-            if channel.is_reusable:
+        for channel in reversed(idle_channels):
+            if channel.is_reusable and not channel.has_sent(request_ids):
+                idle_channels.remove(channel)
                 return channel
-            await channel.close()
         return Channel(address, self._budget)
 
     async def release(self, channel: Channel) -> None:
