Let the HTTP library of a cell send each request once

Cause: the HTTP library sends a lost request with such a method again by itself, also on a connection of its own. If the runner is down by then, it raises the error of the second try, which the client takes for a request that was never sent. Entry hosts had switched that off, cells not. Found by looking for the places that conclude "not run". Change: both clients forbid it in the same way. Measured: the new test failed in 6 of 8 cases before (two arrivals, or one and UNSENT), passes now.

--- a/figshunt/gateway/_runner_channels.py
+++ b/figshunt/gateway/_runner_channels.py
@@ -7,7 +7,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
-from figshunt.runtime import BoundedConnector, ReceiveBudget
+from figshunt.runtime import BoundedConnector, ReceiveBudget, forbid_resending
 
 # Runners accept connections within a few ms, and TCP retransmits a lost first
 # packet only after a second. After this timeout there is still time to try another
@@ -65,8 +65,7 @@
             read_bufsize=READ_BUFFER_BYTES,
             cookie_jar=aiohttp.DummyCookieJar(),
         )
-        # The core decides whether a request is sent again, not the library.
-        self._session._retry_connection = False
+        forbid_resending(self._session)
 
     @property
     def is_reusable(self) -> bool:
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -5,6 +5,7 @@
     BoundedResponseHandler,
     OversizedResponseError,
     allow_body,
+    forbid_resending,
 )
 from figshunt.runtime._caller_connection import CallerConnection
 from figshunt.runtime._caller_server import CallerServer
@@ -63,6 +64,7 @@
     "allow_body",
     "attach_comments",
     "drop_tracebacks",
+    "forbid_resending",
     "format_value",
     "join_events",
     "open_log",
--- a/figshunt/runtime/_bounded_connector.py
+++ b/figshunt/runtime/_bounded_connector.py
@@ -89,6 +89,15 @@
         self._factory = factory
 
 
+def forbid_resending(session: aiohttp.ClientSession) -> None:
+    """Let the session send each request once.
+
+    The HTTP library sends a lost request again if its method is idempotent. If that
+    can't connect, it reports that the request was not sent.
+    """
+    session._retry_connection = False
+
+
 def allow_body(
     response: aiohttp.ClientResponse, max_bytes: int, passed_bytes: int = 0
 ) -> None:
--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -15,6 +15,7 @@
     ReceiveShare,
     allow_body,
     drop_tracebacks,
+    forbid_resending,
     join_events,
 )
 from figshunt.types import (
@@ -41,8 +42,7 @@
     """Executes :class:`StartAttempt` and :class:`CancelAttempt`.
 
     Each attempt uses a new connection. A reused connection that the runner closes
-    while idle would leave it unclear whether the request arrived, and the HTTP
-    library might send the request again.
+    while idle would leave it unclear whether the request arrived.
     """
 
     def __init__(self, message_sink: MessageSink) -> None:
@@ -195,11 +195,13 @@
 
 def _open_session(share: ReceiveShare) -> aiohttp.ClientSession:
     """Return a session for one request on a connection of its own."""
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=BoundedConnector(share, force_close=True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
     )
+    forbid_resending(session)
+    return session
 
 
 def _build_headers(effect: StartAttempt) -> dict[str, str]:
--- a/tests/services/test_runner_client.py
+++ b/tests/services/test_runner_client.py
@@ -1,12 +1,21 @@
 """Errors of the client for runners."""
 
+import asyncio
+import dataclasses
 import unittest
 from unittest import mock
 
 from figshunt.services._runner_client import RunnerClient
-from figshunt.types import AttemptFailed, AttemptId, Moment, RunnerId, StartAttempt
+from figshunt.types import (
+    AttemptFailed,
+    AttemptId,
+    Moment,
+    RunnerId,
+    SendState,
+    StartAttempt,
+)
 from tests.builders import build_request
-from tests.gateway.fixture import wait_until
+from tests.gateway.fixture import LOOPBACK, wait_until
 from tests.recording_sink import RecordingMessageSink
 
 
@@ -36,5 +45,55 @@
         self.assertEqual(attempt_id, failed.attempt_id)
 
 
+class LostRequestTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against requests that the HTTP library sends again by itself."""
+
+    async def test_lost_request_is_sent_once_and_may_have_arrived(self) -> None:
+        """Guards against a second run, and against a false "not run"."""
+        for method in ("GET", "PUT", "DELETE", "POST"):
+            for stops_listening in (False, True):
+                with self.subTest(method, stops_listening=stops_listening):
+                    arrivals, sent = await self.lose_request(method, stops_listening)
+                    self.assertEqual(1, arrivals)
+                    self.assertIs(SendState.MAY_HAVE_ARRIVED, sent)
+
+    async def lose_request(
+        self, method: str, stops_listening: bool
+    ) -> tuple[int, SendState]:
+        """Return how often a request arrived that got no answer, and its state."""
+        arrivals = 0
+
+        async def drop_request(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal arrivals
+            await reader.readuntil(b"\r\n\r\n")
+            arrivals += 1
+            if stops_listening:
+                server.close()
+            writer.close()
+
+        server = await asyncio.start_server(drop_request, LOOPBACK, 0)
+        port = server.sockets[0].getsockname()[1]
+        sink = RecordingMessageSink()
+        client = RunnerClient(sink)
+        request = dataclasses.replace(build_request(Moment(0, 0)), method=method)
+        client.start_attempt(
+            StartAttempt(
+                AttemptId("a1"),
+                RunnerId("e1"),
+                f"http://{LOOPBACK}:{port}",
+                request,
+                0,
+                1,
+                5_000,
+            )
+        )
+        await wait_until(lambda: not client._tasks_by_attempt)
+        server.close()
+        (failed,) = sink.of_type(AttemptFailed)
+        return arrivals, failed.sent
+
+
 if __name__ == "__main__":
     unittest.main()
