Follow no redirects of runners in a cell

Cause: the HTTP library follows redirects unless told not to; the error of the second send, which couldn't connect, was taken for the first one's. Change: the runner's response goes to the caller as it is. Conclusion: fixed; the same class as the request that the library sends again.

--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -110,6 +110,7 @@
             url,
             data=request.body or None,
             headers=_build_headers(effect),
+            allow_redirects=False,
         ) as response:
             if response.status in OVERLOADED_STATUSES:
                 self._message_sink.submit(
--- a/tests/services/test_runner_client.py
+++ b/tests/services/test_runner_client.py
@@ -7,8 +7,10 @@
 
 from figshunt.services._runner_client import RunnerClient
 from figshunt.types import (
+    AnswerHead,
     AttemptFailed,
     AttemptId,
+    Message,
     Moment,
     RunnerId,
     SendState,
@@ -48,19 +50,33 @@
 class LostRequestTest(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that the HTTP library sends again by itself."""
 
+    async def test_redirected_request_is_not_sent_elsewhere(self) -> None:
+        arrivals, (answer, *_) = await self.send_once(
+            "POST", False, b"HTTP/1.1 307 R\r\nLocation: http://%s:1/\r\n\r\n"
+        )
+        self.assertEqual(1, arrivals)
+        assert isinstance(answer, AnswerHead)
+        self.assertEqual(307, answer.status)
+
     async def test_lost_request_is_sent_once_and_may_have_arrived(self) -> None:
         """Guards against a second run, and against a false "not run"."""
         for method in ("GET", "PUT", "DELETE", "POST"):
             for stops_listening in (False, True):
                 with self.subTest(method, stops_listening=stops_listening):
-                    arrivals, sent = await self.lose_request(method, stops_listening)
+                    arrivals, (*_, failed) = await self.send_once(
+                        method, stops_listening
+                    )
                     self.assertEqual(1, arrivals)
-                    self.assertIs(SendState.MAY_HAVE_ARRIVED, sent)
+                    assert isinstance(failed, AttemptFailed)
+                    self.assertIs(SendState.MAY_HAVE_ARRIVED, failed.sent)
+
+    async def send_once(
+        self, method: str, stops_listening: bool, answer: bytes = b""
+    ) -> tuple[int, list[Message]]:
+        """Return how often a request arrived, and the messages about its attempt.
 
-    async def lose_request(
-        self, method: str, stops_listening: bool
-    ) -> tuple[int, SendState]:
-        """Return how often a request arrived that got no answer, and its state."""
+        :param answer: what is sent before the connection ends.
+        """
         arrivals = 0
 
         async def drop_request(
@@ -71,6 +87,7 @@
             arrivals += 1
             if stops_listening:
                 server.close()
+            writer.write(answer.replace(b"%s", LOOPBACK.encode()))
             writer.close()
 
         server = await asyncio.start_server(drop_request, LOOPBACK, 0)
@@ -91,8 +108,7 @@
         )
         await wait_until(lambda: not client._tasks_by_attempt)
         server.close()
-        (failed,) = sink.of_type(AttemptFailed)
-        return arrivals, failed.sent
+        return arrivals, sink.messages
 
 
 if __name__ == "__main__":
