Log the limits that runners name in their answers

Cause: nothing showed whether a host knows that a runner names a limit, so that the hypotheses couldn't be told apart. Change: the header is decoded; an answer of the runner itself that names a limit, or that names none to a request sent after the last one that did, is recorded and logged as runner_limit. A header that can't be read changes nothing. No choice of a runner changes. Measured: the tests of the attempts, the placement, the codec and the gateway pass. Conclusion: the log now has when each host learned of a limit.

--- a/figshunt/dispatch/__init__.py
+++ b/figshunt/dispatch/__init__.py
@@ -46,6 +46,7 @@
     ReplyHead,
     ReplyStarted,
     ReplyVerdict,
+    RunnerLimitSeen,
     SilenceNotice,
     SuspectReport,
 )
@@ -113,6 +114,7 @@
     "ReplyVerdict",
     "ReturnSchedule",
     "RoutedCall",
+    "RunnerLimitSeen",
     "RunnerModel",
     "SharedBounds",
     "SilenceNotice",
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/_call_attempt_filter.py
@@ -41,6 +41,7 @@
     ReplyHead,
     ReplyStarted,
     ReplyVerdict,
+    RunnerLimitSeen,
 )
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._refusal import refuse_call
@@ -57,6 +58,7 @@
     Moment,
     ObserveDuration,
     RequestId,
+    RunnerId,
     RunOutcome,
     SendState,
     Step,
@@ -87,6 +89,9 @@
     def has_other_runner(self, routed: RoutedCall, now: Moment) -> bool:
         """Return whether a runner that has not had the request may be used."""
 
+    def is_limited(self, runner_id: RunnerId) -> bool:
+        """Return whether a runner is known to name a limit."""
+
 
 class CallAttemptFilter:
     """Owns the attempts in flight.
@@ -217,6 +222,7 @@
         head = reply.head
         attempt.is_delimited = head.is_delimited
         yield from self._report_leaving(attempt, head)
+        yield from self._report_limit(attempt, head)
         is_refusal = head.verdict in REFUSAL_VERDICTS
         if is_refusal and head.matches_request:
             yield from self._handle_refusal(attempt, head, now)
@@ -271,6 +277,27 @@
             runner = attempt.runner
             yield Feedback(RunnerLeaving(runner.runner_id, runner.started_wall_ms))
 
+    def _report_limit(self, attempt: CallAttempt, head: ReplyHead) -> Iterable[Output]:
+        """Report the limit that the runner names, or that it names none any more."""
+        runner = attempt.runner
+        is_own = head.matches_request and head.verdict is not ReplyVerdict.WRONG_RUNNER
+        if head.names_limit:
+            has_news = is_own and head.limit_per_s is not None
+        else:
+            # Only the runner itself can lift its limit.
+            has_proof = head.has_receipt or head.verdict is ReplyVerdict.REFUSED
+            is_limited = self._other_runners.is_limited(runner.runner_id)
+            has_news = is_own and has_proof and is_limited
+        if has_news:
+            yield Feedback(
+                RunnerLimitSeen(
+                    runner.runner_id,
+                    runner.started_wall_ms,
+                    head.limit_per_s,
+                    attempt.started_ms,
+                )
+            )
+
     def _handle_refusal(
         self, attempt: CallAttempt, head: ReplyHead, now: Moment
     ) -> Iterable[Output]:
@@ -305,6 +332,7 @@
             return
         head = reply.head
         yield from self._report_leaving(attempt, head)
+        yield from self._report_limit(attempt, head)
         if not _is_own_answer(head):
             detail = (
                 f"stream with status {head.status} has no receipt or belongs to"
--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -14,7 +14,9 @@
     OccupancyNotice,
     PlacementNotice,
     QueueNotice,
+    RunnerLimitSeen,
 )
+from figshunt.dispatch._named_limit import NamedLimits
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._prefix_cache import RecentParts
 from figshunt.dispatch._runner_model import RunnerModel, RunningAttempt
@@ -69,6 +71,7 @@
         self._directory = directory
         self._peers = peers
         self._cold_limit = ColdLimit(bounds)
+        self._named_limits = NamedLimits()
         self._recent_parts = RecentParts(bounds.reuse_window_ms)
         self._models_by_runner: dict[RunnerId, RunnerModel] = {}
         self._starts_by_runner: dict[RunnerId, int | None] = {}
@@ -249,6 +252,25 @@
         )
         return max(earliest_ms, cold_ms)
 
+    def is_limited(self, runner_id: RunnerId) -> bool:
+        """Return whether a runner is known to name a limit."""
+        return runner_id in self._named_limits
+
+    def observe_limit(self, seen: RunnerLimitSeen, now: Moment) -> Iterable[Output]:
+        """Record the limit that an answer names, or that it names none."""
+        runner_id, process, per_s = seen.runner_id, seen.process, seen.limit_per_s
+        if per_s is None:
+            has_changed = self._named_limits.record_lifted(
+                runner_id, process, seen.sent_ms
+            )
+        else:
+            has_changed = self._named_limits.record_named(
+                runner_id, process, per_s, now.monotonic_ms
+            )
+        if has_changed:
+            fields: dict[str, LogValue] = {"runner": runner_id, "limit_per_s": per_s}
+            yield LogEvent("runner_limit", Step.PLACEMENT, fields)
+
     def find_holder(
         self,
         routed: RoutedCall,
@@ -389,6 +411,7 @@
                 del self._models_by_runner[runner_id]
                 self._starts_by_runner.pop(runner_id, None)
         self._cold_limit.retain(listed_ids)
+        self._named_limits.retain(listed_ids)
 
     def _forget_host(self, host: HostName) -> None:
         for model in self._models_by_runner.values():
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -42,7 +42,9 @@
     its own, ``matches_request`` if the answer identifies this request.
     ``announces_leaving`` is set if the runner announces in it that it is leaving.
     ``is_delimited`` is set if the answer has a length or chunks; otherwise it ends
-    with its connection.
+    with its connection. ``names_limit`` is set if the runner names the requests a
+    second that it takes from all hosts together, and ``limit_per_s`` if that can be
+    read.
     """
 
     status: int
@@ -54,6 +56,8 @@
     retry_after_ms: int | None = None
     announces_leaving: bool = False
     is_delimited: bool = True
+    names_limit: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +222,21 @@
     is_delimited: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class RunnerLimitSeen(Message):
+    """A runner named a limit in an answer, or none if ``limit_per_s`` is ``None``.
+
+    The limit is in requests a second from all hosts together. ``process`` is the start
+    of the process that was sent the request, as in its entry. The request was sent at
+    ``sent_ms``.
+    """
+
+    runner_id: RunnerId
+    process: int | None
+    limit_per_s: float | None
+    sent_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class CallEnded(Message):
     """A routed call was answered, refused, failed or abandoned.
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -29,6 +29,7 @@
     OpenCallsChecked,
     PeerStatusReceived,
     PlacementNotice,
+    RunnerLimitSeen,
     SilenceNotice,
 )
 from figshunt.dispatch._peer_filter import PeersView
@@ -123,6 +124,7 @@
         CallAdmitted,
         CallAbandoned,
         FirstEventSeen,
+        RunnerLimitSeen,
         CallAttemptEnded,
         GraceEnded,
         TimerDue,
@@ -164,6 +166,8 @@
                 yield CallEnded(held_call.routed) if held_call else message
             case FirstEventSeen():
                 yield from self._fleet.observe_first_event(message, now)
+            case RunnerLimitSeen():
+                yield from self._fleet.observe_limit(message, now)
             case CallAttemptEnded():
                 self._return_schedule.record_end(message.routed.pool, now.monotonic_ms)
                 yield from self._end_attempt(message, now)
@@ -210,6 +214,10 @@
         runners = _without_tried(routed, self._directory.runners(routed.pool))
         return bool(self._fleet.usable_runners(pool, runners, now))
 
+    def is_limited(self, runner_id: RunnerId) -> bool:
+        """Return whether a runner is known to name a limit."""
+        return self._fleet.is_limited(runner_id)
+
     def _place(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
         pool = self._directory.pool(routed.pool)
         runners = self._directory.runners(routed.pool)
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -2,6 +2,7 @@
 
 import uuid
 from collections.abc import Iterable
+from math import isfinite
 
 import xxhash
 
@@ -33,6 +34,7 @@
     RESERVED_REQUEST_HEADERS,
     RETRY_AFTER,
     SERVER_LEAVING,
+    SERVER_LIMIT,
     SERVER_STAMP,
     TEAM,
     TOKEN_COUNTS,
@@ -149,6 +151,8 @@
             retry_after_ms=_decode_seconds_as_ms(by_name.get(RETRY_AFTER.lower())),
             announces_leaving=by_name.get(SERVER_LEAVING.lower(), "").strip() == "1",
             is_delimited=bool(by_name.keys() & DELIMITING_HEADERS),
+            names_limit=SERVER_LIMIT.lower() in by_name,
+            limit_per_s=_decode_rate(by_name.get(SERVER_LIMIT.lower(), "")),
         )
 
     def encode_refusal(self, call: Call, retry_after_ms: int | None) -> dict[str, str]:
@@ -178,6 +182,14 @@
         return None
 
 
+def _decode_rate(text: str) -> float | None:
+    try:
+        rate = float(text)
+    except ValueError:
+        return None
+    return rate if isfinite(rate) and rate >= 0 else None
+
+
 def _decode_prompt(by_name: dict[str, str]) -> Prompt | None:
     counts = by_name.get(TOKEN_COUNTS.lower(), "").split(",")
     numbers = [_decode_number(count.strip()) for count in counts]
--- a/figshunt/platform/_headers.py
+++ b/figshunt/platform/_headers.py
@@ -19,6 +19,8 @@
 RETRY_AFTER = "Retry-After"
 # A runner that is leaving sets this header to 1 in all its answers.
 SERVER_LEAVING = "Server-Leaving"
+# The requests a second that a runner in need takes from all hosts together.
+SERVER_LIMIT = "Server-Limit"
 AUTHORIZATION = "Authorization"
 AUTHORIZATION_SCHEME = "token"
 
