--- a/figshunt/standins/_platform_runner.py
+++ b/figshunt/standins/_platform_runner.py
@@ -105,8 +105,8 @@
 
     It streams if the request has the header ``X-Figshunt-Token-Counts``. While
     ``is_leaving`` is set, it says so in all answers and in its entry. A refusal asks
-    for a pause of ``pause_s`` if that is set. Plain answers are filled up to
-    ``answer_bytes``.
+    for a pause of ``pause_s`` if that is set. All answers name ``limit_per_s`` if that
+    is set. Plain answers are filled up to ``answer_bytes``.
     """
 
     def __init__(
@@ -117,6 +117,7 @@
         self.behaviour = RunnerBehaviour.SERVE
         self.is_leaving = False
         self.pause_s: float | None = None
+        self.limit_per_s: float | None = None
         self.answer_bytes = 0
         self.arrivals: list[Arrival] = []
         self.received_requests: list[ReceivedRequest] = []
@@ -154,9 +155,7 @@
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         expected_runner_id = request.headers.get("X-Figshunt-Expect-Instance")
         request_id = request.headers.get("X-Figshunt-Attempt-Id", "")
-        headers = {"X-Figshunt-Attempt-Id": request_id}
-        if self.is_leaving:
-            headers["Server-Leaving"] = "1"
+        headers = {"X-Figshunt-Attempt-Id": request_id, **self._state_headers()}
         arrival = Arrival(
             request_id,
             time.monotonic(),
@@ -191,14 +190,22 @@
         finally:
             arrival.ended_s = time.monotonic()
 
+    def _state_headers(self) -> dict[str, str]:
+        """Return the headers by which a runner announces its state."""
+        headers = {}
+        if self.is_leaving:
+            headers["Server-Leaving"] = "1"
+        if self.limit_per_s is not None:
+            headers["Server-Limit"] = f"{self.limit_per_s:g}"
+        return headers
+
     async def _run(self, request: web.Request) -> web.StreamResponse:
         headers = {
             "X-Figshunt-Attempt-Id": request.headers.get("X-Figshunt-Attempt-Id", ""),
             "X-Figshunt-Server-Stamp": f"stamp-{self.runner_id}",
             "X-Figshunt-Instance-Load": "1,0,8",
+            **self._state_headers(),
         }
-        if self.is_leaving:
-            headers["Server-Leaving"] = "1"
         if self.behaviour is RunnerBehaviour.HANG:
             await asyncio.Event().wait()
         if self.behaviour is RunnerBehaviour.CLOSE and request.transport is not None:
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -12,6 +12,7 @@
 from tests.soak._scenarios import (
     run_hosts_without_peers,
     run_leaving_in_outage,
+    run_named_limits,
     run_repeated_replies,
 )
 
@@ -24,6 +25,7 @@
     "draw_plan",
     "draw_planned_work",
     "run_leaving_in_outage",
+    "run_named_limits",
     "run_repeated_replies",
     "run_soak",
     "run_hosts_without_peers",
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -48,7 +48,8 @@
     ``violations`` describes each response or execution that breaks a guarantee to
     callers. ``results`` counts requests by their result, as returned by ``send``.
     ``leaving_told_s`` has the times at which a host first passed on an answer in which
-    a runner says that it is leaving, by the names of both. ``exchanges`` has the
+    a runner says that it is leaving, by the names of both, and ``limit_told_s`` all
+    times at which it passed on one that names a limit. ``exchanges`` has the
     requests whose ending was observed. ``preceding_ids`` has the id of the request
     before each pipelined one. ``max_repeats`` is how often a refused request is sent
     again under its id, and ``repeats_by_id`` how often that was done. ``invited_s``
@@ -61,6 +62,7 @@
         self.results: Counter[str] = Counter()
         self.sent_by_id: dict[str, SentRequest] = {}
         self.leaving_told_s: dict[tuple[str, str], float] = {}
+        self.limit_told_s: dict[tuple[str, str], list[float]] = {}
         self.exchanges: list[Exchange] = []
         self.preceding_ids: dict[str, str] = {}
         self.invited_s: dict[str, float] = {}
@@ -107,7 +109,7 @@
             async with session.request(
                 method, f"{host.url}/{kind}/1", headers=headers, data=None
             ) as response:
-                self._record_leaving(host, response.headers)
+                self._record_announcements(host, response.headers)
                 body = await response.read()
         except (aiohttp.ClientError, OSError) as error:
             if not isinstance(error, TimeoutError):
@@ -202,11 +204,13 @@
             result = await self.send(session, host, kind, request_id)
         self.results[result] += 1
 
-    def _record_leaving(self, host: Host, headers: Mapping[str, str]) -> None:
+    def _record_announcements(self, host: Host, headers: Mapping[str, str]) -> None:
+        stamp = headers.get("X-Figshunt-Server-Stamp", "")
+        key = (host.name, stamp.removeprefix("stamp-"))
         if "Server-Leaving" in headers:
-            stamp = headers.get("X-Figshunt-Server-Stamp", "")
-            key = (host.name, stamp.removeprefix("stamp-"))
             self.leaving_told_s.setdefault(key, time.monotonic())
+        if "Server-Limit" in headers:
+            self.limit_told_s.setdefault(key, []).append(time.monotonic())
 
     def _check_success(
         self, request_id: str, headers: Mapping[str, str], body: bytes
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -25,6 +25,11 @@
 
 # A runner that is leaving serves on for this long after its entry says so, and its
 # successor starts after a pause.
+LIMIT_PER_S = 1.0
+
+# Hosts are bound by a limit some seconds after it was first named.
+LIMIT_S = 8.0
+
 SERVES_ON_S = 5.0
 REPLACED_S = 0.3
 
@@ -69,7 +74,8 @@
     """A stand-in of a runner that hosts reach only through a fault proxy.
 
     ``absences`` are the times, in s of the steady clock, from which and until which
-    its entry said that it was leaving or was missing.
+    its entry said that it was leaving or was missing. ``limits`` are the limits that it
+    named.
     """
 
     def __init__(self, runner_id: str, pool: str, scale: SoakScale) -> None:
@@ -79,6 +85,7 @@
         self.pool = pool
         self.proxy = FaultProxy()
         self.absences: list[tuple[float, float]] = []
+        self.limits: list[NamedLimit] = []
         self.starts = 0
 
     async def start(self) -> None:
@@ -110,6 +117,23 @@
         if self.absences and self.absences[-1][1] == math.inf:
             self.absences[-1] = (self.absences[-1][0], time.monotonic())
 
+    async def name_limit(self, per_s: float, duration_s: float) -> None:
+        """Name a limit for a time, in requests a second."""
+        self.standin.limit_per_s = per_s
+        started_s = time.monotonic()
+        await asyncio.sleep(duration_s)
+        self.limits.append(NamedLimit(per_s, started_s, time.monotonic()))
+        self.standin.limit_per_s = None
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """A limit that a runner named; times are in s of the steady clock."""
+
+    per_s: float
+    started_s: float
+    ended_s: float
+
 
 @dataclass(frozen=True, slots=True)
 class Stop:
@@ -378,6 +402,8 @@
                 await asyncio.sleep(fault.duration_s)
                 runner.standin.behaviour = RunnerBehaviour.SERVE
                 runner.standin.pause_s = None
+            case FaultKind.RUNNER_NAMES_LIMIT:
+                await runner.name_limit(LIMIT_PER_S, fault.duration_s + LIMIT_S)
             case kind if kind in BEHAVIOUR_BY_FAULT:
                 runner.standin.behaviour = BEHAVIOUR_BY_FAULT[kind]
                 await asyncio.sleep(fault.duration_s)
--- a/tests/soak/_plan.py
+++ b/tests/soak/_plan.py
@@ -42,6 +42,7 @@
     RUNNER_NEVER_ENDS = "runner_never_ends"
     RUNNER_DRAINS = "runner_drains"
     RUNNER_ASKS_FOR_PAUSE = "runner_asks_for_pause"
+    RUNNER_NAMES_LIMIT = "runner_names_limit"
 
 
 # Kinds that were added later. Each is drawn once for a plan, from a random source of
@@ -50,6 +51,7 @@
     FaultKind.RUNNER_NEVER_ENDS,
     FaultKind.RUNNER_DRAINS,
     FaultKind.RUNNER_ASKS_FOR_PAUSE,
+    FaultKind.RUNNER_NAMES_LIMIT,
 )
 
 # Planned work; everything else disturbs the fleet unplanned.
--- a/tests/soak/_rules.py
+++ b/tests/soak/_rules.py
@@ -32,6 +32,14 @@
 LAST_SENT_S = 3.0
 LAST_WORK_S = GRACE_S * 5 / 6
 
+# From the first of these times on, a runner gets in any such window at most that share
+# of the limit that it names and a number more, from hosts that passed on an answer with
+# the limit at least the second time ago.
+LIMIT_TOLD_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_SLACK = 5
+
 UNANSWERED = (Ending.LOST, Ending.CLOSED_BEFORE)
 
 # Requests sent this soon behind a response that didn't announce a close find their
@@ -55,6 +63,7 @@
     yield from _check_overlapping_runs(fleet, callers)
     yield from _check_leaving(fleet, callers)
     yield from _check_pauses(fleet, callers)
+    yield from _check_limits(fleet, callers)
     yield from _check_lost(fleet, callers)
     yield from _check_next_requests(fleet, callers)
     yield from _check_stops(fleet)
@@ -216,6 +225,51 @@
                 )
 
 
+def _check_limits(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
+    """Check that hosts together keep the limits that runners name.
+
+    A host that was disturbed since the limit was named isn't counted, nor are arrivals
+    while the runner's link was disturbed, which may have held them up.
+    """
+    for runner in fleet.runners:
+        runner_id = runner.standin.runner_id
+        for limit in runner.limits:
+            counted_s = []
+            for arrival in runner.standin.arrivals:
+                request = callers.sent_by_id.get(arrival.request_id)
+                host = request.host_name if request else ""
+                is_told = any(
+                    limit.started_s <= told_s <= arrival.arrived_s - LIMIT_TOLD_S
+                    for told_s in callers.limit_told_s.get((host, runner_id), ())
+                )
+                since_s = limit.started_s + STABLE_S
+                is_calm = all(
+                    fleet.disturbances.is_calm(
+                        part, name, limit.started_s, arrival.arrived_s
+                    )
+                    for part, name in ((Part.HOST, host), (Part.RUNNER, runner_id))
+                )
+                if (
+                    since_s <= arrival.arrived_s <= limit.ended_s
+                    and is_told
+                    and is_calm
+                ):
+                    counted_s.append(arrival.arrived_s)
+            worst = max(
+                (
+                    _count_between(sorted(counted_s), start_s, start_s + LIMIT_WINDOW_S)
+                    for start_s in counted_s
+                ),
+                default=0,
+            )
+            allowed = LIMIT_OVERSHOOT * limit.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+            if worst > allowed:
+                yield (
+                    f"{worst} requests in {LIMIT_WINDOW_S:g} s reached {runner_id},"
+                    f" which named {limit.per_s:g} a second; allowed {allowed:g}"
+                )
+
+
 def _check_lost(fleet: SoakFleet, callers: Callers) -> Iterator[str]:
     """Check that whole requests around planned work are answered or refused.
 
--- a/tests/soak/_scenarios.py
+++ b/tests/soak/_scenarios.py
@@ -8,9 +8,13 @@
 from tests.soak._callers import Callers
 from tests.soak._disturbances import Part
 from tests.soak._fleet import SoakFleet, SoakScale
+from tests.soak._plan import Fault, FaultKind
 from tests.soak._rules import BUDGET_WINDOW_S, DRAIN_S, find_violations
 
 CALM_S = 1.0
+LIMIT_PER_S = 1.0
+NAMED_S = 14.0
+FREEZE_S = 1.5
 
 # Addresses at which no host listens.
 UNUSED_SEEDS = ["127.0.9.1:1", "127.0.9.2:1"]
@@ -60,6 +64,23 @@
     return callers.violations
 
 
+async def run_named_limits(seed: int, scale: SoakScale) -> list[str]:
+    """Return the violations while all runners of a pool name a limit.
+
+    One host is stopped and started and one is frozen meanwhile.
+    """
+    async with _run_loaded_fleet(seed, scale) as (fleet, callers):
+        async with asyncio.TaskGroup() as group:
+            for runner in fleet.runners:
+                if runner.pool == "bookings":
+                    group.create_task(runner.name_limit(LIMIT_PER_S, NAMED_S))
+            for kind in (FaultKind.HOST_STOPPED, FaultKind.HOST_PAUSED):
+                await asyncio.sleep(CALM_S)
+                fault = Fault(0.0, FREEZE_S, kind, list(FaultKind).index(kind))
+                group.create_task(fleet.inject_fault(fault))
+    return callers.violations
+
+
 async def run_repeated_replies(
     seed: int, scale: SoakScale, rounds: int, max_repeats: int = 0
 ) -> list[str]:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
     draw_planned_work,
     run_hosts_without_peers,
     run_leaving_in_outage,
+    run_named_limits,
     run_repeated_replies,
     run_soak,
 )
@@ -81,6 +82,10 @@
         scale = SoakScale(hosts=3, engines=2, bookings=1, requests_per_s=60.0)
         self.assertEqual([], await run_repeated_replies(1, scale, 2, max_repeats=3))
 
+    async def test_hosts_together_keep_the_limits_that_runners_name(self) -> None:
+        scale = SoakScale(hosts=5, engines=1, bookings=3, requests_per_s=60.0)
+        self.assertEqual([], await run_named_limits(1, scale))
+
     async def test_runners_that_leave_while_the_store_is_silent_get_no_requests(
         self,
     ) -> None:
