Keep the limits that runners name, over all hosts together

Callers saw: a runner in need got far more requests than the limit that it had named. Change: NamedLimits counts the attempts of all hosts in the last 4 s, of which they tell each other by a running count, and allows as many as the limit does; what the bound allows beyond that covers attempts that aren't known yet, in equal parts or turns. A host that isn't heard keeps its share. A limit is lifted by an answer without it. Calls that only a limit holds back wait by priority like those for a full engine; others go to other runners. Hosts of the format before this one don't hear those with it while a release is under way.

--- a/figshunt/dispatch/_cold_limit.py
+++ b/figshunt/dispatch/_cold_limit.py
@@ -14,7 +14,8 @@
     published rate plus ``cold_slack`` requests. In any ``retry_window_ms`` the
     retries of a pool may not exceed ``retry_share`` of its requests plus
     ``retry_slack``. Processing a shared prompt part again has a price within
-    ``reuse_window_ms`` of its last use.
+    ``reuse_window_ms`` of its last use. In any ``limit_window_ms`` a runner that names
+    a limit may receive ``limit_overshoot`` times that plus ``limit_slack`` requests.
     """
 
     cold_overshoot: float = 1.5
@@ -23,6 +24,9 @@
     retry_slack: float = 50.0
     retry_window_ms: int = 10_000
     reuse_window_ms: int = 6_000
+    limit_overshoot: float = 1.5
+    limit_slack: float = 5.0
+    limit_window_ms: int = 4_000
 
 
 # Shares of the common bounds that hosts use. The rest is a reserve for hosts that
--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -37,6 +37,7 @@
         self.peers = PeerFilter(host, expects_peers)
         self.crashes = CrashFilter(host, self.peers)
         self.placement = PlacementFilter(
+            host,
             self.directory,
             self.peers,
             self.crashes,
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -4,6 +4,7 @@
 
 from figshunt.dispatch._call import Call
 from figshunt.dispatch._messages import (
+    LimitNotice,
     OccupancyNotice,
     PlacementNotice,
     QueueNotice,
@@ -118,6 +119,7 @@
     queues: tuple[QueueNotice, ...] = ()
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
+    limits: tuple[LimitNotice, ...] = ()
     can_wait: bool = False
 
 
--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -11,12 +11,13 @@
 from figshunt.dispatch._messages import (
     FirstEventSeen,
     HostStatus,
+    LimitNotice,
     OccupancyNotice,
     PlacementNotice,
     QueueNotice,
     RunnerLimitSeen,
 )
-from figshunt.dispatch._named_limit import NamedLimits
+from figshunt.dispatch._named_limit import LimitGroup, NamedLimits
 from figshunt.dispatch._peer_filter import PeersView
 from figshunt.dispatch._prefix_cache import RecentParts
 from figshunt.dispatch._runner_model import RunnerModel, RunningAttempt
@@ -66,12 +67,17 @@
     """
 
     def __init__(
-        self, directory: DirectoryView, peers: PeersView, bounds: SharedBounds
+        self,
+        host: HostName,
+        directory: DirectoryView,
+        peers: PeersView,
+        bounds: SharedBounds,
     ) -> None:
         self._directory = directory
         self._peers = peers
+        self._bounds = bounds
         self._cold_limit = ColdLimit(bounds)
-        self._named_limits = NamedLimits()
+        self._named_limits = NamedLimits(host, bounds)
         self._recent_parts = RecentParts(bounds.reuse_window_ms)
         self._models_by_runner: dict[RunnerId, RunnerModel] = {}
         self._starts_by_runner: dict[RunnerId, int | None] = {}
@@ -93,7 +99,8 @@
     def record_attempt(
         self, runner_id: RunnerId, pool: PublishedPool, now: Moment
     ) -> None:
-        """Count an attempt of this host against the runner's limit if it is cold."""
+        """Count an attempt of this host against the runner's limits."""
+        self._named_limits.record_attempt(runner_id, now.monotonic_ms)
         if self._is_cold(pool, runner_id, now):
             self._cold_limit.record(runner_id, now.monotonic_ms)
 
@@ -223,6 +230,11 @@
         to it again.
         """
         now_ms = now.monotonic_ms
+        for runner_id in runners:
+            if runner_id in self._named_limits:
+                self._named_limits.record_demand(
+                    runner_id, self._limit_group(now), now_ms
+                )
         allowed_runners = [
             runner
             for runner in runners.values()
@@ -240,8 +252,21 @@
     ) -> int:
         """Return when the runner may get a call.
 
-        That is after a pause that it asked for, and within its limit while it is cold.
+        That is after a pause that it asked for, within its limit while it is cold, and
+        within the limit that it names.
         """
+        earliest_ms = self._next_unlimited_ms(pool, runner_id, now)
+        if runner_id not in self._named_limits:
+            return earliest_ms
+        limit_ms = self._named_limits.next_ms(
+            runner_id, self._limit_group(now), now.monotonic_ms
+        )
+        return max(earliest_ms, limit_ms)
+
+    def _next_unlimited_ms(
+        self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
+    ) -> int:
+        """Return when the runner might get a call if it named no limit."""
         now_ms = now.monotonic_ms
         model = self._models_by_runner.get(runner_id)
         earliest_ms = max(now_ms, model.paused_until_ms) if model else now_ms
@@ -258,19 +283,52 @@
 
     def observe_limit(self, seen: RunnerLimitSeen, now: Moment) -> Iterable[Output]:
         """Record the limit that an answer names, or that it names none."""
-        runner_id, process, per_s = seen.runner_id, seen.process, seen.limit_per_s
-        if per_s is None:
-            has_changed = self._named_limits.record_lifted(
-                runner_id, process, seen.sent_ms
-            )
-        else:
-            has_changed = self._named_limits.record_named(
-                runner_id, process, per_s, now.monotonic_ms
-            )
-        if has_changed:
+        runner_id, per_s = seen.runner_id, seen.limit_per_s
+        is_current = self._starts_by_runner.get(runner_id) == seen.process
+        if is_current and self._named_limits.record_answer(
+            runner_id, seen.process, per_s, seen.sent_ms, now.monotonic_ms
+        ):
             fields: dict[str, LogValue] = {"runner": runner_id, "limit_per_s": per_s}
             yield LogEvent("runner_limit", Step.PLACEMENT, fields)
 
+    def record_limit(
+        self, host: HostName, notice: LimitNotice, now: Moment
+    ) -> Iterable[Output]:
+        """Record what a peer knows of a runner's limit and does about it."""
+        is_current = self._starts_by_runner.get(notice.runner_id) == notice.process
+        if is_current and self._named_limits.record_notice(
+            host, notice, now.monotonic_ms
+        ):
+            fields: dict[str, LogValue] = {
+                "runner": notice.runner_id,
+                "limit_per_s": notice.per_s,
+                "peer": host,
+            }
+            yield LogEvent("runner_limit", Step.PLACEMENT, fields)
+
+    def take_limit_notices(self, now: Moment) -> tuple[LimitNotice, ...]:
+        """Return what other hosts have to know of limits at once."""
+        return self._named_limits.take_notices(now.monotonic_ms)
+
+    def take_refreshed_limit_notices(self, now: Moment) -> tuple[LimitNotice, ...]:
+        """Return what other hosts may have missed of limits."""
+        return self._named_limits.take_refreshed_notices(now.monotonic_ms)
+
+    def waits_for_limit(
+        self,
+        pool: PublishedPool | None,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> bool:
+        """Return whether only the limit that it names keeps a runner from a call."""
+        now_ms = now.monotonic_ms
+        return any(
+            runner_id in self._named_limits
+            and self._next_unlimited_ms(pool, runner_id, now) <= now_ms
+            and self.model(runner_id, pool).is_available(now_ms)
+            for runner_id in runners
+        )
+
     def find_holder(
         self,
         routed: RoutedCall,
@@ -389,6 +447,7 @@
         known_start = self._starts_by_runner.get(runner.runner_id)
         cold_until_ms = now.monotonic_ms + runner.cold_left_ms
         if known_start is not None and known_start != runner.started_wall_ms:
+            self._named_limits.forget(runner.runner_id)
             model.restart(cold_until_ms, _kv_tokens(pool))
         elif runner.cold_left_ms:
             model.cold_until_ms = max(model.cold_until_ms, cold_until_ms)
@@ -417,6 +476,14 @@
         for model in self._models_by_runner.values():
             model.load.forget(host)
 
+    def _limit_group(self, now: Moment) -> LimitGroup:
+        window_ms = self._bounds.limit_window_ms
+        return LimitGroup(
+            hosts=self._peers.rank(now).hosts,
+            unheard=self._peers.count_unheard(now, window_ms),
+            all_heard_ms=self._peers.all_heard_ms(now, window_ms),
+        )
+
     def _is_cold(
         self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
     ) -> bool:
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -298,6 +298,26 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """What a host knows of the limit that a runner names, and does about it.
+
+    ``process`` is the start of the runner's process, as in its entry. ``per_s`` is the
+    limit in requests a second from all hosts together, or ``None`` if it is lifted. An
+    answer showed that ``observed_age_ms`` ago; the limit was first named
+    ``since_age_ms`` ago. ``attempts`` counts the host's own since it knows the limit.
+    ``has_demand`` is set while the host has calls that could use the runner.
+    """
+
+    runner_id: RunnerId
+    process: int | None
+    per_s: float | None
+    observed_age_ms: int
+    since_age_ms: int
+    attempts: int
+    has_demand: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CrashAge:
     """A runner's process that crashed ``age_ms`` ago."""
@@ -348,6 +368,7 @@
     queues: tuple[QueueNotice, ...] = ()
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
+    limits: tuple[LimitNotice, ...] = ()
     suspects_digest: int = 0
 
     @property
@@ -359,6 +380,7 @@
             + len(self.queues)
             + len(self.silences)
             + len(self.occupancies)
+            + len(self.limits)
         )
 
     def without_notices(self) -> "HostStatus":
@@ -372,6 +394,7 @@
             queues=(),
             silences=(),
             occupancies=(),
+            limits=(),
         )
 
 
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/_peer_filter.py
@@ -19,6 +19,11 @@
 # A peer without a status message for this long is reported as lost.
 PEER_LOST_MS = 2_500
 
+# After a silence longer than the first of these times, which several heartbeats would
+# have filled, a peer's attempts are known again only after the second one.
+PEER_GAP_MS = 1_500
+PEER_SETTLES_MS = 800
+
 # A peer counts towards shared bounds for this long after its last status message,
 # since a host that is cut off from its peers may continue to send requests.
 PEER_COUNTED_MS = 60_000
@@ -42,6 +47,15 @@
     def is_among_first(self, count: int, host: HostName | None = None) -> bool:
         """Return whether a host, or else this one, is one of so many for all."""
 
+    def count_unheard(self, now: Moment, after_ms: int) -> float:
+        """Return how many other hosts that share a bound aren't heard.
+
+        A host counts in part until it hasn't been heard for ``after_ms``.
+        """
+
+    def all_heard_ms(self, now: Moment, within_ms: int) -> int:
+        """Return since when not all hosts were heard that were within that time."""
+
 
 class PeerFilter:
     """Stores the latest status of each peer.
@@ -58,6 +72,7 @@
         self.expects_peers = expects_peers
         self._started_ms: int | None = None
         self._last_received_ms_by_host: dict[HostName, int] = {}
+        self._heard_since_ms_by_host: dict[HostName, int] = {}
         self._statuses_by_host: dict[HostName, HostStatus] = {}
         self._lost_hosts: set[HostName] = set()
 
@@ -90,6 +105,25 @@
         rank = sum(1 for host in self._last_received_ms_by_host if host < self._host)
         return HostRank(rank, self._count_hosts(now))
 
+    def count_unheard(self, now: Moment, after_ms: int) -> float:
+        """Return how many other hosts that share a bound aren't heard.
+
+        A host counts in part until it hasn't been heard for ``after_ms``.
+        """
+        now_ms = now.monotonic_ms
+        heard = sum(
+            max(0.0, 1 - (now_ms - received_ms) / after_ms)
+            for host, received_ms in self._last_received_ms_by_host.items()
+            if now_ms - self._heard_since_ms_by_host[host] >= PEER_SETTLES_MS
+        )
+        return self._count_hosts(now) - 1 - heard
+
+    def all_heard_ms(self, now: Moment, within_ms: int) -> int:
+        """Return since when not all hosts were heard that were within that time."""
+        received_ms = self._last_received_ms_by_host.values()
+        since_ms = now.monotonic_ms - within_ms
+        return min((ms for ms in received_ms if ms > since_ms), default=since_ms)
+
     def _count_hosts(self, now: Moment) -> int:
         known_hosts = 1 + len(self._last_received_ms_by_host)
         started_ms = self._started_ms
@@ -119,6 +153,12 @@
             return
         is_new = previous is None or status.host in self._lost_hosts
         self._statuses_by_host[status.host] = status
+        last_received_ms = self._last_received_ms_by_host.get(status.host)
+        if (
+            last_received_ms is None
+            or now.monotonic_ms - last_received_ms > PEER_GAP_MS
+        ):
+            self._heard_since_ms_by_host[status.host] = now.monotonic_ms
         self._last_received_ms_by_host[status.host] = now.monotonic_ms
         self._lost_hosts.discard(status.host)
         if is_new or (previous and previous.incarnation != status.incarnation):
@@ -135,6 +175,7 @@
             silent_ms = now.monotonic_ms - last_received_ms
             if silent_ms > PEER_COUNTED_MS:
                 del self._last_received_ms_by_host[host]
+                del self._heard_since_ms_by_host[host]
                 del self._statuses_by_host[host]
                 self._lost_hosts.discard(host)
             elif silent_ms > PEER_LOST_MS and host not in self._lost_hosts:
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -134,6 +134,7 @@
 
     def __init__(
         self,
+        host: HostName,
         directory: DirectoryView,
         peers: PeersView,
         refusals: RefusalsView,
@@ -145,7 +146,7 @@
         self._refusals = refusals
         self._data_centre = data_centre
         self._random = random_source
-        self._fleet = FleetModel(directory, peers, bounds)
+        self._fleet = FleetModel(host, directory, peers, bounds)
         self._return_schedule = ReturnSchedule(random_source)
         self._held_calls = HeldCalls()
         self._attempt_count = 0
@@ -156,6 +157,12 @@
 
     def process(self, message: Message, now: Moment) -> Iterable[Output]:
         """Handle one message."""
+        yield from self._handle(message, now)
+        limits = self._fleet.take_limit_notices(now)
+        if limits:
+            yield BroadcastStatus(limits=limits)
+
+    def _handle(self, message: Message, now: Moment) -> Iterable[Output]:
         match message:
             case CallAdmitted(routed):
                 if self._held_calls:
@@ -168,6 +175,7 @@
                 yield from self._fleet.observe_first_event(message, now)
             case RunnerLimitSeen():
                 yield from self._fleet.observe_limit(message, now)
+                yield from self._place_held_calls(now)
             case CallAttemptEnded():
                 self._return_schedule.record_end(message.routed.pool, now.monotonic_ms)
                 yield from self._end_attempt(message, now)
@@ -185,7 +193,10 @@
                     self._fleet.record_backlog(queue, now)
                 for silence in status.silences:
                     yield from self._record_silence(status.host, silence, now)
-                if self._fleet.record_occupancies(status, now):
+                for limit in status.limits:
+                    yield from self._fleet.record_limit(status.host, limit, now)
+                has_freed = self._fleet.record_occupancies(status, now)
+                if has_freed or status.limits:
                     yield from self._try_held_calls(now)
             case GraceEnded():
                 for held_call in self._held_calls.in_order(now.monotonic_ms):
@@ -195,6 +206,9 @@
                 yield message
             case TimerDue():
                 self._fleet.expire_occupancies(now)
+                limits = self._fleet.take_refreshed_limit_notices(now)
+                if limits:
+                    yield BroadcastStatus(limits=limits, can_wait=True)
                 yield from self._try_held_calls(now)
                 yield message
             case OpenCallsChecked(open_ids):
@@ -225,8 +239,10 @@
         usable_runners = self._fleet.usable_runners(pool, untried_runners, now)
         if pool is None or not usable_runners:
             wake_ms = self._next_usable_ms(routed, now)
+            is_limited = self._fleet.waits_for_limit(pool, untried_runners, now)
+            reason = ErrorCode.QUEUE_FULL if is_limited else ErrorCode.NO_RUNNER
             yield from self._hold_or_refuse(
-                routed, ErrorCode.NO_RUNNER, wake_ms, bool(untried_runners), now
+                routed, reason, wake_ms, bool(untried_runners), now
             )
             return
         open_runners = self._fleet.open_runners(routed, pool, usable_runners)
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -11,6 +11,7 @@
 from figshunt.dispatch import (
     BroadcastStatus,
     HostStatus,
+    LimitNotice,
     OccupancyNotice,
     PeerStatusReceived,
     PlacementNotice,
@@ -73,6 +74,7 @@
         self._queues_by_runner: dict[RunnerId, QueueNotice] = {}
         self._silences_by_runner: dict[RunnerId, SilenceNotice] = {}
         self._occupancies_by_runner: dict[tuple[RunnerId, int], OccupancyNotice] = {}
+        self._limits_by_runner: dict[RunnerId, LimitNotice] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_timer: asyncio.TimerHandle | None = None
         self._forward_timer: asyncio.TimerHandle | None = None
@@ -117,6 +119,9 @@
             ((notice.runner_id, notice.priority), notice)
             for notice in effect.occupancies
         )
+        self._limits_by_runner.update(
+            (notice.runner_id, notice) for notice in effect.limits
+        )
         if effect.can_wait:
             return
         has_other_notices = effect != BroadcastStatus(occupancies=effect.occupancies)
@@ -208,12 +213,14 @@
             "queues": list(self._queues_by_runner.values()),
             "silences": list(self._silences_by_runner.values()),
             "occupancies": list(self._occupancies_by_runner.values()),
+            "limits": list(self._limits_by_runner.values()),
         }
         self._placements = []
         self._suspects_by_key = {}
         self._queues_by_runner = {}
         self._silences_by_runner = {}
         self._occupancies_by_runner = {}
+        self._limits_by_runner = {}
         return pending
 
     def _schedule_forward(self) -> None:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -9,6 +9,7 @@
     PRIORITY_LEVELS,
     CrashAge,
     HostStatus,
+    LimitNotice,
     OccupancyNotice,
     PartId,
     PlacementNotice,
@@ -22,7 +23,7 @@
 from figshunt.exchange import Bundle, BundlePurpose
 from figshunt.types import DataCentreName, Fingerprint, HostName, RunnerId
 
-STATUS_FORMAT = 5
+STATUS_FORMAT = 6
 
 
 def encode_bundle(bundle: Bundle) -> bytes:
@@ -81,6 +82,7 @@
             [notice.runner_id, notice.priority, notice.requests, notice.tokens]
             for notice in status.occupancies
         ],
+        [_encode_limit(notice) for notice in status.limits],
         status.suspects_digest,
     ]
 
@@ -88,7 +90,8 @@
 def _decode_status(fields: list[Any]) -> HostStatus:
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
-    placements, suspects, queues, silences, occupancies, suspects_digest = notices
+    placements, suspects, queues, silences, occupancies, limits, *rest = notices
+    (suspects_digest,) = rest
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -117,6 +120,7 @@
             )
             for runner_id, priority, requests, tokens in occupancies
         ),
+        limits=tuple(_decode_limit(entry) for entry in limits),
         suspects_digest=int(suspects_digest),
     )
 
@@ -160,6 +164,32 @@
     )
 
 
+def _encode_limit(notice: LimitNotice) -> list[Any]:
+    return [
+        notice.runner_id,
+        notice.process,
+        notice.per_s,
+        notice.observed_age_ms,
+        notice.since_age_ms,
+        notice.attempts,
+        notice.has_demand,
+    ]
+
+
+def _decode_limit(fields: list[Any]) -> LimitNotice:
+    runner_id, process, per_s, observed_age_ms, since_age_ms, *counts = fields
+    attempts, has_demand = counts
+    return LimitNotice(
+        runner_id=RunnerId(str(runner_id)),
+        process=None if process is None else int(process),
+        per_s=None if per_s is None else float(per_s),
+        observed_age_ms=int(observed_age_ms),
+        since_age_ms=int(since_age_ms),
+        attempts=int(attempts),
+        has_demand=bool(has_demand),
+    )
+
+
 def _encode_placement(notice: PlacementNotice) -> list[Any]:
     return [
         notice.runner_id,
--- a/tests/dispatch/limited_fleet.py
+++ b/tests/dispatch/limited_fleet.py
@@ -71,7 +71,7 @@
         self.now_ms = 0
         self.frozen_hosts: set[int] = set()
         self._runners = runners
-        self._hears = hears
+        self.hears = hears
         self._loss = loss
         self._delay_ms = delay_ms
         self._answer_ms = answer_ms
@@ -142,7 +142,7 @@
             ),
             seed=host,
             host=f"p{host:02}",
-            expects_peers=True,
+            expects_peers=len(self._incarnations) > 1,
         )
 
     def _excuse(self, host: int) -> None:
@@ -175,7 +175,7 @@
         for effect in effects:
             if isinstance(effect, StartCallAttempt):
                 self._receive_request(host, effect)
-            elif isinstance(effect, BroadcastStatus) and self._hears:
+            elif isinstance(effect, BroadcastStatus) and self.hears:
                 self._broadcast(host, effect)
 
     def _receive_request(self, host: int, start: StartCallAttempt) -> None:
--- a/tests/dispatch/test_named_limit.py
+++ b/tests/dispatch/test_named_limit.py
@@ -40,6 +40,17 @@
                     fleet.run(LOADED_MS, loads)
                     self.assertLessEqual(fleet.worst_excess(), 0)
 
+    def test_limit_holds_while_hosts_cease_to_hear_each_other(self) -> None:
+        for hosts in (2, 5, 12):
+            for limit_per_s in (1.0, 2.5, 12.0):
+                with self.subTest(hosts=hosts, limit=limit_per_s):
+                    fleet = LimitedFleet(hosts, limit_per_s, loss=0.02)
+                    loads = dict.fromkeys(range(hosts), 100)
+                    for hears, duration_ms in ((True, 6_000), (False, 10_000)) * 2:
+                        fleet.hears = hears
+                        fleet.run(duration_ms, loads)
+                    self.assertLessEqual(fleet.worst_excess(), 0)
+
     def test_one_host_gets_what_the_others_leave(self) -> None:
         """Guards against places that stay unused while calls wait at one host."""
         for hosts in (1, 5, 12):
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -13,6 +13,7 @@
 from figshunt.dispatch import (
     CallArrived,
     CrashAge,
+    LimitNotice,
     OccupancyNotice,
     ReplyEvent,
     Suspect,
@@ -192,6 +193,7 @@
             ),
             suspects_digest=2**64 - 1,
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
+            limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
         )
         bundle = Bundle(
             HostName("h2"), DataCentreName("a"), BundlePurpose.INFORM, (status,)
