Bound what notices of limits cost, and tell callers when a limit has a place

A count in a datagram could make a host keep as many times; unknown runners could be named; each host of a large fleet told its limits twice a second; a caller that a limit held back was told to return before a place could be free. Change: at most as many attempts as the limit has places are taken from one notice, its numbers are checked, and its runner has to be listed. Hosts that use relays refresh every 2 s. Retry-After includes the time until a place is free. A host counts as a rival for 5 s after its last notice instead of 3 s. next_ms is split.

--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -78,6 +78,8 @@
         self._bounds = bounds
         self._cold_limit = ColdLimit(bounds)
         self._named_limits = NamedLimits(host, bounds)
+        self._group: LimitGroup | None = None
+        self._group_ms = 0
         self._recent_parts = RecentParts(bounds.reuse_window_ms)
         self._models_by_runner: dict[RunnerId, RunnerModel] = {}
         self._starts_by_runner: dict[RunnerId, int | None] = {}
@@ -230,11 +232,10 @@
         to it again.
         """
         now_ms = now.monotonic_ms
-        for runner_id in runners:
-            if runner_id in self._named_limits:
-                self._named_limits.record_demand(
-                    runner_id, self._limit_group(now), now_ms
-                )
+        if self._named_limits:
+            group = self._limit_group(now)
+            for runner_id in runners:
+                self._named_limits.record_demand(runner_id, group, now_ms)
         allowed_runners = [
             runner
             for runner in runners.values()
@@ -284,8 +285,9 @@
     def observe_limit(self, seen: RunnerLimitSeen, now: Moment) -> Iterable[Output]:
         """Record the limit that an answer names, or that it names none."""
         runner_id, per_s = seen.runner_id, seen.limit_per_s
-        is_current = self._starts_by_runner.get(runner_id) == seen.process
-        if is_current and self._named_limits.record_answer(
+        if self._is_current(
+            runner_id, seen.process
+        ) and self._named_limits.record_answer(
             runner_id, seen.process, per_s, seen.sent_ms, now.monotonic_ms
         ):
             fields: dict[str, LogValue] = {"runner": runner_id, "limit_per_s": per_s}
@@ -295,10 +297,9 @@
         self, host: HostName, notice: LimitNotice, now: Moment
     ) -> Iterable[Output]:
         """Record what a peer knows of a runner's limit and does about it."""
-        is_current = self._starts_by_runner.get(notice.runner_id) == notice.process
-        if is_current and self._named_limits.record_notice(
-            host, notice, now.monotonic_ms
-        ):
+        if self._is_current(
+            notice.runner_id, notice.process
+        ) and self._named_limits.record_notice(host, notice, now.monotonic_ms):
             fields: dict[str, LogValue] = {
                 "runner": notice.runner_id,
                 "limit_per_s": notice.per_s,
@@ -312,7 +313,11 @@
 
     def take_refreshed_limit_notices(self, now: Moment) -> tuple[LimitNotice, ...]:
         """Return what other hosts may have missed of limits."""
-        return self._named_limits.take_refreshed_notices(now.monotonic_ms)
+        if not self._named_limits:
+            return ()
+        return self._named_limits.take_refreshed_notices(
+            self._limit_group(now), now.monotonic_ms
+        )
 
     def waits_for_limit(
         self,
@@ -476,13 +481,22 @@
         for model in self._models_by_runner.values():
             model.load.forget(host)
 
+    def _is_current(self, runner_id: RunnerId, process: int | None) -> bool:
+        """Return whether a runner is listed with that start of its process."""
+        is_listed = runner_id in self._starts_by_runner
+        return is_listed and self._starts_by_runner[runner_id] == process
+
     def _limit_group(self, now: Moment) -> LimitGroup:
-        window_ms = self._bounds.limit_window_ms
-        return LimitGroup(
-            hosts=self._peers.rank(now).hosts,
-            unheard=self._peers.count_unheard(now, window_ms),
-            all_heard_ms=self._peers.all_heard_ms(now, window_ms),
-        )
+        """Return the hosts that share limits, derived once for each time."""
+        if self._group is None or self._group_ms != now.monotonic_ms:
+            window_ms = self._bounds.limit_window_ms
+            self._group_ms = now.monotonic_ms
+            self._group = LimitGroup(
+                hosts=self._peers.rank(now).hosts,
+                unheard=self._peers.count_unheard(now, window_ms),
+                all_heard_ms=self._peers.all_heard_ms(now, window_ms),
+            )
+        return self._group
 
     def _is_cold(
         self, pool: PublishedPool | None, runner_id: RunnerId, now: Moment
--- a/figshunt/dispatch/_named_limit.py
+++ b/figshunt/dispatch/_named_limit.py
@@ -1,5 +1,6 @@
 """Limits this host's attempts at runners that name a limit for all hosts together."""
 
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import ceil
@@ -22,13 +23,14 @@
 SPARE_SHARE = 0.8
 
 # A host counts as waiting for a runner for this long after its last call that could
-# use it, and other hosts count it for as long after its last notice.
+# use it, and other hosts count it for the other time after its last notice.
 DEMAND_MS = 2_000
-DEMAND_TOLD_MS = 3_000
+DEMAND_TOLD_MS = 5_000
 
-# What is known of a limit is told again after this time, and kept for the other one
-# once the limit is lifted.
+# What is known of a limit is told again after this time, and kept for the last one
+# once the limit is lifted. Each host of a fleet receives the notices of all others.
 REFRESH_MS = 500
+RELAYED_REFRESH_MS = 2_000
 LIFTED_KEPT_MS = 10_000
 
 # A peer's word replaces what this host knows only if it is newer by more than messages
@@ -82,8 +84,8 @@
         """Add attempts of any host, and drop those that have left the window."""
         self.attempts_ms += [now_ms] * count
         for times_ms in (self.attempts_ms, self.own_attempts_ms):
-            left = sum(time_ms <= now_ms - window_ms for time_ms in times_ms[:-1])
-            del times_ms[:left]
+            end = max(0, len(times_ms) - 1)
+            del times_ms[: bisect_right(times_ms, now_ms - window_ms, hi=end)]
 
 
 class NamedLimits:
@@ -106,6 +108,9 @@
         self._bounds = bounds
         self._limits_by_runner: dict[RunnerId, RunnerLimit] = {}
 
+    def __len__(self) -> int:
+        return len(self._limits_by_runner)
+
     def __contains__(self, runner_id: RunnerId) -> bool:
         limit = self._limits_by_runner.get(runner_id)
         return limit is not None and limit.per_s is not None
@@ -191,51 +196,64 @@
         window_ms = bounds.limit_window_ms
         limited = limit.per_s * window_ms / SECOND_MS
         places = max(1.0, limited)
-        left = places * (1 - group.unheard / group.hosts)
-        contenders = self._contenders(limit, now_ms)
-        rank = contenders.index(self._host)
         spare = limited * bounds.limit_overshoot + bounds.limit_slack - places
         spare *= SPARE_SHARE
-        own_share = spare / (len(contenders) + round(group.unheard))
-        exchange_ms = _exchange_ms(group)
-        earliest_ms = max(now_ms, limit.contends_from_ms)
+        rivals = [
+            host
+            for host, told_ms in limit.demand_ms_by_host.items()
+            if now_ms - told_ms <= DEMAND_TOLD_MS
+        ]
+        own_share = spare / (1 + len(rivals) + round(group.unheard))
+        left = places * (1 - group.unheard / group.hosts)
         if left < 1:
-            # The share of a window is less than one attempt.
-            interval_ms = int(window_ms / left)
-            first_ms = limit.since_ms + int(_phase(self._host, runner_id) * interval_ms)
-            last_ms = limit.attempts_ms[-1] if limit.attempts_ms else None
-            earliest_ms = max(
-                earliest_ms, first_ms if last_ms is None else last_ms + interval_ms
-            )
+            free_ms = self._next_interval_ms(runner_id, limit, window_ms / left)
         else:
-            free_ms = max(
-                _place_ms(limit.attempts_ms, round(left), window_ms),
-                _place_ms(
-                    limit.attempts_ms,
-                    max(1, ceil(limit.per_s * left / places)),
-                    SECOND_MS,
-                ),
-            )
+            free_ms = _next_place_ms(limit, left, left / places, window_ms)
             if own_share >= 1:
-                order = (rank + len(limit.attempts_ms)) % len(contenders)
+                rank = sum(host < self._host for host in rivals)
+                order = (rank + len(limit.attempts_ms)) % (1 + len(rivals))
                 free_ms += order * STAGGER_MS
-            earliest_ms = max(earliest_ms, free_ms)
-        # Others may not know yet of attempts since then, nor this host of theirs.
-        unseen_ms = max(exchange_ms, now_ms - group.all_heard_ms)
+        # Others may not know of this host's attempts since then, nor it of theirs.
+        unseen_ms = max(_exchange_ms(group), now_ms - group.all_heard_ms)
         fair_attempts = places / group.hosts * unseen_ms / window_ms
         own_attempts = max(1, int(own_share + fair_attempts))
-        earliest_ms = max(
-            earliest_ms, _place_ms(limit.own_attempts_ms, own_attempts, unseen_ms)
-        )
+        unseen_until_ms = _place_ms(limit.own_attempts_ms, own_attempts, unseen_ms)
+        earliest_ms = max(now_ms, limit.contends_from_ms, free_ms, unseen_until_ms)
         if own_share >= 1:
             return earliest_ms
-        # Any exchange overlaps at most two turns.
-        groups = ceil(len(contenders) / max(1, int(spare / 2)))
-        turn = (earliest_ms - limit.since_ms) // exchange_ms
+        return self._next_turn_ms(limit, rivals, spare, group, earliest_ms)
+
+    def _next_interval_ms(
+        self, runner_id: RunnerId, limit: RunnerLimit, interval_ms: float
+    ) -> int:
+        """Return the next attempt's time if a window has less than one place.
+
+        Hosts that don't hear each other begin at different times.
+        """
+        if limit.attempts_ms:
+            return limit.attempts_ms[-1] + int(interval_ms)
+        return limit.since_ms + int(_phase(self._host, runner_id) * interval_ms)
+
+    def _next_turn_ms(
+        self,
+        limit: RunnerLimit,
+        rivals: list[HostName],
+        spare: float,
+        group: LimitGroup,
+        earliest_ms: int,
+    ) -> int:
+        """Return the first time from ``earliest_ms`` on at which it is the host's turn.
+
+        Any exchange overlaps at most two turns, whose hosts may use up the spare.
+        """
+        turn_ms = _exchange_ms(group)
+        groups = ceil((1 + len(rivals)) / max(1, int(spare / 2)))
+        rank = sum(host < self._host for host in rivals)
+        turn = (earliest_ms - limit.since_ms) // turn_ms
         turns_ahead = (rank - turn) % groups
         if not turns_ahead:
             return earliest_ms
-        return limit.since_ms + (turn + turns_ahead) * exchange_ms
+        return limit.since_ms + (turn + turns_ahead) * turn_ms
 
     def take_notices(self, now_ms: int) -> tuple[LimitNotice, ...]:
         """Return what other hosts have to know at once."""
@@ -245,8 +263,12 @@
             if limit.has_news
         )
 
-    def take_refreshed_notices(self, now_ms: int) -> tuple[LimitNotice, ...]:
+    def take_refreshed_notices(
+        self, group: LimitGroup, now_ms: int
+    ) -> tuple[LimitNotice, ...]:
         """Return what other hosts may have missed, and drop limits lifted long ago."""
+        is_direct = group.hosts <= MAX_DIRECT_HOSTS
+        refresh_ms = REFRESH_MS if is_direct else RELAYED_REFRESH_MS
         for runner_id, limit in tuple(self._limits_by_runner.items()):
             is_lifted = limit.per_s is None
             if is_lifted and now_ms - limit.observed_ms > LIFTED_KEPT_MS:
@@ -254,7 +276,7 @@
         return tuple(
             self._build_notice(runner_id, limit, now_ms)
             for runner_id, limit in self._limits_by_runner.items()
-            if now_ms - limit.told_ms >= REFRESH_MS
+            if now_ms - limit.told_ms >= refresh_ms
             and (limit.per_s is None or limit.has_demand(now_ms))
         )
 
@@ -296,15 +318,9 @@
         else:
             count = notice.attempts
         limit.counts_by_host[host] = notice.attempts
-        limit.add_attempts(count, now_ms, window_ms)
-
-    def _contenders(self, limit: RunnerLimit, now_ms: int) -> list[HostName]:
-        told_hosts = (
-            host
-            for host, told_ms in limit.demand_ms_by_host.items()
-            if now_ms - told_ms <= DEMAND_TOLD_MS
-        )
-        return sorted((self._host, *told_hosts))
+        # More than that changes nothing.
+        most = max(1, int((limit.per_s or 0.0) * window_ms / SECOND_MS) + 1)
+        limit.add_attempts(min(count, most), now_ms, window_ms)
 
     def _build_notice(
         self, runner_id: RunnerId, limit: RunnerLimit, now_ms: int
@@ -322,6 +338,18 @@
         )
 
 
+def _next_place_ms(
+    limit: RunnerLimit, places: float, share: float, window_ms: int
+) -> int:
+    """Return when a window has a free place, and a second its share of the limit."""
+    assert limit.per_s is not None
+    places_per_s = max(1, ceil(limit.per_s * share))
+    return max(
+        _place_ms(limit.attempts_ms, round(places), window_ms),
+        _place_ms(limit.attempts_ms, places_per_s, SECOND_MS),
+    )
+
+
 def _place_ms(attempts_ms: list[int], places: int, span_ms: int) -> int:
     """Return from when on fewer than ``places`` attempts are within the span."""
     return attempts_ms[-places] + span_ms if len(attempts_ms) >= places else 0
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -175,7 +175,7 @@
                 yield from self._fleet.observe_first_event(message, now)
             case RunnerLimitSeen():
                 yield from self._fleet.observe_limit(message, now)
-                yield from self._place_held_calls(now)
+                yield from self._try_held_calls(now)
             case CallAttemptEnded():
                 self._return_schedule.record_end(message.routed.pool, now.monotonic_ms)
                 yield from self._end_attempt(message, now)
@@ -519,12 +519,22 @@
         if reason is not ErrorCode.QUEUE_FULL:
             usable_in_ms = self._next_usable_ms(routed, now) - now.monotonic_ms
             return max(RETRY_AFTER_MS, usable_in_ms)
-        return self._return_schedule.next_pause_ms(
+        pause_ms = self._return_schedule.next_pause_ms(
             routed.pool,
             routed.priority,
             routed.deadline_ms - now.monotonic_ms,
             now.monotonic_ms,
         )
+        return pause_ms + self._limit_wait_ms(routed, now)
+
+    def _limit_wait_ms(self, routed: RoutedCall, now: Moment) -> int:
+        """Return for how long limits keep all runners of a call's pool."""
+        pool = self._directory.pool(routed.pool)
+        times_ms = (
+            self._fleet.next_allowed_ms(pool, runner_id, now)
+            for runner_id in self._directory.runners(routed.pool)
+        )
+        return max(0, min(times_ms, default=0) - now.monotonic_ms)
 
     def _next_usable_ms(self, routed: RoutedCall, now: Moment) -> int:
         pool = self._directory.pool(routed.pool)
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -1,6 +1,7 @@
 """CBOR encoding of the datagrams between hosts."""
 
 from ipaddress import ip_address
+from math import isfinite
 from typing import Any
 
 import cbor2
@@ -177,15 +178,19 @@
 
 
 def _decode_limit(fields: list[Any]) -> LimitNotice:
-    runner_id, process, per_s, observed_age_ms, since_age_ms, *counts = fields
-    attempts, has_demand = counts
+    runner_id, process, per_s, *counts, has_demand = fields
+    observed_age_ms, since_age_ms, attempts = map(int, counts)
+    rate = None if per_s is None else float(per_s)
+    numbers = (rate or 0.0, observed_age_ms, since_age_ms, attempts)
+    if not all(isfinite(number) and number >= 0 for number in numbers):
+        raise ValueError(f"expected a limit with numbers from 0, got {numbers}")
     return LimitNotice(
         runner_id=RunnerId(str(runner_id)),
         process=None if process is None else int(process),
-        per_s=None if per_s is None else float(per_s),
-        observed_age_ms=int(observed_age_ms),
-        since_age_ms=int(since_age_ms),
-        attempts=int(attempts),
+        per_s=rate,
+        observed_age_ms=observed_age_ms,
+        since_age_ms=since_age_ms,
+        attempts=attempts,
         has_demand=bool(has_demand),
     )
 
--- a/tests/dispatch/test_named_limit.py
+++ b/tests/dispatch/test_named_limit.py
@@ -1,8 +1,21 @@
 """Limits that runners name, which bind all hosts together."""
 
+import dataclasses
 import unittest
+from collections import Counter
 
-from tests.dispatch.limited_fleet import WINDOW_MS, LimitedFleet
+from figshunt.dispatch import AnswerError, ReplyComplete, StartCallAttempt
+from figshunt.types import RouteName
+from tests.builders import (
+    build_call,
+    build_configuration,
+    build_published_route,
+    build_published_runner,
+    build_reply_head,
+    build_run_once_route,
+)
+from tests.dispatch.driver import CoreDriver
+from tests.dispatch.limited_fleet import DISCOVERY_MS, WINDOW_MS, LimitedFleet
 
 LOADED_MS = 12_000
 
@@ -74,6 +87,39 @@
         fleet.run(WINDOW_MS, {0: 100, 1: 100, 2: 100})
         self.assertGreater(fleet.count_since(since_ms), 90)
 
+    def test_calls_that_a_limit_holds_back_go_to_others_by_priority(self) -> None:
+        route = build_run_once_route(target_ms=1_000, timeout_ms=10_000)
+        urgent = dataclasses.replace(
+            route, name=RouteName("urgent"), path_prefix="/urgent/", urgency=0
+        )
+        driver = CoreDriver(
+            build_published_runner("b1", "bookings"),
+            build_published_runner("b2", "bookings"),
+            configuration=build_configuration(build_published_route(), route, urgent),
+        )
+        driver.advance(DISCOVERY_MS)
+        head = build_reply_head(names_limit=True, limit_per_s=1.0)
+        sent_by_runner: Counter[str] = Counter()
+        for number in range(20):
+            driver.call(build_call(f"r{number}", "/book/1"))
+            start = driver.last_attempt()
+            sent_by_runner[start.runner_id] += 1
+            is_limited = start.runner_id == "b1"
+            reply = head if is_limited else build_reply_head()
+            driver.handle(ReplyComplete(start.attempt_id, reply, b""))
+            driver.advance(10)
+        self.assertEqual(20, sum(sent_by_runner.values()))
+        self.assertLessEqual(sent_by_runner["b1"], 2)
+        driver.unlist_runner("b2")
+        driver.effects.clear()
+        driver.call(build_call("plain", "/book/1"))
+        driver.call(build_call("urgent", "/urgent/1"))
+        self.assertEqual([], driver.effects_of(StartCallAttempt))
+        while not driver.effects_of(StartCallAttempt):
+            self.assertEqual([], driver.effects_of(AnswerError))
+            driver.advance(10)
+        self.assertEqual("/urgent/1", driver.last_attempt().call.path)
+
 
 if __name__ == "__main__":
     unittest.main()
