Choose the soak's shared ports below those that the system chooses

Cause: in one trial run a host didn't start, as its port for peers on 127.0.1.2 was taken. The port had been free at 127.0.1.1 only, and it was one of those that the system gives to sockets bound to port 0, of which each host binds three at its own address before it. Change: the two port numbers that all hosts of a soak share come from 20,000 to 32,000. The system chooses from 32,768 to 60,999 here. Conclusion: read from the code; the collision itself wasn't provoked.

--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+import random
 import re
 import signal
 import socket
@@ -25,6 +26,8 @@
 
 # A runner that is leaving serves on for this long after its entry says so, and its
 # successor starts after a pause.
+SHARED_PORTS = (20_000, 32_000)
+
 LIMIT_PER_S = 1.0
 
 # Hosts are bound by a limit some seconds after it was first named.
@@ -434,12 +437,15 @@
 def find_free_port(kind: socket.SocketKind) -> int:
     """Return a port that is currently free.
 
-    The hosts have different loopback addresses and all use this port number.
+    The hosts have different loopback addresses and all use this port number. It is
+    below the ports that the system chooses for the hosts' other sockets.
     """
-    with socket.socket(socket.AF_INET, kind) as test_socket:
-        test_socket.bind(("127.0.1.1", 0))
-        port: int = test_socket.getsockname()[1]
-        return port
+    while True:
+        port = random.randrange(*SHARED_PORTS)
+        with socket.socket(socket.AF_INET, kind) as test_socket:
+            with contextlib.suppress(OSError):
+                test_socket.bind(("127.0.1.1", port))
+                return port
 
 
 async def run_faults(
