Ask for the time until a place is free only where a runner names a limit

Each refusal for lack of room looked at all runners of the pool, and added cold times and pauses, which it had not done before limits were kept. Change: the time is added only if a limit may keep a runner of the pool from the call.

--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -285,9 +285,9 @@
     def observe_limit(self, seen: RunnerLimitSeen, now: Moment) -> Iterable[Output]:
         """Record the limit that an answer names, or that it names none."""
         runner_id, per_s = seen.runner_id, seen.limit_per_s
-        if self._is_current(
-            runner_id, seen.process
-        ) and self._named_limits.record_answer(
+        if not self._is_current(runner_id, seen.process):
+            return
+        if self._named_limits.record_answer(
             runner_id, seen.process, per_s, seen.sent_ms, now.monotonic_ms
         ):
             fields: dict[str, LogValue] = {"runner": runner_id, "limit_per_s": per_s}
@@ -297,9 +297,9 @@
         self, host: HostName, notice: LimitNotice, now: Moment
     ) -> Iterable[Output]:
         """Record what a peer knows of a runner's limit and does about it."""
-        if self._is_current(
-            notice.runner_id, notice.process
-        ) and self._named_limits.record_notice(host, notice, now.monotonic_ms):
+        if not self._is_current(notice.runner_id, notice.process):
+            return
+        if self._named_limits.record_notice(host, notice, now.monotonic_ms):
             fields: dict[str, LogValue] = {
                 "runner": notice.runner_id,
                 "limit_per_s": notice.per_s,
@@ -325,7 +325,7 @@
         runners: Mapping[RunnerId, PublishedRunner],
         now: Moment,
     ) -> bool:
-        """Return whether only the limit that it names keeps a runner from a call."""
+        """Return whether only the limit that it names may keep a runner from a call."""
         now_ms = now.monotonic_ms
         return any(
             runner_id in self._named_limits
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -528,13 +528,15 @@
         return pause_ms + self._limit_wait_ms(routed, now)
 
     def _limit_wait_ms(self, routed: RoutedCall, now: Moment) -> int:
-        """Return for how long limits keep all runners of a call's pool."""
+        """Return for how long the limits that runners name keep a call waiting."""
         pool = self._directory.pool(routed.pool)
+        runners = self._directory.runners(routed.pool)
+        if not self._fleet.waits_for_limit(pool, runners, now):
+            return 0
         times_ms = (
-            self._fleet.next_allowed_ms(pool, runner_id, now)
-            for runner_id in self._directory.runners(routed.pool)
+            self._fleet.next_allowed_ms(pool, runner_id, now) for runner_id in runners
         )
-        return max(0, min(times_ms, default=0) - now.monotonic_ms)
+        return max(0, min(times_ms) - now.monotonic_ms)
 
     def _next_usable_ms(self, routed: RoutedCall, now: Moment) -> int:
         pool = self._directory.pool(routed.pool)
