--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/_fleet_model.py
@@ -293,7 +293,7 @@
             fields: dict[str, LogValue] = {"runner": runner_id, "limit_per_s": per_s}
             yield LogEvent("runner_limit", Step.PLACEMENT, fields)
 
-    def record_limit(
+    def record_limit_notice(
         self, host: HostName, notice: LimitNotice, now: Moment
     ) -> Iterable[Output]:
         """Record what a peer knows of a runner's limit and does about it."""
@@ -494,7 +494,7 @@
             self._group = LimitGroup(
                 hosts=self._peers.rank(now).hosts,
                 unheard=self._peers.count_unheard(now, window_ms),
-                all_heard_ms=self._peers.all_heard_ms(now, window_ms),
+                oldest_heard_ms=self._peers.oldest_heard_ms(now, window_ms),
             )
         return self._group
 
--- a/figshunt/dispatch/_named_limit.py
+++ b/figshunt/dispatch/_named_limit.py
@@ -43,12 +43,12 @@
     """The hosts that share a limit.
 
     Of them ``unheard`` aren't heard; a host counts in part from its last message on,
-    and wholly after a window. Since ``all_heard_ms`` some of the others weren't heard.
+    and wholly after a window. What all hosts sent until ``oldest_heard_ms`` is known.
     """
 
     hosts: int
     unheard: float
-    all_heard_ms: int
+    oldest_heard_ms: int
 
 
 @dataclass(slots=True)
@@ -58,8 +58,12 @@
     ``process`` is the start of that process. ``per_s`` is ``None`` once the limit is
     lifted. An answer showed it at ``observed_ms``, here or at another host, and first
     at ``since_ms``. ``attempts_ms`` are the times of all known attempts within the
-    window, and the last one; ``own_attempts_ms`` those of this host's. The counts are
-    those since the limit was named.
+    window, and the last one, and ``own_attempts_ms`` those of this host.
+    ``own_count`` and ``counts_by_host`` count attempts since the hosts know the limit.
+    ``demand_ms_by_host`` has the times at which peers last told that they have calls
+    for the runner, and ``demand_ms`` that of this host's last call. This host takes
+    part from ``contends_from_ms`` on. Peers were last told at ``told_ms``;
+    ``has_news`` is set if they have to be told at once.
     """
 
     process: int | None
@@ -213,8 +217,8 @@
                 rank = sum(host < self._host for host in rivals)
                 order = (rank + len(limit.attempts_ms)) % (1 + len(rivals))
                 free_ms += order * STAGGER_MS
-        # Others may not know of this host's attempts since then, nor it of theirs.
-        unseen_ms = max(_exchange_ms(group), now_ms - group.all_heard_ms)
+        # Hosts may not know of each other's attempts within this time.
+        unseen_ms = max(_exchange_ms(group), now_ms - group.oldest_heard_ms)
         fair_attempts = places / group.hosts * unseen_ms / window_ms
         own_attempts = max(1, int(own_share + fair_attempts))
         unseen_until_ms = _place_ms(limit.own_attempts_ms, own_attempts, unseen_ms)
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/_peer_filter.py
@@ -53,8 +53,11 @@
         A host counts in part until it hasn't been heard for ``after_ms``.
         """
 
-    def all_heard_ms(self, now: Moment, within_ms: int) -> int:
-        """Return since when not all hosts were heard that were within that time."""
+    def oldest_heard_ms(self, now: Moment, within_ms: int) -> int:
+        """Return the oldest of the times at which hosts were last heard.
+
+        Hosts that were not heard for ``within_ms`` don't count.
+        """
 
 
 class PeerFilter:
@@ -118,8 +121,11 @@
         )
         return self._count_hosts(now) - 1 - heard
 
-    def all_heard_ms(self, now: Moment, within_ms: int) -> int:
-        """Return since when not all hosts were heard that were within that time."""
+    def oldest_heard_ms(self, now: Moment, within_ms: int) -> int:
+        """Return the oldest of the times at which hosts were last heard.
+
+        Hosts that were not heard for ``within_ms`` don't count.
+        """
         received_ms = self._last_received_ms_by_host.values()
         since_ms = now.monotonic_ms - within_ms
         return min((ms for ms in received_ms if ms > since_ms), default=since_ms)
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/_placement_filter.py
@@ -194,7 +194,7 @@
                 for silence in status.silences:
                     yield from self._record_silence(status.host, silence, now)
                 for limit in status.limits:
-                    yield from self._fleet.record_limit(status.host, limit, now)
+                    yield from self._fleet.record_limit_notice(status.host, limit, now)
                 has_freed = self._fleet.record_occupancies(status, now)
                 if has_freed or status.limits:
                     yield from self._try_held_calls(now)
