Lay out the dispatch package by what a request meets

Change: move the modules into five private subpackages, with no change of their contents but the imports. What the package exports stays the same.

--- a/figshunt/dispatch/__init__.py
+++ b/figshunt/dispatch/__init__.py
@@ -1,10 +1,7 @@
 """Decision logic of an entry host that shares no state with other hosts."""
 
 from figshunt.dispatch._call import Call, PartId, Prompt, PromptPart, RoutedCall
-from figshunt.dispatch._call_attempt_filter import CallAttemptFilter
-from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
 from figshunt.dispatch._core import DispatchCore
-from figshunt.dispatch._crash_filter import CrashFilter, RefusalsView
 from figshunt.dispatch._effects import (
     AnswerAbort,
     AnswerComplete,
@@ -17,8 +14,6 @@
     CancelCallAttempt,
     StartCallAttempt,
 )
-from figshunt.dispatch._engine_load import Demand, EngineLoad
-from figshunt.dispatch._held_calls import HELD_CALLS_INTERVAL_MS
 from figshunt.dispatch._messages import (
     CallAbandoned,
     CallAdmitted,
@@ -51,13 +46,18 @@
     SilenceNotice,
     SuspectReport,
 )
-from figshunt.dispatch._peer_filter import PeerFilter, PeersView
-from figshunt.dispatch._placement_filter import PlacementFilter
-from figshunt.dispatch._prefix_cache import PrefixCache
-from figshunt.dispatch._priority_scale import PRIORITY_LEVELS, PriorityScale
-from figshunt.dispatch._return_schedule import ReturnSchedule
-from figshunt.dispatch._runner_model import RunnerModel
-from figshunt.dispatch._suspect import Suspect, SuspectKind
+from figshunt.dispatch.admission._crash_filter import CrashFilter, RefusalsView
+from figshunt.dispatch.admission._priority_scale import PRIORITY_LEVELS, PriorityScale
+from figshunt.dispatch.admission._suspect import Suspect, SuspectKind
+from figshunt.dispatch.attempt._call_attempt_filter import CallAttemptFilter
+from figshunt.dispatch.fleet._cold_limit import ColdLimit, SharedBounds
+from figshunt.dispatch.fleet._engine_load import Demand, EngineLoad
+from figshunt.dispatch.fleet._peer_filter import PeerFilter, PeersView
+from figshunt.dispatch.fleet._prefix_cache import PrefixCache
+from figshunt.dispatch.fleet._runner_model import RunnerModel
+from figshunt.dispatch.placement._placement_filter import PlacementFilter
+from figshunt.dispatch.waiting._held_calls import HELD_CALLS_INTERVAL_MS
+from figshunt.dispatch.waiting._return_schedule import ReturnSchedule
 
 __all__ = [
     "HELD_CALLS_INTERVAL_MS",
--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -4,7 +4,7 @@
 from typing import NewType
 
 from figshunt.directory import PublishedRoute
-from figshunt.dispatch._suspect import Suspect
+from figshunt.dispatch.admission._suspect import Suspect
 from figshunt.types import (
     Fingerprint,
     Moment,
--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -3,15 +3,15 @@
 import random
 
 from figshunt.directory import DirectoryFilter
-from figshunt.dispatch._call_attempt_filter import CallAttemptFilter
-from figshunt.dispatch._call_recovery import CallRecovery
-from figshunt.dispatch._cold_limit import SharedBounds
-from figshunt.dispatch._crash_filter import CrashFilter
-from figshunt.dispatch._drain_filter import DrainFilter
-from figshunt.dispatch._peer_filter import PeerFilter
-from figshunt.dispatch._placement_filter import PlacementFilter
-from figshunt.dispatch._route_filter import RouteFilter
-from figshunt.dispatch._team_filter import TeamFilter
+from figshunt.dispatch.admission._crash_filter import CrashFilter
+from figshunt.dispatch.admission._drain_filter import DrainFilter
+from figshunt.dispatch.admission._route_filter import RouteFilter
+from figshunt.dispatch.admission._team_filter import TeamFilter
+from figshunt.dispatch.attempt._call_attempt_filter import CallAttemptFilter
+from figshunt.dispatch.attempt._call_recovery import CallRecovery
+from figshunt.dispatch.fleet._cold_limit import SharedBounds
+from figshunt.dispatch.fleet._peer_filter import PeerFilter
+from figshunt.dispatch.placement._placement_filter import PlacementFilter
 from figshunt.pipeline import Pipeline, RecoveringPipeline
 from figshunt.types import DataCentreName, Effect, HostName, Message, Moment
 
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -6,7 +6,7 @@
 
 from figshunt.directory import PublishedRoute, PublishedRunner
 from figshunt.dispatch._call import Call, PromptPart, RoutedCall
-from figshunt.dispatch._suspect import Suspect
+from figshunt.dispatch.admission._suspect import Suspect
 from figshunt.types import (
     AttemptFailure,
     AttemptId,
--- /dev/null
+++ b/figshunt/dispatch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which calls may run: their route, team, contents and prompt parts."""
--- a/figshunt/dispatch/_crash_filter.py
+++ b/figshunt/dispatch/admission/_crash_filter.py
@@ -7,9 +7,7 @@
 
 from figshunt.directory import PublishedRunner, RunnerListed, RunnerUnlisted
 from figshunt.dispatch._call import Call, RoutedCall
-from figshunt.dispatch._crash_records import CrashRecords, list_suspects
 from figshunt.dispatch._effects import AnswerAbort, BroadcastStatus
-from figshunt.dispatch._ended_runs import ANSWERED_ENDS, EndedRun, EndedRuns, RunEnd
 from figshunt.dispatch._messages import (
     CallAdmitted,
     CallAttemptEnded,
@@ -20,11 +18,18 @@
     PeerStarted,
     PeerStatusReceived,
 )
-from figshunt.dispatch._peer_filter import PeersView
-from figshunt.dispatch._refusal import refuse_call
-from figshunt.dispatch._suspect import Suspect, SuspectKind
-from figshunt.dispatch._suspect_record import SuspectRecord, Witness
-from figshunt.dispatch._trial_turns import is_own_turn
+from figshunt.dispatch.admission._crash_records import CrashRecords, list_suspects
+from figshunt.dispatch.admission._ended_runs import (
+    ANSWERED_ENDS,
+    EndedRun,
+    EndedRuns,
+    RunEnd,
+)
+from figshunt.dispatch.admission._refusal import refuse_call
+from figshunt.dispatch.admission._suspect import Suspect, SuspectKind
+from figshunt.dispatch.admission._suspect_record import SuspectRecord, Witness
+from figshunt.dispatch.admission._trial_turns import is_own_turn
+from figshunt.dispatch.fleet._peer_filter import PeersView
 from figshunt.pipeline import Output
 from figshunt.types import (
     CountEvent,
--- a/figshunt/dispatch/_crash_records.py
+++ b/figshunt/dispatch/admission/_crash_records.py
@@ -7,8 +7,8 @@
 
 from figshunt.dispatch._call import Call
 from figshunt.dispatch._messages import CrashAge, SuspectReport
-from figshunt.dispatch._suspect import Suspect, SuspectKind
-from figshunt.dispatch._suspect_record import (
+from figshunt.dispatch.admission._suspect import Suspect, SuspectKind
+from figshunt.dispatch.admission._suspect_record import (
     CRASHES_BY_KIND,
     MAX_CRASHES,
     MAX_EARLIER_SUCCESSES,
--- a/figshunt/dispatch/_drain_filter.py
+++ b/figshunt/dispatch/admission/_drain_filter.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from figshunt.dispatch._messages import CallRouted, DrainStarted, GraceEnded
-from figshunt.dispatch._refusal import refuse_call
+from figshunt.dispatch.admission._refusal import refuse_call
 from figshunt.pipeline import Output
 from figshunt.types import ErrorCode, Message, Moment, RunOutcome, Step
 
--- a/figshunt/dispatch/_ended_runs.py
+++ b/figshunt/dispatch/admission/_ended_runs.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from figshunt.dispatch._suspect import Suspect
+from figshunt.dispatch.admission._suspect import Suspect
 from figshunt.types import RunnerId
 
 
--- a/figshunt/dispatch/_route_filter.py
+++ b/figshunt/dispatch/admission/_route_filter.py
@@ -4,7 +4,7 @@
 
 from figshunt.directory import DirectoryView
 from figshunt.dispatch._messages import CallArrived, CallMatched
-from figshunt.dispatch._refusal import refuse_call
+from figshunt.dispatch.admission._refusal import refuse_call
 from figshunt.pipeline import Output
 from figshunt.types import ErrorCode, Message, Moment, RunOutcome, Step
 
--- a/figshunt/dispatch/_suspect_record.py
+++ b/figshunt/dispatch/admission/_suspect_record.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 from typing import NewType
 
-from figshunt.dispatch._suspect import SuspectKind
+from figshunt.dispatch.admission._suspect import SuspectKind
 
 # A process of a host, by which its successes are told from those of others.
 Witness = NewType("Witness", str)
--- a/figshunt/dispatch/_team_filter.py
+++ b/figshunt/dispatch/admission/_team_filter.py
@@ -12,9 +12,9 @@
 )
 from figshunt.dispatch._call import Call, RoutedCall
 from figshunt.dispatch._messages import CallMatched, CallRouted
-from figshunt.dispatch._priority_scale import PriorityScale
-from figshunt.dispatch._refusal import refuse_call
-from figshunt.dispatch._route_filter import NOT_READY_RETRY_MS
+from figshunt.dispatch.admission._priority_scale import PriorityScale
+from figshunt.dispatch.admission._refusal import refuse_call
+from figshunt.dispatch.admission._route_filter import NOT_READY_RETRY_MS
 from figshunt.pipeline import Output
 from figshunt.types import (
     CountEvent,
--- a/figshunt/dispatch/_trial_turns.py
+++ b/figshunt/dispatch/admission/_trial_turns.py
@@ -1,6 +1,6 @@
 """Decides which host may try a refused suspect."""
 
-from figshunt.dispatch._cold_limit import HostRank
+from figshunt.dispatch.fleet._cold_limit import HostRank
 
 # A host may start a trial for so long before it is the next one's turn.
 TURN_MS = 600
--- /dev/null
+++ b/figshunt/dispatch/attempt/__init__.py
@@ -0,0 +1,1 @@
+"""Tracks the attempts of calls until each caller has one whole answer."""
--- a/figshunt/dispatch/_call_attempt_filter.py
+++ b/figshunt/dispatch/attempt/_call_attempt_filter.py
@@ -6,8 +6,6 @@
 
 from figshunt.directory import Repeatability, RunnerLeaving
 from figshunt.dispatch._call import RoutedCall
-from figshunt.dispatch._call_attempt import CallAttempt
-from figshunt.dispatch._cold_limit import SharedBounds
 from figshunt.dispatch._effects import (
     AnswerAbort,
     AnswerComplete,
@@ -17,11 +15,6 @@
     CancelCallAttempt,
     StartCallAttempt,
 )
-from figshunt.dispatch._event_order import (
-    EventVerdict,
-    StreamNumberings,
-    judge_event,
-)
 from figshunt.dispatch._messages import (
     CallAbandoned,
     CallAdmitted,
@@ -43,9 +36,16 @@
     ReplyVerdict,
     RunnerLimitSeen,
 )
-from figshunt.dispatch._peer_filter import PeersView
-from figshunt.dispatch._refusal import refuse_call
-from figshunt.dispatch._retry_policy import RetryPolicy
+from figshunt.dispatch.admission._refusal import refuse_call
+from figshunt.dispatch.attempt._call_attempt import CallAttempt
+from figshunt.dispatch.attempt._event_order import (
+    EventVerdict,
+    StreamNumberings,
+    judge_event,
+)
+from figshunt.dispatch.attempt._retry_policy import RetryPolicy
+from figshunt.dispatch.fleet._cold_limit import SharedBounds
+from figshunt.dispatch.fleet._peer_filter import PeersView
 from figshunt.pipeline import Feedback, Output
 from figshunt.types import (
     AttemptFailure,
--- a/figshunt/dispatch/_call_recovery.py
+++ b/figshunt/dispatch/attempt/_call_recovery.py
@@ -1,6 +1,5 @@
 """The rules by which the core of an entry host recovers from an error."""
 
-from figshunt.dispatch._call_attempt_filter import CallAttemptFilter
 from figshunt.dispatch._effects import (
     AnswerAbort,
     AnswerComplete,
@@ -22,8 +21,9 @@
     ReplyEvent,
     ReplyStarted,
 )
-from figshunt.dispatch._placement_filter import PlacementFilter
-from figshunt.dispatch._refusal import STATUS_BY_CODE
+from figshunt.dispatch.admission._refusal import STATUS_BY_CODE
+from figshunt.dispatch.attempt._call_attempt_filter import CallAttemptFilter
+from figshunt.dispatch.placement._placement_filter import PlacementFilter
 from figshunt.types import (
     AttemptFailure,
     AttemptId,
--- a/figshunt/dispatch/_retry_policy.py
+++ b/figshunt/dispatch/attempt/_retry_policy.py
@@ -2,8 +2,8 @@
 
 from figshunt.directory import Repeatability
 from figshunt.dispatch._call import RoutedCall
-from figshunt.dispatch._cold_limit import RETRY_BOUND_SHARE, SharedBounds
-from figshunt.dispatch._peer_filter import PeersView
+from figshunt.dispatch.fleet._cold_limit import RETRY_BOUND_SHARE, SharedBounds
+from figshunt.dispatch.fleet._peer_filter import PeersView
 from figshunt.policy import RetryBudget
 from figshunt.types import Moment, PoolName
 
--- a/figshunt/dispatch/_engine_bounds.py
+++ b/figshunt/dispatch/fleet/_engine_bounds.py
@@ -9,7 +9,7 @@
 from math import inf
 
 from figshunt.directory import EngineLimits, PublishedRunner
-from figshunt.dispatch._engine_load import EngineLoad
+from figshunt.dispatch.fleet._engine_load import EngineLoad
 
 # A request leaves this share of an engine free for each more urgent priority that is in
 # flight there, so that an urgent request finds a place although hosts learn of each
--- a/figshunt/dispatch/_engine_load.py
+++ b/figshunt/dispatch/fleet/_engine_load.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from figshunt.dispatch._priority_scale import PRIORITY_LEVELS
+from figshunt.dispatch.admission._priority_scale import PRIORITY_LEVELS
 from figshunt.types import HostName
 
 # What a host told is dropped after this long, as its last datagram may be lost. It
--- a/figshunt/dispatch/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -4,10 +4,7 @@
 
 from figshunt.directory import DirectoryView, PublishedPool, PublishedRunner
 from figshunt.dispatch._call import RoutedCall
-from figshunt.dispatch._cold_limit import ColdLimit, SharedBounds
 from figshunt.dispatch._effects import BroadcastStatus
-from figshunt.dispatch._engine_bounds import find_free_tokens, is_crowded
-from figshunt.dispatch._engine_load import Demand
 from figshunt.dispatch._messages import (
     FirstEventSeen,
     HostStatus,
@@ -17,10 +14,13 @@
     QueueNotice,
     RunnerLimitSeen,
 )
-from figshunt.dispatch._named_limit import LimitGroup, NamedLimits
-from figshunt.dispatch._peer_filter import PeersView
-from figshunt.dispatch._prefix_cache import RecentParts
-from figshunt.dispatch._runner_model import RunnerModel, RunningAttempt
+from figshunt.dispatch.fleet._cold_limit import ColdLimit, SharedBounds
+from figshunt.dispatch.fleet._engine_bounds import find_free_tokens, is_crowded
+from figshunt.dispatch.fleet._engine_load import Demand
+from figshunt.dispatch.fleet._named_limit import LimitGroup, NamedLimits
+from figshunt.dispatch.fleet._peer_filter import PeersView
+from figshunt.dispatch.fleet._prefix_cache import RecentParts
+from figshunt.dispatch.fleet._runner_model import RunnerModel, RunningAttempt
 from figshunt.pipeline import Output
 from figshunt.types import (
     AttemptId,
--- a/figshunt/dispatch/_named_limit.py
+++ b/figshunt/dispatch/fleet/_named_limit.py
@@ -5,8 +5,8 @@
 from hashlib import blake2b
 from math import ceil
 
-from figshunt.dispatch._cold_limit import SECOND_MS, SharedBounds
 from figshunt.dispatch._messages import LimitNotice
+from figshunt.dispatch.fleet._cold_limit import SECOND_MS, SharedBounds
 from figshunt.types import HostName, RunnerId
 
 # Within this time all hosts that hear each other know of an attempt. Larger fleets
--- a/figshunt/dispatch/_peer_filter.py
+++ b/figshunt/dispatch/fleet/_peer_filter.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable, Mapping
 from typing import Protocol
 
-from figshunt.dispatch._cold_limit import HostRank
 from figshunt.dispatch._messages import HostStatus, PeerStarted, PeerStatusReceived
+from figshunt.dispatch.fleet._cold_limit import HostRank
 from figshunt.pipeline import Output
 from figshunt.types import (
     HostName,
--- a/figshunt/dispatch/_runner_model.py
+++ b/figshunt/dispatch/fleet/_runner_model.py
@@ -4,9 +4,9 @@
 from heapq import heappop, heappush
 from math import exp
 
-from figshunt.dispatch._engine_load import Demand, EngineLoad
-from figshunt.dispatch._prefill_queue import PrefillQueue
-from figshunt.dispatch._prefix_cache import PrefixCache
+from figshunt.dispatch.fleet._engine_load import Demand, EngineLoad
+from figshunt.dispatch.fleet._prefill_queue import PrefillQueue
+from figshunt.dispatch.fleet._prefix_cache import PrefixCache
 from figshunt.types import AttemptId, HostName, RunnerId
 
 # Prefill rate of an engine and time to first token of an empty prompt. Both are
--- /dev/null
+++ b/figshunt/dispatch/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses the runner that a call is sent to."""
--- a/figshunt/dispatch/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -11,11 +11,7 @@
     RunnerUnlisted,
 )
 from figshunt.dispatch._call import RoutedCall
-from figshunt.dispatch._cold_limit import SharedBounds
-from figshunt.dispatch._crash_filter import RefusalsView
 from figshunt.dispatch._effects import AnswerAbort, BroadcastStatus
-from figshunt.dispatch._fleet_model import FleetModel, estimate_demand
-from figshunt.dispatch._held_calls import HeldCalls
 from figshunt.dispatch._messages import (
     CallAbandoned,
     CallAdmitted,
@@ -32,21 +28,25 @@
     RunnerLimitSeen,
     SilenceNotice,
 )
-from figshunt.dispatch._peer_filter import PeersView
-from figshunt.dispatch._refusal import refuse_call
-from figshunt.dispatch._return_schedule import ReturnSchedule
-from figshunt.dispatch._runner_cost import (
-    Estimate,
-    answer_value,
-    estimate_engine,
-    estimate_plain,
-)
-from figshunt.dispatch._runner_model import (
+from figshunt.dispatch.admission._crash_filter import RefusalsView
+from figshunt.dispatch.admission._refusal import refuse_call
+from figshunt.dispatch.fleet._cold_limit import SharedBounds
+from figshunt.dispatch.fleet._fleet_model import FleetModel, estimate_demand
+from figshunt.dispatch.fleet._peer_filter import PeersView
+from figshunt.dispatch.fleet._runner_model import (
     PRIOR_STEP_MS,
     PrefixFetch,
     RunnerModel,
     RunningAttempt,
 )
+from figshunt.dispatch.placement._runner_cost import (
+    Estimate,
+    answer_value,
+    estimate_engine,
+    estimate_plain,
+)
+from figshunt.dispatch.waiting._held_calls import HeldCalls
+from figshunt.dispatch.waiting._return_schedule import ReturnSchedule
 from figshunt.pipeline import Feedback, Output
 from figshunt.types import (
     AttemptId,
--- a/figshunt/dispatch/_runner_cost.py
+++ b/figshunt/dispatch/placement/_runner_cost.py
@@ -6,7 +6,7 @@
 
 from figshunt.directory import EngineLimits, PublishedRunner
 from figshunt.dispatch._call import Prompt, RoutedCall
-from figshunt.dispatch._runner_model import (
+from figshunt.dispatch.fleet._runner_model import (
     PREFILL_CHUNK_TOKENS,
     PREFILL_WINDOW_MS,
     PRIOR_FIRST_MS,
--- a/tests/dispatch/test_prefill_queue.py
+++ b/tests/dispatch/test_prefill_queue.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from figshunt.dispatch._prefill_queue import PREFILL_PAUSE_MS, PrefillQueue
+from figshunt.dispatch.fleet._prefill_queue import PREFILL_PAUSE_MS, PrefillQueue
 from figshunt.types import AttemptId
 
 
--- a/tests/dispatch/test_runner_cost.py
+++ b/tests/dispatch/test_runner_cost.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from figshunt.dispatch._runner_cost import (
+from figshunt.dispatch.placement._runner_cost import (
     FIRST_STREAM_COST,
     LATE_PENALTY,
     MAX_ANSWER_VALUE,
--- a/tests/dispatch/test_runner_model.py
+++ b/tests/dispatch/test_runner_model.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from figshunt.dispatch._runner_model import RunnerModel
+from figshunt.dispatch.fleet._runner_model import RunnerModel
 
 KV_TOKENS = 260_000
 
