--- a/benchmarks/virtual_hosts.py
+++ b/benchmarks/virtual_hosts.py
@@ -32,6 +32,7 @@
     ReplyStarted,
     ReplyVerdict,
     SharedBounds,
+    SpeedNotice,
     StartCallAttempt,
 )
 from figshunt.pipeline import WakeQueue
@@ -122,6 +123,7 @@
     waiting: list[EngineRun] = field(default_factory=list)
     running: list[EngineRun] = field(default_factory=list)
     cached_parts: set[str] = field(default_factory=set)
+    slowness: float = 1.0
     is_stepping: bool = False
 
     def admit_waiting(self) -> None:
@@ -183,6 +185,7 @@
         self._waiting_notices: list[list[OccupancyNotice]] = [
             [] for _ in range(host_count)
         ]
+        self._waiting_speeds: list[list[SpeedNotice]] = [[] for _ in range(host_count)]
         self._wakes = [WakeQueue() for _ in range(host_count)]
         self._cores = [
             DispatchCore(
@@ -214,6 +217,10 @@
         """Return the time since the start."""
         return self._clock.now().monotonic_ms - START_MS
 
+    def find_slowness(self, host: int, runner_id: RunnerId) -> float:
+        """Return how slow a host finds an engine."""
+        return self._cores[host].placement.find_slowness(runner_id)
+
     def schedule_calls(
         self, shape: CallShape, per_s: float, from_ms: int, until_ms: int
     ) -> None:
@@ -243,7 +250,7 @@
         self._schedule(self.now_ms + TIMER_INTERVAL_MS, lambda: self._run_timer(host))
 
     def _run_heartbeat(self, host: int) -> None:
-        if self._waiting_notices[host]:
+        if self._waiting_notices[host] or self._waiting_speeds[host]:
             self._tell(host, BroadcastStatus())
         self._schedule(
             self.now_ms + HEARTBEAT_INTERVAL_MS, lambda: self._run_heartbeat(host)
@@ -331,12 +338,15 @@
 
     def _tell(self, host: int, effect: BroadcastStatus) -> None:
         self._waiting_notices[host].extend(effect.occupancies)
+        self._waiting_speeds[host].extend(effect.speeds)
         if effect.can_wait:
             return
         fields = {name: getattr(effect, name) for name in effect.__dataclass_fields__}
         del fields["can_wait"]
         fields["occupancies"] = tuple(self._waiting_notices[host])
         self._waiting_notices[host] = []
+        fields["speeds"] = tuple(self._waiting_speeds[host])
+        self._waiting_speeds[host] = []
         status = build_host_status(f"h{host}", **fields)
         for other in range(len(self._cores)):
             if other != host:
@@ -390,6 +400,7 @@
             return
         prefill_ms = engine.take_chunk() / PREFILL_TOKENS_PER_MS
         step_ms = STEP_MS + STEP_MS_PER_REQUEST * len(engine.running) + prefill_ms
+        step_ms *= engine.slowness
         decoding_runs = [run for run in engine.running if not run.unread_tokens]
         self._schedule(
             self.now_ms + step_ms, lambda: self._end_step(engine, decoding_runs)
--- a/figshunt/dispatch/fleet/_runner_model.py
+++ b/figshunt/dispatch/fleet/_runner_model.py
@@ -116,6 +116,7 @@
         self.streams_by_gap_ms: dict[int, RunningStreams] = {}
         self.service_times = service_times or ServiceTimes()
         self.slowness = self.service_times.slowness(0)
+        self._slowness_ms = 0
         self.cold_until_ms = 0
         self.paused_until_ms = 0
         self.excluded_until_ms = 0
@@ -191,7 +192,10 @@
 
     def update_slowness(self, now_ms: int) -> None:
         """Set the slowness to what the service times show now."""
-        self.slowness = self.service_times.slowness(now_ms)
+        # Several estimates of the same time need it once.
+        if now_ms != self._slowness_ms:
+            self._slowness_ms = now_ms
+            self.slowness = self.service_times.slowness(now_ms)
 
     def record_response(self, now_ms: int) -> None:
         """Record that the runner answered; reset its silence and exclusion counts."""
--- a/figshunt/dispatch/fleet/_service_times.py
+++ b/figshunt/dispatch/fleet/_service_times.py
@@ -127,12 +127,8 @@
 
     def __init__(self) -> None:
         self._logs_by_route: dict[RouteName, WeightedMean] = {}
-        self._level = WeightedMean()
-
-    @property
-    def level(self) -> float:
-        """Return the level, within bounds."""
-        return _clamp(self._level.mean(0.0, PRIOR_WEIGHT), *LEVEL_LOGS)
+        self._levels = WeightedMean()
+        self.level = 0.0
 
     def typical_ms(self, route: RouteName) -> float:
         """Return the typical time of a route's work, or 0 if there is none yet."""
@@ -152,7 +148,8 @@
 
     def add_level(self, value: float) -> None:
         """Add an engine's time relative to the prior estimate, as a logarithm."""
-        self._level.add(value, max_weight=REFERENCE_WEIGHT)
+        self._levels.add(_clamp(value, *LEVEL_LOGS), max_weight=REFERENCE_WEIGHT)
+        self.level = self._levels.mean(0.0, PRIOR_WEIGHT)
 
 
 class ConcurrencyLimit:
@@ -272,10 +269,10 @@
     @property
     def lasting(self) -> float:
         """Return the lasting speed as a logarithm."""
-        both = WeightedMean(
-            self._own.total + self._told.total, self._own.weight + self._told.weight
-        )
-        return both.mean(self.reference.level, PRIOR_WEIGHT)
+        total = self._own.total + self._told.total
+        weight = self._own.weight + self._told.weight
+        level = self.reference.level
+        return (total + level * PRIOR_WEIGHT) / (weight + PRIOR_WEIGHT)
 
     @property
     def is_distinct(self) -> bool:
@@ -328,7 +325,7 @@
     def observe_first_event(self, factor: float, now_ms: int) -> None:
         """Learn from the time to a first event relative to the prior estimate."""
         value = log(max(1e-3, factor))
-        self.reference.add_level(_clamp(value, *LEVEL_LOGS))
+        self.reference.add_level(value)
         self._observe(value, 1.0, now_ms)
 
     def observe_gaps(self, route: RouteName, factor: float, now_ms: int) -> None:
@@ -442,11 +439,11 @@
         self._evidence_ms = now_ms
 
     def _decay_recent(self, now_ms: int) -> None:
-        if now_ms > self._recent_ms:
+        if now_ms > self._recent_ms and (self._recent.weight or self._untold.weight):
             factor = exp((self._recent_ms - now_ms) / RECENT_DECAY_MS)
             self._recent.scale(factor)
             self._untold.scale(factor)
-            self._recent_ms = now_ms
+        self._recent_ms = max(now_ms, self._recent_ms)
 
     def _drop_told(self, host: HostName) -> None:
         told = self._told_by_host.pop(host, None)
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -245,6 +245,11 @@
         runners = _without_tried(routed, self._directory.runners(routed.pool))
         return bool(self._fleet.usable_runners(pool, runners, now))
 
+    def find_slowness(self, runner_id: RunnerId) -> float:
+        """Return by which factor a runner's work takes longer than the priors say."""
+        model = self._fleet.find(runner_id)
+        return model.slowness if model else 1.0
+
     def is_limited(self, runner_id: RunnerId) -> bool:
         """Return whether a runner is known to name a limit."""
         return self._fleet.is_limited(runner_id)
@@ -388,7 +393,8 @@
                 ),
                 estimate.streams,
                 model.slowness,
-                2 * estimate.streams < runner.slots
+                pool.engine is not None
+                and 2 * estimate.streams < runner.slots
                 and 2 * backlog_ms <= estimate.first_ms,
             ),
         )
--- a/tests/dispatch/test_service_times.py
+++ b/tests/dispatch/test_service_times.py
@@ -4,38 +4,34 @@
 from collections.abc import Callable
 from math import exp
 
+from benchmarks.virtual_hosts import CallShape, VirtualHosts
+from benchmarks.virtual_plain_fleet import (
+    SLOTS,
+    START_MS,
+    PlainFleet,
+    PlainRunner,
+    build_loaded_head,
+    build_silent_head,
+    slow_in_windows,
+)
 from figshunt.dispatch import ReplyHead, RunnerLoad, SpeedNotice
 from figshunt.dispatch.fleet._service_times import ServiceTimes
 from figshunt.types import HostName, RouteName, RunnerId
-from tests.builders import build_reply_head
-from tests.dispatch.plain_fleet import PlainFleet, PlainRunner
+from tests.builders import (
+    build_configuration,
+    build_published_route,
+    build_published_runner,
+    build_reply_head,
+)
 
 HOSTS = 30
 RUNNERS = 4
-SLOTS = 6
 ROUTE = RouteName("book")
 
 
-def slow_in_windows(now_ms: int) -> float:
-    """Return the slowness of a machine that is slow in every other 600 ms."""
-    return 2.5 if now_ms // 600 % 2 else 1.0
-
-
-def build_loaded_head(runner: PlainRunner, now_ms: int) -> ReplyHead:
-    """Return the head of an answer with the runner's true load."""
-    slowdown = round(100 * runner.slowness(now_ms))
-    load = RunnerLoad(runner.running, len(runner.waiting), runner.slots, slowdown)
-    return build_reply_head(load=load)
-
-
 def build_false_head(runner: PlainRunner, now_ms: int) -> ReplyHead:
     """Return the head of an answer of a runner that claims to be idle and fast."""
-    return build_reply_head(load=RunnerLoad(0, 0, runner.slots, 10))
-
-
-def build_silent_head(runner: PlainRunner, now_ms: int) -> ReplyHead:
-    """Return the head of an answer without a load."""
-    return build_reply_head()
+    return build_reply_head(load=RunnerLoad(0, 0, SLOTS, 10))
 
 
 def replay(
@@ -43,34 +39,29 @@
     calls_per_s: float,
     build_head: Callable[[PlainRunner, int], ReplyHead],
     loss: float = 0.0,
-    earlier_ms: int = 0,
+    earlier_ms: int = 1_500,
 ) -> tuple[float, float]:
     """Replay a load before runners of which the first one differs.
 
     :param build_head: returns the heads of the answers of the first runner.
-    :param earlier_ms: the duration of a first part, whose answers don't count.
+    :param earlier_ms: the duration of a first part that doesn't count.
     :returns: the share of calls in time, and of answers by the first runner.
     """
+    other_head = (
+        build_silent_head if build_head is build_silent_head else build_loaded_head
+    )
     runners = [
-        PlainRunner(
-            RunnerId(f"b{number}"),
-            SLOTS,
-            (lambda now_ms: 1.0) if number else slowness,
-            (
-                build_loaded_head
-                if number and build_head != build_silent_head
-                else build_head
-            ),
-        )
+        PlainRunner(RunnerId(f"b{number}"), lambda now_ms: 1.0, other_head)
         for number in range(RUNNERS)
     ]
-    fleet = PlainFleet(HOSTS, runners, loss=loss)
+    runners[0].slowness, runners[0].build_head = slowness, build_head
+    fleet = PlainFleet(HOSTS, runners, loss)
     fleet.run(earlier_ms, calls_per_s)
     for runner in runners:
         runner.served = 0
-    fleet.run(5_000, calls_per_s)
+    fleet.run(3_500, calls_per_s)
     served = sum(runner.served for runner in runners)
-    return fleet.timely_share(earlier_ms + 1_500), runners[0].served / served
+    return fleet.timely_share(3_500), runners[0].served / served
 
 
 class SlowRunnerTest(unittest.TestCase):
@@ -89,15 +80,34 @@
         self.assertLess(0.1, share)
 
     def test_runner_that_has_recovered_gets_its_share_again(self) -> None:
-        _, share = replay(
-            lambda now_ms: 2.5 if now_ms < 2_000 else 1.0,
-            170,
-            build_silent_head,
-            earlier_ms=12_000,
-        )
+        def is_slow_at_first(now_ms: int) -> float:
+            return 2.5 if now_ms < START_MS + 2_000 else 1.0
+
+        _, share = replay(is_slow_at_first, 170, build_silent_head, earlier_ms=12_000)
         self.assertLess(0.15, share)
 
 
+class UnevenEnginesTest(unittest.TestCase):
+    """Guards against engines of different machines that look alike to hosts."""
+
+    def test_lasting_speeds_of_engines_are_found_by_few_answers_of_each_host(
+        self,
+    ) -> None:
+        route = build_published_route("letter", target_ms=2_000, gap_target_ms=800)
+        shape = CallShape(route, 9_190, 6_300, 52, 6_000)
+        runners = [build_published_runner(f"e{number}") for number in range(6)]
+        fleet = VirtualHosts(12, runners, build_configuration(route))
+        for number, engine in enumerate(fleet.engines_by_id.values()):
+            engine.slowness = (0.6, 1.6)[number % 2]
+        fleet.schedule_calls(shape, 20, 0, 6_000)
+        fleet.run(6_000)
+        fast: list[float] = []
+        slow: list[float] = []
+        for number, runner_id in enumerate(fleet.engines_by_id):
+            (fast, slow)[number % 2].append(fleet.find_slowness(0, runner_id))
+        self.assertLess(1.5 * sum(fast), sum(slow))
+
+
 class FailureTest(unittest.TestCase):
     """Guards against false, stale or lost evidence that attracts work."""
 
