Order published items by era and revision

Cause: a store that is restored from a copy issues its revisions again, and hosts ordered everything by revision alone, so that they ignored all later writes until the revisions had caught up.

Change: items, the replica, watches, mirror messages and host statuses carry a Version of era and revision. Only a full listing begins an era. An item that may come from the copy doesn't replace what is in force, and a runner whose entry the copy lacks has the grace period of a lapsed one.

Conclusion: a change of era is one rule in the replica and one in the directory filter; a store without the header stays in era 0 and is read as before.

--- a/figshunt/directory/__init__.py
+++ b/figshunt/directory/__init__.py
@@ -14,6 +14,7 @@
     RunnerListed,
     RunnerUnlisted,
     SourceStateChanged,
+    StoreRestored,
 )
 from figshunt.directory._model import (
     Configuration,
@@ -49,4 +50,5 @@
     "RunnerListed",
     "RunnerUnlisted",
     "SourceStateChanged",
+    "StoreRestored",
 ]
--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -1,6 +1,7 @@
 """Owns the published configuration and runner list in force on this host."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 from typing import Protocol
 
 from figshunt.directory._messages import (
@@ -11,6 +12,7 @@
     RunnerListed,
     RunnerUnlisted,
     SourceStateChanged,
+    StoreRestored,
 )
 from figshunt.directory._model import (
     Configuration,
@@ -20,6 +22,8 @@
 )
 from figshunt.pipeline import Output
 from figshunt.types import (
+    NO_VERSION,
+    CountEvent,
     DataCentreName,
     LogEvent,
     LogValue,
@@ -29,6 +33,7 @@
     RunnerId,
     Step,
     TimerDue,
+    Version,
     WakeAt,
 )
 
@@ -38,6 +43,10 @@
 # slightly shorter.
 RELIST_GRACE_MS = 1_800
 
+# Entries that runners can't renew in a restored store, because it doesn't know their
+# leases, expire within this time. They count as lapsed, as after an outage.
+RESTORE_WINDOW_MS = 2_500
+
 
 class DirectoryView(Protocol):
     """Read access to the published configuration and runners."""
@@ -66,7 +75,12 @@
     A runner that is leaving or in an evacuated data centre is kept, so that its
     requests can finish, but is not returned for new requests. If it announced its
     leaving in an answer, that holds until its entry is removed or describes a new
-    process, since the entry may be written or read later.
+    process, since the entry may be written or read later. The same holds after a
+    restore of the store for a runner whose entry said so before.
+
+    After a restore, what is in force stays so until it is written again: an item
+    that may come from the copy isn't applied, except a configuration of a higher
+    version, and a runner whose entry the copy lacks has a grace period.
     """
 
     step = Step.DIRECTORY
@@ -78,6 +92,7 @@
         RunnerListed,
         RunnerUnlisted,
         SourceStateChanged,
+        StoreRestored,
         TimerDue,
     )
 
@@ -92,6 +107,8 @@
         self._evacuated_data_centres: set[DataCentreName] = set()
         self._removal_due_ms_by_id: dict[RunnerId, int] = {}
         self._leaving_starts_by_id: dict[RunnerId, int | None] = {}
+        self._copied_until = NO_VERSION
+        self._restore_window_end_ms = 0
 
     def match(self, host: str, path: str) -> PublishedRoute | None:
         """Return the route of ``host`` with the longest matching prefix of ``path``."""
@@ -115,13 +132,18 @@
         match message:
             case ConfigurationPublished():
                 yield from self._apply_configuration(message)
-            case ConfigurationUnreadable(revision, detail):
+            case ConfigurationUnreadable(version, detail):
                 yield LogEvent(
                     "configuration_unreadable",
                     self.step,
-                    {"revision": revision, "detail": detail},
+                    _version_fields(version) | {"detail": detail},
                 )
-            case EvacuationPublished(revision, data_centre, is_evacuated):
+            case EvacuationPublished(version) | RunnerListed(version) if (
+                version <= self._copied_until
+            ):
+                yield from self._keep_in_force(message)
+                return
+            case EvacuationPublished(version, data_centre, is_evacuated):
                 (
                     self._evacuated_data_centres.add
                     if is_evacuated
@@ -130,14 +152,22 @@
                 yield LogEvent(
                     "data_centre_out" if is_evacuated else "data_centre_in",
                     self.step,
-                    {"data_centre": data_centre, "revision": revision},
+                    _version_fields(version) | {"data_centre": data_centre},
                 )
             case RunnerLeaving():
                 yield from self._record_leaving(message)
-            case RunnerListed(revision, runner_id, runner):
-                yield from self._list_runner(revision, runner_id, runner)
-            case RunnerUnlisted():
+            case RunnerListed():
+                yield from self._list_runner(message)
+            case RunnerUnlisted(version, _, after_outage):
+                has_lapsed = (
+                    after_outage
+                    or version <= self._copied_until
+                    or now.monotonic_ms < self._restore_window_end_ms
+                )
+                message = replace(message, after_outage=has_lapsed)
                 yield from self._unlist_runner(message, now)
+            case StoreRestored(copied_until):
+                yield from self._record_restore(copied_until, now)
             case SourceStateChanged(is_current, detail):
                 self.is_current = is_current
                 yield LogEvent(
@@ -155,11 +185,13 @@
     def _apply_configuration(self, message: ConfigurationPublished) -> Iterable[Output]:
         previous = self.configuration
         candidate = message.configuration
-        fields: dict[str, LogValue] = {
-            "version": candidate.version,
-            "revision": message.revision,
-        }
-        if previous is not None and candidate.version < previous.version:
+        fields = _version_fields(message.store_version)
+        fields["version"] = candidate.version
+        is_copied = message.store_version <= self._copied_until
+        if previous is not None and (
+            candidate.version < previous.version
+            or (is_copied and candidate.version == previous.version)
+        ):
             fields["in_force"] = previous.version
             yield LogEvent("configuration_older", self.step, fields)
             return
@@ -173,16 +205,53 @@
         fields["keys"] = len(candidate.teams_by_key_sha256)
         yield LogEvent("configuration_in_force", self.step, fields)
 
-    def _list_runner(
-        self, revision: int, runner_id: RunnerId, runner: PublishedRunner | None
+    def _record_restore(self, copied_until: Version, now: Moment) -> Iterable[Output]:
+        """Begin a new era, or apply a lower bound of what may come from the copy.
+
+        A process that was leaving stays excluded, as the copy or a late write may
+        still say that it is ready.
+        """
+        is_new_era = copied_until.era > self._copied_until.era
+        self._copied_until = copied_until
+        if not is_new_era:
+            return
+        self._restore_window_end_ms = now.monotonic_ms + RESTORE_WINDOW_MS
+        for runner_id, runner in self._runners_by_id.items():
+            if runner.is_leaving and runner.started_wall_ms is not None:
+                self._leaving_starts_by_id[runner_id] = runner.started_wall_ms
+        yield LogEvent("store_restored", self.step, _version_fields(copied_until))
+        yield CountEvent("store_restores", {})
+
+    def _keep_in_force(
+        self, message: EvacuationPublished | RunnerListed
     ) -> Iterable[Output]:
+        """Log an item from the copy that contradicts what is in force.
+
+        A runner of the copy that isn't known was removed before the restore.
+        """
+        fields = _version_fields(message.store_version)
+        match message:
+            case EvacuationPublished(_, data_centre, is_evacuated):
+                fields["data_centre"] = data_centre
+                is_in_force = is_evacuated == (
+                    data_centre in self._evacuated_data_centres
+                )
+            case RunnerListed(_, runner_id, runner):
+                fields["runner"] = runner_id
+                is_in_force = runner == self._runners_by_id.get(runner_id)
+        if not is_in_force:
+            yield LogEvent("copied_item_not_applied", self.step, fields)
+
+    def _list_runner(self, message: RunnerListed) -> Iterable[Output]:
+        runner_id, runner = message.runner_id, message.runner
+        version_fields = _version_fields(message.store_version)
         self._removal_due_ms_by_id.pop(runner_id, None)
         if runner is None:
             self._runners_by_id.pop(runner_id, None)
             yield LogEvent(
                 "runner_entry_unreadable",
                 self.step,
-                {"runner": runner_id, "revision": revision},
+                version_fields | {"runner": runner_id},
             )
             return
         previous = self._runners_by_id.get(runner_id)
@@ -191,9 +260,8 @@
         if self._leaving_starts_by_id.get(runner_id, start) != start:
             del self._leaving_starts_by_id[runner_id]
         if previous is None or previous != runner:
-            fields: dict[str, LogValue] = {
+            fields = version_fields | {
                 "runner": runner_id,
-                "revision": revision,
                 "pool": runner.pool,
                 "address": runner.address,
                 "leaving": runner.is_leaving,
@@ -219,10 +287,8 @@
         if message.runner_id not in self._runners_by_id:
             self._forget(message.runner_id)
             return
-        fields: dict[str, LogValue] = {
-            "runner": message.runner_id,
-            "revision": message.revision,
-        }
+        fields = _version_fields(message.store_version)
+        fields["runner"] = message.runner_id
         if message.after_outage:
             due_ms = now.monotonic_ms + RELIST_GRACE_MS
             self._removal_due_ms_by_id.setdefault(message.runner_id, due_ms)
@@ -256,3 +322,7 @@
             ):
                 usable_runners_by_pool.setdefault(runner.pool, {})[runner_id] = runner
         self._usable_runners_by_pool = usable_runners_by_pool
+
+
+def _version_fields(version: Version) -> dict[str, LogValue]:
+    return {"era": version.era, "revision": version.revision}
--- a/figshunt/directory/_messages.py
+++ b/figshunt/directory/_messages.py
@@ -3,14 +3,14 @@
 from dataclasses import dataclass
 
 from figshunt.directory._model import Configuration, PublishedRunner
-from figshunt.types import DataCentreName, Message, RunnerId
+from figshunt.types import DataCentreName, Message, RunnerId, Version
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationPublished(Message):
-    """A configuration was read; ``revision`` is the revision of its store item."""
+    """A configuration was read; ``store_version`` is that of its store item."""
 
-    revision: int
+    store_version: Version
     configuration: Configuration
 
 
@@ -18,7 +18,7 @@
 class ConfigurationUnreadable(Message):
     """The published configuration is invalid; the previous one stays in force."""
 
-    revision: int
+    store_version: Version
     detail: str
 
 
@@ -26,7 +26,7 @@
 class EvacuationPublished(Message):
     """A data centre was evacuated (``is_evacuated``) or put back into service."""
 
-    revision: int
+    store_version: Version
     data_centre: DataCentreName
     is_evacuated: bool
 
@@ -35,7 +35,7 @@
 class RunnerListed(Message):
     """A runner's entry was written; ``runner`` is ``None`` if it is invalid."""
 
-    revision: int
+    store_version: Version
     runner_id: RunnerId
     runner: PublishedRunner | None
 
@@ -48,7 +48,7 @@
     unavailable. The runner then has a grace period to register again.
     """
 
-    revision: int
+    store_version: Version
     runner_id: RunnerId
     after_outage: bool
 
@@ -65,6 +65,16 @@
     started_wall_ms: int | None
 
 
+@dataclass(frozen=True, slots=True)
+class StoreRestored(Message):
+    """The store was restored from a copy, or more is known of such a restore.
+
+    An item of at most ``copied_until`` may be older than what was read before.
+    """
+
+    copied_until: Version
+
+
 @dataclass(frozen=True, slots=True)
 class SourceStateChanged(Message):
     """Published items became readable or unreadable, from the store or a peer."""
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -8,6 +8,7 @@
 from figshunt.dispatch._call import Call, PromptPart, RoutedCall
 from figshunt.dispatch.admission._suspect import Suspect
 from figshunt.types import (
+    NO_VERSION,
     AttemptFailure,
     AttemptId,
     DataCentreName,
@@ -16,6 +17,9 @@
     RequestId,
     RunnerId,
     SendState,
+    StoreEra,
+    StoreRevision,
+    Version,
 )
 
 
@@ -353,6 +357,8 @@
     is the version of the configuration in force, ``revision`` the store revision up
     to which the host has all published items. ``can_read_store`` is set if the host
     can read the store itself. ``known_hosts`` is how many hosts it knows to live.
+    ``era`` is the era of ``revision``, ``era_start`` the lowest revision at which any
+    host that it knows of listed the items of this era.
     """
 
     host: HostName
@@ -370,6 +376,13 @@
     occupancies: tuple[OccupancyNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     suspects_digest: int = 0
+    era: StoreEra = NO_VERSION.era
+    era_start: StoreRevision = NO_VERSION.revision
+
+    @property
+    def store_version(self) -> Version:
+        """Return the store version up to which the host has all published items."""
+        return Version(self.era, StoreRevision(self.revision))
 
     @property
     def notice_count(self) -> int:
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -287,6 +287,7 @@
 
     def _announce_revision(self) -> None:
         """Announce the revision, so that peers that missed the change read it."""
+        self._metrics.set_store_era(self.items.version.era)
         self.peers.announce_revision()
 
     def _build_status(self) -> HostStatus:
@@ -296,7 +297,9 @@
             incarnation=self._incarnation,
             address=self._settings.front.ip,
             version=configuration.version if configuration else 0,
-            revision=self.items.revision,
+            revision=self.items.version.revision,
+            era=self.items.version.era,
+            era_start=self.items.era_start,
             can_read_store=self.items.is_available(ItemOrigin.STORE),
             data_centre=self._settings.data_centre,
             suspects_digest=self.core.crashes.digest,
--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -12,7 +12,7 @@
 from figshunt.gateway._outage import OutageRecord
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.runtime import EventLog, UnexpectedErrorLog
-from figshunt.types import Clock, Step
+from figshunt.types import Clock, Step, Version
 
 # Mean delay between attempts while the source fails. It is short, so that
 # changes are seen soon after an outage, but grows with the number of hosts, so that
@@ -48,10 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """Items, and the revision up to which they are complete."""
+    """Items, and the version up to which they are complete."""
 
     items: tuple[PublishedItem, ...]
-    revision: int
+    version: Version
 
 
 class ItemSource(Protocol):
@@ -60,8 +60,8 @@
     async def list_items(self) -> Listing:
         """Return all items."""
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Listing:
-        """Return the changes after a revision, waiting up to ``wait_ms`` for one."""
+    async def watch(self, after: Version, wait_ms: int) -> Listing:
+        """Return the changes after a version, waiting up to ``wait_ms`` for one."""
 
     async def close(self) -> None:
         """Close all connections."""
@@ -129,12 +129,23 @@
     async def _read_once(self) -> None:
         if self._has_listing:
             wait_ms = self._watch_wait_ms()
-            listing = await self._source.watch(self._items.revision, wait_ms)
+            after = self._items.version
+            listing = await self._source.watch(after, wait_ms)
+            eras = {after.era, listing.version.era, self._items.version.era}
+            if len(eras) > 1:
+                # The revisions of one era say nothing about those of another one.
+                raise HistoryLostError(f"the watch spans the eras {sorted(eras)}")
             apply_listing = self._items.merge
         else:
             listing = await self._source.list_items()
+            known_era = self._items.version.era
+            if listing.version.era < known_era:
+                raise SourceError(
+                    f"store listed era {listing.version.era}, but a peer has read era "
+                    f"{known_era}"
+                )
             apply_listing = self._items.replace
-        apply_listing(listing.items, listing.revision, self._outage.record_success())
+        apply_listing(listing.items, listing.version, self._outage.record_success())
         self._has_listing = True
         if listing.items and self._count_hosts() >= LARGE_FLEET_HOSTS:
             await asyncio.sleep(self._batch_delay_ms() / 1000)
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -12,12 +12,12 @@
 from figshunt.directory import PublishedItem
 from figshunt.dispatch import HostStatus
 from figshunt.gateway._directory_reader import LARGE_FLEET_HOSTS
-from figshunt.gateway._mirror_codec import decode_items, encode_items
+from figshunt.gateway._mirror_codec import MirrorMessage, decode_items, encode_items
 from figshunt.gateway._outage import OutageRecord
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._settings import Address
 from figshunt.runtime import EventLog
-from figshunt.types import Step
+from figshunt.types import NO_VERSION, Step, Version
 
 # A published value has at most 1 MB, but a copy of all items may have several.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -99,7 +99,12 @@
             sent_items.update((item.key, item) for item in changed_items)
             can_read_store = self._items.is_available(ItemOrigin.STORE)
             await connection.send(
-                encode_items(changed_items, self._items.revision, can_read_store)
+                encode_items(
+                    changed_items,
+                    self._items.version,
+                    self._items.era_start,
+                    can_read_store,
+                )
             )
             try:
                 async with asyncio.timeout(HEARTBEAT_S):
@@ -141,6 +146,7 @@
 
     async def _run(self) -> None:
         while True:
+            self._learn_era_start()
             peer = self._choose_peer()
             if peer is None:
                 await asyncio.sleep(CHECK_INTERVAL_S)
@@ -164,22 +170,22 @@
         candidates = self._newest(
             status
             for status in self._statuses()
-            if status.can_read_store and status.revision >= self._items.revision
+            if status.can_read_store and status.store_version >= self._items.version
         )
-        if not candidates and not self._items.revision:
+        if not candidates and self._items.version == NO_VERSION:
             # A host that starts while no host can read the store uses the items
             # that its peers read last, as they do themselves.
             candidates = self._newest(self._statuses())
         return self._random.choice(candidates).address if candidates else None
 
     def _newest(self, statuses: Iterable[HostStatus]) -> list[HostStatus]:
-        """Return the peers with the newest revision.
+        """Return the peers with the newest version.
 
         An older copy may have runners that have left and keys that were withdrawn.
         """
-        peers = [status for status in statuses if status.revision]
-        newest_revision = max((status.revision for status in peers), default=0)
-        return [status for status in peers if status.revision == newest_revision]
+        peers = [status for status in statuses if status.store_version > NO_VERSION]
+        newest = max((status.store_version for status in peers), default=NO_VERSION)
+        return [status for status in peers if status.store_version == newest]
 
     async def _read(self, peer: str) -> None:
         async with connect(
@@ -191,7 +197,7 @@
             close_timeout=CONNECT_TIMEOUT_S,
             proxy=None,
         ) as connection:
-            apply_items = self._items.replace
+            is_first = True
             while True:
                 async with asyncio.timeout(HEARTBEAT_TIMEOUT_S):
                     data = await connection.recv()
@@ -199,8 +205,8 @@
                     raise ValueError("expected a binary message, got text")
                 message = decode_items(data)
                 has_lapsed = message.can_read_store and self._outage.record_success()
-                apply_items(message.items, message.revision, has_lapsed)
-                apply_items = self._items.merge
+                self._apply(message, is_first, has_lapsed)
+                is_first = False
                 if not message.can_read_store:
                     self._items.set_available(
                         ItemOrigin.PEER, False, "peer can't read the store"
@@ -213,18 +219,40 @@
                     )
                     return
 
+    def _apply(self, message: MirrorMessage, is_first: bool, has_lapsed: bool) -> None:
+        """Apply one message; the first one on a connection is a complete copy.
+
+        :raises ValueError: if the peer's copy is in another era than this host's.
+            A complete copy is needed to follow it to a newer one.
+        """
+        if is_first:
+            self._items.replace(
+                message.items, message.version, has_lapsed, message.era_start
+            )
+        else:
+            self._items.merge(message.items, message.version, has_lapsed)
+        era = self._items.version.era
+        if message.version.era != era:
+            raise ValueError(f"peer is in era {message.version.era}, own is {era}")
+        self._items.lower_era_start(era, message.era_start)
+
+    def _learn_era_start(self) -> None:
+        """Learn from the peers how early this era of the store was listed."""
+        for status in self._statuses():
+            self._items.lower_era_start(status.era, status.era_start)
+
     def _is_up_to_date(self) -> bool:
         return self._items.is_available(ItemOrigin.STORE) and not self._is_behind()
 
     def _is_behind(self) -> bool:
         """Count this check; return whether enough checks in a row found newer peers."""
-        current_revisions = [
-            status.revision for status in self._statuses() if status.can_read_store
+        current_versions: list[Version] = [
+            status.store_version for status in self._statuses() if status.can_read_store
         ]
-        if max(current_revisions, default=0) > self._items.revision:
+        if max(current_versions, default=NO_VERSION) > self._items.version:
             self._behind_checks += 1
         else:
             self._behind_checks = 0
-        is_large = len(current_revisions) >= LARGE_FLEET_HOSTS
+        is_large = len(current_versions) >= LARGE_FLEET_HOSTS
         min_checks = LARGE_FLEET_BEHIND_CHECKS if is_large else MIN_BEHIND_CHECKS
         return self._behind_checks >= min_checks
--- a/figshunt/gateway/_mirror_codec.py
+++ b/figshunt/gateway/_mirror_codec.py
@@ -6,29 +6,40 @@
 import cbor2
 
 from figshunt.directory import PublishedItem
+from figshunt.types import StoreRevision, Version
 
-MIRROR_FORMAT = 1
+MIRROR_FORMAT = 2
 
 
 @dataclass(frozen=True, slots=True)
 class MirrorMessage:
-    """Items, the revision to which they are complete, and the sender's store access."""
+    """Items, the version to which they are complete, and the sender's store access.
+
+    ``era_start`` is the lowest revision known to have been listed in this era.
+    """
 
     items: tuple[PublishedItem, ...]
-    revision: int
+    version: Version
+    era_start: StoreRevision
     can_read_store: bool
 
 
 def encode_items(
-    items: Sequence[PublishedItem], revision: int, can_read_store: bool
+    items: Sequence[PublishedItem],
+    version: Version,
+    era_start: StoreRevision,
+    can_read_store: bool,
 ) -> bytes:
     """Return the bytes of a :class:`MirrorMessage`."""
     data: bytes = cbor2.dumps(
         [
             MIRROR_FORMAT,
-            revision,
+            [version.era, version.revision, era_start],
             can_read_store,
-            [[item.key, item.revision, item.value] for item in items],
+            [
+                [item.key, item.version.era, item.version.revision, item.value]
+                for item in items
+            ],
         ]
     )
     return data
@@ -40,15 +51,23 @@
     :raises ValueError: if ``data`` isn't a valid message.
     """
     try:
-        format_number, revision, can_read_store, rows = cbor2.loads(data)
+        format_number, version, can_read_store, rows = cbor2.loads(data)
         if format_number != MIRROR_FORMAT:
             raise ValueError(f"mirror format {format_number}, expected {MIRROR_FORMAT}")
         items = tuple(
             PublishedItem(
-                str(key), int(item_revision), None if value is None else bytes(value)
+                str(key),
+                Version.of(int(item_era), int(item_revision)),
+                None if value is None else bytes(value),
             )
-            for key, item_revision, value in rows
+            for key, item_era, item_revision, value in rows
+        )
+        era, revision, era_start = map(int, version)
+        return MirrorMessage(
+            items,
+            Version.of(era, revision),
+            StoreRevision(era_start),
+            bool(can_read_store),
         )
-        return MirrorMessage(items, int(revision), bool(can_read_store))
     except (cbor2.CBORDecodeError, TypeError, EOFError) as error:
         raise ValueError(f"malformed mirror message: {error}") from error
--- a/figshunt/gateway/_published_items.py
+++ b/figshunt/gateway/_published_items.py
@@ -4,10 +4,15 @@
 from collections.abc import Callable, Sequence
 from enum import Enum
 
-from figshunt.directory import ItemReplica, PublishedItem, SourceStateChanged
+from figshunt.directory import (
+    ItemReplica,
+    PublishedItem,
+    SourceStateChanged,
+    StoreRestored,
+)
 from figshunt.gateway._codecs import ItemCodec
 from figshunt.runtime import EventLog, MessageSink
-from figshunt.types import Step
+from figshunt.types import NO_VERSION, Step, StoreEra, StoreRevision, Version
 
 
 class ItemOrigin(Enum):
@@ -36,25 +41,52 @@
         self._change_event = asyncio.Event()
 
     @property
-    def revision(self) -> int:
-        """Return the revision up to which the copy is complete."""
-        return self._replica.revision
+    def version(self) -> Version:
+        """Return the version up to which the copy is complete."""
+        return self._replica.version
+
+    @property
+    def era_start(self) -> StoreRevision:
+        """Return the lowest revision known to have been listed in this era."""
+        return self._replica.era_start
 
     def all_items(self) -> Sequence[PublishedItem]:
         """Return all known items, including deleted ones."""
         return tuple(self._replica.items().values())
 
     def merge(
-        self, items: Sequence[PublishedItem], revision: int, after_outage: bool = False
+        self,
+        items: Sequence[PublishedItem],
+        version: Version,
+        after_outage: bool = False,
     ) -> None:
         """Merge changed items into the copy."""
-        self._publish(self._replica.merge(items, revision), after_outage)
+        self._publish(self._replica.merge(items, version), after_outage)
 
     def replace(
-        self, items: Sequence[PublishedItem], revision: int, after_outage: bool = False
+        self,
+        items: Sequence[PublishedItem],
+        version: Version,
+        after_outage: bool = False,
+        era_start: StoreRevision | None = None,
     ) -> None:
-        """Replace the copy by a complete listing."""
-        self._publish(self._replica.replace(items, revision), after_outage)
+        """Replace the copy by a complete listing, which may begin a new era."""
+        previous = self._replica.version
+        changed_items = self._replica.replace(items, version, era_start)
+        if previous.era < self._replica.version.era and previous != NO_VERSION:
+            self._message_sink.submit(StoreRestored(self._replica.copied_until))
+        self._publish(changed_items, after_outage)
+
+    def lower_era_start(self, era: StoreEra, era_start: StoreRevision) -> None:
+        """Apply the items that a peer shows to have been written in this era.
+
+        It listed the era earlier than any host known so far.
+        """
+        copied_until = self._replica.copied_until
+        items = self._replica.lower_era_start(era, era_start)
+        if self._replica.copied_until != copied_until:
+            self._message_sink.submit(StoreRestored(self._replica.copied_until))
+            self._publish(items, False)
 
     def set_available(
         self, origin: ItemOrigin, is_available: bool, detail: str
@@ -74,7 +106,8 @@
             step=Step.STORE.value,
             origin=origin.value,
             detail=detail,
-            revision=self.revision,
+            era=self.version.era,
+            revision=self.version.revision,
         )
         is_current = bool(self._available_origins)
         if is_current != was_current:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -22,9 +22,16 @@
     SuspectReport,
 )
 from figshunt.exchange import Bundle, BundlePurpose
-from figshunt.types import DataCentreName, Fingerprint, HostName, RunnerId
+from figshunt.types import (
+    DataCentreName,
+    Fingerprint,
+    HostName,
+    RunnerId,
+    StoreEra,
+    StoreRevision,
+)
 
-STATUS_FORMAT = 6
+STATUS_FORMAT = 7
 
 
 def encode_bundle(bundle: Bundle) -> bytes:
@@ -85,6 +92,8 @@
         ],
         [_encode_limit(notice) for notice in status.limits],
         status.suspects_digest,
+        status.era,
+        status.era_start,
     ]
 
 
@@ -92,7 +101,7 @@
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
-    (suspects_digest,) = rest
+    suspects_digest, era, era_start = rest
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -123,6 +132,8 @@
         ),
         limits=tuple(_decode_limit(entry) for entry in limits),
         suspects_digest=int(suspects_digest),
+        era=StoreEra(int(era)),
+        era_start=StoreRevision(int(era_start)),
     )
 
 
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -26,7 +26,14 @@
     RunnerListed,
     RunnerUnlisted,
 )
-from figshunt.types import DataCentreName, PoolName, RouteName, RunnerId, TeamName
+from figshunt.types import (
+    DataCentreName,
+    PoolName,
+    RouteName,
+    RunnerId,
+    TeamName,
+    Version,
+)
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
@@ -60,22 +67,22 @@
         """Yield a message for each change, starting with the configuration."""
         for item in sorted(items, key=lambda item: item.key != CONFIGURATION_KEY):
             if item.key == CONFIGURATION_KEY and item.value is not None:
-                yield _decode_configuration(item.revision, item.value)
+                yield _decode_configuration(item.version, item.value)
             elif item.key.startswith(EVACUATION_PREFIX):
                 data_centre = DataCentreName(item.key.removeprefix(EVACUATION_PREFIX))
                 is_evacuated = item.value is not None
-                yield EvacuationPublished(item.revision, data_centre, is_evacuated)
+                yield EvacuationPublished(item.version, data_centre, is_evacuated)
             elif item.key.startswith(RUNNER_PREFIX):
                 runner_id = RunnerId(item.key.removeprefix(RUNNER_PREFIX))
                 if item.value is None:
-                    yield RunnerUnlisted(item.revision, runner_id, after_outage)
+                    yield RunnerUnlisted(item.version, runner_id, after_outage)
                 else:
                     runner = _decode_runner(runner_id, item.value)
-                    yield RunnerListed(item.revision, runner_id, runner)
+                    yield RunnerListed(item.version, runner_id, runner)
 
 
 def _decode_configuration(
-    revision: int, value: bytes
+    store_version: Version, value: bytes
 ) -> ConfigurationPublished | ConfigurationUnreadable:
     try:
         document = json.loads(value)
@@ -90,8 +97,8 @@
         )
     except _MALFORMED_ERRORS as error:
         detail = f"{type(error).__name__}: {error}"
-        return ConfigurationUnreadable(revision, detail)
-    return ConfigurationPublished(revision, configuration)
+        return ConfigurationUnreadable(store_version, detail)
+    return ConfigurationPublished(store_version, configuration)
 
 
 def _decode_route(fields: Mapping[str, Any]) -> PublishedRoute:
--- a/figshunt/runtime/_metrics.py
+++ b/figshunt/runtime/_metrics.py
@@ -3,12 +3,13 @@
 from prometheus_client import (
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     ProcessCollector,
     generate_latest,
 )
 
-from figshunt.types import CountEvent, ObserveDuration
+from figshunt.types import CountEvent, ObserveDuration, StoreEra
 
 LABELS_BY_COUNTER = {
     "requests": ("route", "result"),
@@ -22,6 +23,7 @@
     "trials": ("result",),
     "orphaned_requests": ("message",),
     "discarded_requests": (),
+    "store_restores": (),
 }
 HELP_BY_COUNTER = {
     "requests": "Requests that ended, by route and result.",
@@ -35,6 +37,7 @@
     "trials": "Requests sent to try a refused content or prompt part, by result.",
     "orphaned_requests": "Requests answered because an error left them no owner.",
     "discarded_requests": "Requests received behind the close of a connection.",
+    "store_restores": "Restores of the store from a copy that this host has seen.",
 }
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.45, 0.9, 2, 5, 10, 30, 60)
 
@@ -66,6 +69,11 @@
             ("event",),
             registry=self._registry,
         )
+        self._store_era = Gauge(
+            "figshunt_store_era",
+            "Era of the store, which increases with each restore from a copy.",
+            registry=self._registry,
+        )
         self._latency = Histogram(
             "figshunt_latency_seconds",
             "Time to the first token of streams, to the whole answer of others.",
@@ -74,6 +82,10 @@
             registry=self._registry,
         )
 
+    def set_store_era(self, era: StoreEra) -> None:
+        """Set the era of the store that this host has read last."""
+        self._store_era.set(era)
+
     def count(self, effect: CountEvent) -> None:
         """Add an amount to a counter."""
         counter = self._counters.get(effect.counter)
--- a/figshunt/standins/_platform_store.py
+++ b/figshunt/standins/_platform_store.py
@@ -4,6 +4,7 @@
 import base64
 import json
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
@@ -12,18 +13,29 @@
 
 ITEMS_PER_PAGE = 2
 HISTORY_LOST_STATUS = 410
+ERA_HEADER = "Store-Era"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """What a store held at one moment."""
+
+    revision: int
+    items_by_key: Mapping[str, dict[str, Any]]
 
 
 class PlatformStore(WebStandin):
     """Stores items in memory; tests write them in place of the operator.
 
     Pages are short, so that tests exercise paging. While ``failing_status`` is
-    set, every call is answered with this HTTP status.
+    set, every call is answered with this HTTP status. A store that was restored
+    from a copy sends its era.
     """
 
     def __init__(self, port: int = 0) -> None:
         super().__init__(port)
         self.failing_status: int | None = None
+        self.era = 0
         self._revision = 1
         self._items_by_key: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
@@ -33,6 +45,7 @@
     def build_app(self) -> web.Application:
         """Return the application to serve."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_get("/kv-range", self._list)
         app.router.add_get("/kv-watch", self._watch)
         return app
@@ -63,6 +76,23 @@
         self._first_revision = self._revision
         self.drop_connections()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(self._revision, dict(self._items_by_key))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose everything written since a copy, and begin a new era."""
+        self.era += 1
+        self._revision = copy.revision
+        self._items_by_key = dict(copy.items_by_key)
+        self.discard_history()
+
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.era:
+            response.headers[ERA_HEADER] = str(self.era)
+
     def _append_event(self, event: dict[str, Any]) -> None:
         self._history.append(event)
         self._change_event.set()
@@ -92,7 +122,7 @@
             return web.Response(status=self.failing_status)
         after_revision = int(request.query["after"])
         prefix = request.query.get("prefix", "")
-        if after_revision < self._first_revision:
+        if not self._first_revision <= after_revision <= self._revision:
             return web.Response(status=HISTORY_LOST_STATUS)
         try:
             async with asyncio.timeout(int(request.query["waitMs"]) / 1000):
--- a/figshunt/types/__init__.py
+++ b/figshunt/types/__init__.py
@@ -158,6 +158,12 @@
     Step,
     TableSourceKind,
 )
+from figshunt.types._store_version import (
+    NO_VERSION,
+    StoreEra,
+    StoreRevision,
+    Version,
+)
 from figshunt.types._suspicion_messages import (
     Crash,
     SuspicionChanged,
@@ -235,6 +241,7 @@
     "ManualClock",
     "Message",
     "Moment",
+    "NO_VERSION",
     "ObserveDuration",
     "OutcomeNotice",
     "PeerConnected",
@@ -284,6 +291,8 @@
     "StartIdentity",
     "Step",
     "StopRequested",
+    "StoreEra",
+    "StoreRevision",
     "SuspicionChanged",
     "SuspicionNotice",
     "SystemClock",
@@ -300,6 +309,7 @@
     "TeamName",
     "Tier",
     "TimerDue",
+    "Version",
     "WakeAt",
     "WatchRunners",
     "WatchTables",
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,13 +5,14 @@
 
 import hashlib
 import json
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 from figshunt.directory import (
     Configuration,
     EngineLimits,
     PoolShare,
+    PublishedItem,
     PublishedPool,
     PublishedRoute,
     PublishedRunner,
@@ -26,6 +27,7 @@
     ReplyHead,
     ReplyVerdict,
 )
+from figshunt.gateway import Listing
 from figshunt.replay import TraceRequest
 from figshunt.settings import DaemonSettings, check_settings
 from figshunt.tables import Tables, check_tables
@@ -48,6 +50,7 @@
     TableSourceKind,
     TablesReceived,
     TeamName,
+    Version,
 )
 
 CALLER_KEY = "caller-key-of-team-a"
@@ -495,3 +498,17 @@
 def split_bytes(data: bytes, size: int) -> list[bytes]:
     """Return the pieces of some bytes, all but the last of the same size."""
     return [data[start : start + size] for start in range(0, len(data), size)]
+
+
+def build_item(
+    key: str, revision: int, value: bytes | None = b"v", era: int = 0
+) -> PublishedItem:
+    """Return an item of the store."""
+    return PublishedItem(key, Version.of(era, revision), value)
+
+
+def build_listing(
+    items: Iterable[PublishedItem], revision: int, era: int = 0
+) -> Listing:
+    """Return an answer of the store that is complete up to a revision."""
+    return Listing(tuple(items), Version.of(era, revision))
--- a/tests/dispatch/crash_fleet.py
+++ b/tests/dispatch/crash_fleet.py
@@ -47,6 +47,7 @@
     RunnerId,
     SendState,
     TimerDue,
+    Version,
 )
 from tests.builders import (
     build_call,
@@ -168,11 +169,15 @@
         )
         self._handle(host, TimerDue())
         self._handle(host, SourceStateChanged(True, "test"))
-        self._handle(host, ConfigurationPublished(1, build_configuration(*routes)))
+        self._handle(
+            host, ConfigurationPublished(Version.of(0, 1), build_configuration(*routes))
+        )
         for runner in self.runners:
             if runner.is_up:
                 entry = runner.entry
-                self._handle(host, RunnerListed(2, entry.runner_id, entry))
+                self._handle(
+                    host, RunnerListed(Version.of(0, 2), entry.runner_id, entry)
+                )
         if is_first:
             self._tick(host)
             self._send_heartbeat(host)
@@ -365,7 +370,9 @@
             )
             self._handle(run.host, lost)
         self._schedule(DOWN_MS, partial(self._return_runner, runner))
-        unlisted = RunnerUnlisted(3, runner.entry.runner_id, after_outage=False)
+        unlisted = RunnerUnlisted(
+            Version.of(0, 3), runner.entry.runner_id, after_outage=False
+        )
         self._schedule(LEASE_MS, partial(self._publish, unlisted))
 
     def _return_runner(self, runner: FleetRunner) -> None:
@@ -374,7 +381,9 @@
             runner.entry, runner_id=RunnerId(name), started_wall_ms=self.now_ms
         )
         runner.is_up = True
-        self._publish(RunnerListed(4, runner.entry.runner_id, runner.entry))
+        self._publish(
+            RunnerListed(Version.of(0, 4), runner.entry.runner_id, runner.entry)
+        )
 
 
 def has_part(call: Call, part: str) -> bool:
--- a/tests/dispatch/driver.py
+++ b/tests/dispatch/driver.py
@@ -29,6 +29,7 @@
     Moment,
     RunnerId,
     TimerDue,
+    Version,
 )
 from tests.builders import build_configuration
 
@@ -70,20 +71,23 @@
         self.effects.extend(effects)
         return effects
 
+    def _next_version(self) -> Version:
+        self._revision += 1
+        return Version.of(0, self._revision)
+
     def publish(self, configuration: Configuration) -> list[Effect]:
         """Publish a configuration under the next revision."""
-        self._revision += 1
-        return self.handle(ConfigurationPublished(self._revision, configuration))
+        return self.handle(ConfigurationPublished(self._next_version(), configuration))
 
     def list_runner(self, runner: PublishedRunner) -> list[Effect]:
         """Publish a runner's directory entry."""
-        self._revision += 1
-        return self.handle(RunnerListed(self._revision, runner.runner_id, runner))
+        return self.handle(RunnerListed(self._next_version(), runner.runner_id, runner))
 
     def unlist_runner(self, runner_id: str, after_outage: bool = False) -> None:
         """Remove a runner's directory entry."""
-        self._revision += 1
-        self.handle(RunnerUnlisted(self._revision, RunnerId(runner_id), after_outage))
+        self.handle(
+            RunnerUnlisted(self._next_version(), RunnerId(runner_id), after_outage)
+        )
 
     def call(self, call: Call) -> list[Effect]:
         """Process the arrival of a call at the current time."""
--- a/tests/dispatch/test_directory_filter.py
+++ b/tests/dispatch/test_directory_filter.py
@@ -17,7 +17,7 @@
     ReplyVerdict,
     StartCallAttempt,
 )
-from figshunt.types import DataCentreName, Effect, LogEvent, TeamName
+from figshunt.types import DataCentreName, Effect, LogEvent, TeamName, Version
 from tests.builders import (
     build_call,
     build_configuration,
@@ -47,7 +47,7 @@
 
     def test_invalid_configuration_changes_nothing(self) -> None:
         driver = CoreDriver(build_published_runner())
-        driver.handle(ConfigurationUnreadable(99, "not JSON"))
+        driver.handle(ConfigurationUnreadable(Version.of(0, 99), "not JSON"))
         self.assertEqual(
             1, len(select_effects(driver.call(build_call()), StartCallAttempt))
         )
@@ -124,9 +124,11 @@
 
     def test_evacuated_data_centre_gets_no_calls_until_it_is_back(self) -> None:
         driver = CoreDriver(build_published_runner())
-        driver.handle(EvacuationPublished(50, DataCentreName("a"), True))
+        driver.handle(EvacuationPublished(Version.of(0, 50), DataCentreName("a"), True))
         self.assertFalse(self.is_call_sent(driver))
-        driver.handle(EvacuationPublished(60, DataCentreName("a"), False))
+        driver.handle(
+            EvacuationPublished(Version.of(0, 60), DataCentreName("a"), False)
+        )
         self.assertTrue(self.is_call_sent(driver))
 
 
--- a/tests/gateway/test_directory_reader.py
+++ b/tests/gateway/test_directory_reader.py
@@ -23,7 +23,8 @@
 )
 from figshunt.gateway._directory_reader import MIN_BATCH_DELAY_MS
 from figshunt.runtime import EventLog
-from figshunt.types import DataCentreName, ManualClock, Message, RunnerId
+from figshunt.types import DataCentreName, ManualClock, Message, RunnerId, Version
+from tests.builders import build_item, build_listing
 
 READ_TIMEOUT_S = 10.0
 
@@ -42,9 +43,9 @@
     async def list_items(self) -> Listing:
         return await self._next_result("list")
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Listing:
+    async def watch(self, after: Version, wait_ms: int) -> Listing:
         self.watch_waits_ms.append(wait_ms)
-        return await self._next_result(f"watch {after_revision}")
+        return await self._next_result(f"watch {after.revision}")
 
     async def close(self) -> None:
         pass
@@ -77,9 +78,9 @@
         for item in items:
             if item.value is None:
                 runner_id = RunnerId(item.key)
-                yield RunnerUnlisted(item.revision, runner_id, after_outage)
+                yield RunnerUnlisted(item.version, runner_id, after_outage)
             else:
-                yield EvacuationPublished(item.revision, DataCentreName(item.key), True)
+                yield EvacuationPublished(item.version, DataCentreName(item.key), True)
 
 
 class DirectoryReaderTest(unittest.IsolatedAsyncioTestCase):
@@ -116,16 +117,16 @@
 
     async def test_watch_starts_at_the_listed_revision(self) -> None:
         await self.read(
-            Listing((PublishedItem("a", 3, b"x"),), 5),
-            Listing((PublishedItem("b", 6, b"y"),), 6),
+            build_listing((build_item("a", 3, b"x"),), 5),
+            build_listing((build_item("b", 6, b"y"),), 6),
         )
         self.assertEqual(["list", "watch 5", "watch 6"], self.source.calls)
 
     async def test_lists_again_when_history_is_lost(self) -> None:
         await self.read(
-            Listing((PublishedItem("a", 3, b"x"),), 5),
+            build_listing((build_item("a", 3, b"x"),), 5),
             HistoryLostError("gone"),
-            Listing((), 9),
+            build_listing((), 9),
         )
         self.assertEqual(["list", "watch 5", "list", "watch 9"], self.source.calls)
         (message,) = self.unlisted_runners()
@@ -136,10 +137,10 @@
 
         def after_outage() -> Listing:
             self.clock.advance(4_000)
-            return Listing((PublishedItem("a", 7, None),), 7)
+            return build_listing((build_item("a", 7, None),), 7)
 
         await self.read(
-            Listing((PublishedItem("a", 3, b"x"),), 5),
+            build_listing((build_item("a", 3, b"x"),), 5),
             SourceError("down"),
             after_outage,
         )
@@ -161,9 +162,9 @@
             raise SourceError("status 503")
 
         await self.read(
-            Listing((PublishedItem("a", 3, b"x"),), 5),
+            build_listing((build_item("a", 3, b"x"),), 5),
             refuse,
-            Listing((PublishedItem("a", 7, None),), 7),
+            build_listing((build_item("a", 7, None),), 7),
         )
         (message,) = self.unlisted_runners()
         self.assertFalse(message.after_outage)
@@ -173,14 +174,14 @@
 
         def return_late() -> Listing:
             self.clock.advance(9_000)
-            return Listing((PublishedItem("a", 7, None),), 7)
+            return build_listing((build_item("a", 7, None),), 7)
 
-        await self.read(Listing((PublishedItem("a", 3, b"x"),), 5), return_late)
+        await self.read(build_listing((build_item("a", 3, b"x"),), 5), return_late)
         (message,) = self.unlisted_runners()
         self.assertFalse(message.after_outage)
 
     async def test_source_failure_is_reported_to_the_core(self) -> None:
-        await self.read(Listing((), 5), SourceError("status 503"))
+        await self.read(build_listing((), 5), SourceError("status 503"))
         states = [
             message.is_current
             for message in self.message_sink.messages
@@ -195,7 +196,7 @@
         The cut is only noticed when the watch ends, and a change must take effect
         within 2 s.
         """
-        await self.read(Listing((), 5), Listing((), 5), hosts=5)
+        await self.read(build_listing((), 5), build_listing((), 5), hosts=5)
         self.assertLess(max(self.source.watch_waits_ms), 2_000)
 
     async def test_many_hosts_use_watches_of_varied_length(self) -> None:
@@ -204,7 +205,7 @@
         One watch that ends soon is enough, since its host announces a newer
         revision to the others.
         """
-        await self.read(Listing((), 5), *[Listing((), 5)] * 20, hosts=40)
+        await self.read(build_listing((), 5), *[build_listing((), 5)] * 20, hosts=40)
         self.assertGreater(max(self.source.watch_waits_ms), 5_000)
         self.assertLess(min(self.source.watch_waits_ms), 2_000)
 
@@ -212,10 +213,10 @@
         """Without the delay each change would cost a priced call per host."""
         started_s = asyncio.get_running_loop().time()
         changes = [
-            Listing((PublishedItem("a", revision, b"x"),), revision)
+            build_listing((build_item("a", revision, b"x"),), revision)
             for revision in (6, 7)
         ]
-        await self.read(Listing((), 5), *changes, hosts=40)
+        await self.read(build_listing((), 5), *changes, hosts=40)
         elapsed_s = asyncio.get_running_loop().time() - started_s
         self.assertGreaterEqual(elapsed_s, 2 * MIN_BATCH_DELAY_MS / 1000)
 
@@ -227,18 +228,18 @@
         max_fleet_calls_per_s = 250
         failures = [SourceError("reset")] * 6
         started_s = asyncio.get_running_loop().time()
-        await self.read(*failures, Listing((), 5), hosts=hosts)
+        await self.read(*failures, build_listing((), 5), hosts=hosts)
         elapsed_s = asyncio.get_running_loop().time() - started_s
         calls_per_s = hosts * len(failures) / elapsed_s
         self.assertLess(calls_per_s, max_fleet_calls_per_s)
 
     async def test_few_hosts_watch_again_without_delay(self) -> None:
         changes = [
-            Listing((PublishedItem("a", revision, b"x"),), revision)
+            build_listing((build_item("a", revision, b"x"),), revision)
             for revision in range(6, 106)
         ]
         started_s = asyncio.get_running_loop().time()
-        await self.read(Listing((), 5), *changes, hosts=5)
+        await self.read(build_listing((), 5), *changes, hosts=5)
         elapsed_s = asyncio.get_running_loop().time() - started_s
         self.assertLess(elapsed_s, 100 * MIN_BATCH_DELAY_MS / 1000)
 
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -23,8 +23,8 @@
     PublishedItems,
 )
 from figshunt.runtime import EventLog
-from figshunt.types import DataCentreName, ManualClock, Message, Moment
-from tests.builders import build_host_status
+from figshunt.types import DataCentreName, ManualClock, Message, Moment, Version
+from tests.builders import build_host_status, build_item
 from tests.gateway.fixture import LOOPBACK, wait_until
 
 
@@ -42,7 +42,7 @@
         for item in items:
             is_evacuated = item.value is not None
             yield EvacuationPublished(
-                item.revision, DataCentreName(item.key), is_evacuated
+                item.version, DataCentreName(item.key), is_evacuated
             )
 
 
@@ -67,7 +67,7 @@
         self.clock = ManualClock(Moment(100_000, 0))
         self.outage = OutageRecord(self.clock)
         self.peer_items.set_available(ItemOrigin.STORE, True, "test")
-        self.peer_items.merge([PublishedItem("a", 5, b"x")], 5)
+        self.peer_items.merge([build_item("a", 5, b"x")], Version.of(0, 5))
         listener = MirrorListener(Address(LOOPBACK, 0), self.peer_items)
         await listener.start()
         self.addAsyncCleanup(listener.stop)
@@ -78,7 +78,7 @@
             lambda: [
                 build_host_status(
                     address=LOOPBACK,
-                    revision=self.peer_items.revision,
+                    revision=self.peer_items.version.revision,
                     can_read_store=self.peer_items.is_available(ItemOrigin.STORE),
                 )
             ],
@@ -106,25 +106,25 @@
 
     async def test_host_without_store_access_reads_all_items_and_changes(self) -> None:
         await self.start_reader()
-        await wait_until(lambda: self.own_items.revision == 5)
+        await wait_until(lambda: self.own_items.version.revision == 5)
         self.peer_items.merge(
-            [PublishedItem("a", 8, None), PublishedItem("b", 9, b"y")], 9
+            [build_item("a", 8, None), build_item("b", 9, b"y")], Version.of(0, 9)
         )
-        await wait_until(lambda: self.own_items.revision == 9)
+        await wait_until(lambda: self.own_items.version.revision == 9)
         values_by_key = {item.key: item.value for item in self.own_items.all_items()}
         self.assertEqual({"a": None, "b": b"y"}, values_by_key)
 
     async def test_host_with_a_cut_watch_reads_missed_changes(self) -> None:
         self.own_items.set_available(ItemOrigin.STORE, True, "test")
-        self.own_items.merge([], 4)
+        self.own_items.merge([], Version.of(0, 4))
         await self.start_reader()
-        await wait_until(lambda: self.own_items.revision == 5)
+        await wait_until(lambda: self.own_items.version.revision == 5)
 
     async def read_copy_of_restarted_peer(self) -> None:
         """Read the copy of a peer that listed the store after "gone" was deleted."""
-        self.own_items.merge([PublishedItem("gone", 3, b"z")], 4)
+        self.own_items.merge([build_item("gone", 3, b"z")], Version.of(0, 4))
         await self.start_reader()
-        await wait_until(lambda: self.own_items.revision == 5)
+        await wait_until(lambda: self.own_items.version.revision == 5)
 
     async def test_item_that_a_restarted_peer_never_saw_is_deleted(self) -> None:
         """Guards against a runner that gets requests for good after it has left."""
@@ -145,15 +145,15 @@
     async def test_deletion_with_the_revision_of_its_item_is_forwarded(self) -> None:
         """A listing deletes an item that it lacks at the listing's revision."""
         await self.start_reader()
-        await wait_until(lambda: self.own_items.revision == 5)
-        self.peer_items.replace([], 5)
+        await wait_until(lambda: self.own_items.version.revision == 5)
+        self.peer_items.replace([], Version.of(0, 5))
         await wait_until(
             lambda: [item.value for item in self.own_items.all_items()] == [None]
         )
 
     async def test_current_host_does_not_read_from_a_peer(self) -> None:
         self.own_items.set_available(ItemOrigin.STORE, True, "test")
-        self.own_items.merge([PublishedItem("a", 5, b"x")], 5)
+        self.own_items.merge([build_item("a", 5, b"x")], Version.of(0, 5))
         await self.start_reader()
         await asyncio.sleep(0.5)
         self.assertFalse(self.own_items.is_available(ItemOrigin.PEER))
@@ -161,7 +161,7 @@
     async def test_host_started_in_an_outage_reads_a_peers_copy(self) -> None:
         self.peer_items.set_available(ItemOrigin.STORE, False, "down")
         await self.start_reader()
-        await wait_until(lambda: self.own_items.revision == 5)
+        await wait_until(lambda: self.own_items.version.revision == 5)
         self.assertFalse(self.own_items.is_available(ItemOrigin.PEER))
 
     async def test_host_started_again_reads_the_newest_copy(self) -> None:
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -9,7 +9,6 @@
 import aiohttp
 import cbor2
 
-from figshunt.directory import PublishedItem
 from figshunt.dispatch import (
     CallArrived,
     CrashAge,
@@ -37,8 +36,9 @@
     RunnerId,
     Step,
     TimerDue,
+    Version,
 )
-from tests.builders import build_host_status
+from tests.builders import build_host_status, build_item, build_listing
 from tests.gateway.fixture import GatewayFixture, wait_until
 from tests.gateway.test_directory_reader import RecordingMessageSink, StubItemCodec
 
@@ -120,9 +120,9 @@
         self.calls += 1
         if self.calls == 1:
             raise KeyError("rev")
-        return Listing((PublishedItem("a", 5, b"x"),), 5)
+        return build_listing((build_item("a", 5, b"x"),), 5)
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Listing:
+    async def watch(self, after: Version, wait_ms: int) -> Listing:
         await asyncio.Event().wait()
         raise AssertionError("the wait ended")
 
@@ -149,7 +149,7 @@
         )
         await reader.start()
         self.addAsyncCleanup(reader.stop)
-        await wait_until(lambda: items.revision == 5)
+        await wait_until(lambda: items.version.revision == 5)
 
 
 class DatagramTest(unittest.TestCase):
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -9,12 +9,12 @@
     ConfigurationUnreadable,
     DirectoryMessage,
     EvacuationPublished,
-    PublishedItem,
     Repeatability,
     RunnerListed,
     RunnerUnlisted,
 )
 from figshunt.platform import PlatformItemCodec
+from tests.builders import build_item
 
 ENTRY = {
     "service": "engines",
@@ -61,7 +61,7 @@
 
 def decode(key: str, value: Any, after_outage: bool = False) -> DirectoryMessage:
     data = None if value is None else json.dumps(value).encode()
-    (message,) = PlatformItemCodec().decode([PublishedItem(key, 9, data)], after_outage)
+    (message,) = PlatformItemCodec().decode([build_item(key, 9, data)], after_outage)
     return message
 
 
@@ -122,8 +122,8 @@
             with self.subTest(name):
                 odd, sound = PlatformItemCodec().decode(
                     [
-                        PublishedItem("servers/odd", 8, value.encode()),
-                        PublishedItem("servers/sound", 9, text.encode()),
+                        build_item("servers/odd", 8, value.encode()),
+                        build_item("servers/sound", 9, text.encode()),
                     ],
                     False,
                 )
@@ -134,7 +134,7 @@
 
     def test_entry_that_is_not_utf8_has_no_runner(self) -> None:
         (message,) = PlatformItemCodec().decode(
-            [PublishedItem("servers/i", 9, b"\xff{")], False
+            [build_item("servers/i", 9, b"\xff{")], False
         )
         assert isinstance(message, RunnerListed)
         self.assertIsNone(message.runner)
@@ -186,7 +186,7 @@
     def test_odd_configuration_is_reported(self) -> None:
         nested = "[" * 100_000 + "]" * 100_000
         for value in (nested, json.dumps(CONFIGURATION).replace("360", nested)):
-            item = PublishedItem("op/config", 9, value.encode())
+            item = build_item("op/config", 9, value.encode())
             (message,) = PlatformItemCodec().decode([item], False)
             self.assertIsInstance(message, ConfigurationUnreadable)
 
