--- a/tests/directory/test_replica.py
+++ b/tests/directory/test_replica.py
@@ -4,7 +4,7 @@
 import unittest
 
 from figshunt.directory import ItemReplica
-from figshunt.types import Version
+from figshunt.types import StoreEra, StoreRevision, Version
 from tests.builders import build_item
 
 
@@ -61,6 +61,25 @@
                     replica.merge([published], published.version)
                 self.assertEqual(b"39", replica.items()["a"].value)
 
+    def test_late_answers_of_an_older_era_change_nothing(self) -> None:
+        replica = ItemReplica()
+        replica.replace([build_item("a", 5), build_item("b", 6)], Version.of(0, 9))
+        replica.replace([build_item("a", 3, era=1)], Version.of(1, 4))
+        items = dict(replica.items())
+        self.assertEqual(Version.of(1, 0), items["b"].version)
+        replica.replace([build_item("c", 20)], Version.of(0, 20))
+        replica.merge([build_item("b", 21)], Version.of(0, 21))
+        self.assertEqual((items, Version.of(1, 4)), (replica.items(), replica.version))
+
+    def test_writes_before_a_late_listing_are_told_from_the_copy(self) -> None:
+        """Guards against hosts that differ as they listed at different moments."""
+        replica = ItemReplica()
+        replica.replace([build_item("a", 5)], Version.of(0, 90))
+        replica.replace([build_item("a", 8, era=1)], Version.of(1, 9))
+        self.assertEqual(Version.of(1, 9), replica.copied_until)
+        (item,) = replica.lower_era_start(StoreEra(1), StoreRevision(7))
+        self.assertEqual(("a", Version.of(1, 7)), (item.key, replica.copied_until))
+
     def test_number_of_deleted_items_is_limited(self) -> None:
         replica = ItemReplica(max_deleted=3)
         for number in range(10):
--- a/tests/gateway/test_directory_reader.py
+++ b/tests/gateway/test_directory_reader.py
@@ -132,6 +132,15 @@
         (message,) = self.unlisted_runners()
         self.assertFalse(message.after_outage)
 
+    async def test_answer_of_another_era_leads_to_a_listing(self) -> None:
+        """Guards against changes that are missed as their revisions came before."""
+        await self.read(
+            build_listing((), 5),
+            build_listing((build_item("a", 9, era=1),), 9, 1),
+            build_listing((), 3, 1),
+        )
+        self.assertEqual(["list", "watch 5", "list", "watch 3"], self.source.calls)
+
     async def test_entry_removed_in_an_outage_may_have_lapsed(self) -> None:
         self.clock = ManualClock()
 
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -79,6 +79,8 @@
                 build_host_status(
                     address=LOOPBACK,
                     revision=self.peer_items.version.revision,
+                    era=self.peer_items.version.era,
+                    era_start=self.peer_items.era_start,
                     can_read_store=self.peer_items.is_available(ItemOrigin.STORE),
                 )
             ],
@@ -114,6 +116,17 @@
         values_by_key = {item.key: item.value for item in self.own_items.all_items()}
         self.assertEqual({"a": None, "b": b"y"}, values_by_key)
 
+    async def test_host_without_store_access_follows_restores_of_the_store(
+        self,
+    ) -> None:
+        """Guards against a host that stays in an older era, or returns to it."""
+        await self.start_reader()
+        await wait_until(lambda: self.own_items.version.revision == 5)
+        for era in (1, 2):
+            self.peer_items.replace([], Version.of(era, 3))
+            await wait_until(lambda: self.own_items.version == Version.of(era, 3))
+            self.assertEqual(3, self.own_items.era_start)
+
     async def test_host_with_a_cut_watch_reads_missed_changes(self) -> None:
         self.own_items.set_available(ItemOrigin.STORE, True, "test")
         self.own_items.merge([], Version.of(0, 4))
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -192,6 +192,8 @@
                 SuspectReport(content, 0, ()),
             ),
             suspects_digest=2**64 - 1,
+            era=2,
+            era_start=70,
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
         )
