Read from different peers while the store turns hosts away

Cause: opening a connection to a peer takes about ten turns of the reader's event loop and had 0.7 s, so that an overloaded host never got a copy. With constant writes some peer is always newer, so that hosts that read the store took full copies all the time, and all readers chose the newest peer.

Change: PeerChoice decides without a network. A host is behind if it misses one certain version for too long, chooses from the newer half of the peers that read the store, and leaves a peer that failed or is behind for 2 s. The time for a connection grows with the measured turn of the loop.

--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -103,7 +103,8 @@
             self.items,
             outage,
             settings.mirror.port,
-            lambda: self.core.peers.statuses().values(),
+            lambda: tuple(self.core.peers.statuses().values()),
+            clock,
             self._log,
             random_source,
         )
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 from mode import Service
 from websockets.asyncio.client import connect
@@ -11,13 +11,13 @@
 
 from figshunt.directory import PublishedItem
 from figshunt.dispatch import HostStatus
-from figshunt.gateway._directory_reader import LARGE_FLEET_HOSTS
 from figshunt.gateway._mirror_codec import MirrorMessage, decode_items, encode_items
 from figshunt.gateway._outage import OutageRecord
+from figshunt.gateway._peer_choice import PeerChoice
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._settings import Address
 from figshunt.runtime import EventLog
-from figshunt.types import NO_VERSION, Step, Version
+from figshunt.types import NO_VERSION, Clock, Step
 
 # A published value has at most 1 MB, but a copy of all items may have several.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -31,12 +31,16 @@
 HEARTBEAT_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.7
 
-# Interval of the check whether a mirror is needed, and how many checks in a row must
-# find a newer revision on a peer before this host reads from one. In a large fleet
-# hosts gather changes for up to half a second before they read them.
+# Opening a connection takes up to this many turns of the event loop. On an overloaded
+# host each may take 0.1 s and more, so that 0.7 s were never enough. Of the turns that
+# were measured the longest counts, less a tenth for each later one.
+CONNECT_TURNS = 10
+MAX_CONNECT_TIMEOUT_S = 3.0
+TURN_DECAY = 0.9
+
+# Interval of the check whether a mirror is needed, and the shortest time between two
+# attempts to read one.
 CHECK_INTERVAL_S = 0.1
-MIN_BEHIND_CHECKS = 3
-LARGE_FLEET_BEHIND_CHECKS = 7
 
 
 class MirrorListener(Service):
@@ -121,7 +125,8 @@
         items: PublishedItems,
         outage: OutageRecord,
         port: int,
-        statuses: Callable[[], Iterable[HostStatus]],
+        statuses: Callable[[], Sequence[HostStatus]],
+        clock: Clock,
         log: EventLog,
         random_source: random.Random,
     ) -> None:
@@ -130,9 +135,10 @@
         self._outage = outage
         self._port = port
         self._statuses = statuses
+        self._clock = clock
         self._log = log
-        self._random = random_source
-        self._behind_checks = 0
+        self._choice = PeerChoice(random_source)
+        self._turn_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
     async def on_started(self) -> None:
@@ -146,8 +152,15 @@
 
     async def _run(self) -> None:
         while True:
-            self._learn_era_start()
-            peer = self._choose_peer()
+            await self._measure_turn()
+            statuses = self._statuses()
+            self._learn_era_start(statuses)
+            peer = self._choice.choose(
+                self._items.version,
+                self._items.is_available(ItemOrigin.STORE),
+                statuses,
+                self._now_ms(),
+            )
             if peer is None:
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 continue
@@ -156,36 +169,22 @@
             except Exception as error:
                 # A peer that is gone or out of date may lead to any error.
                 detail = f"{type(error).__name__}: {error}"
+                self._choice.avoid(peer, self._now_ms())
                 self._items.set_available(ItemOrigin.PEER, False, detail)
                 self._log.write(
                     "mirror_lost", step=Step.STORE.value, peer=peer, detail=detail
                 )
-                await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
 
-    def _choose_peer(self) -> str | None:
-        """Return the address of a peer to read from, or ``None`` if none is needed."""
-        is_behind = self._is_behind()
-        if self._items.is_available(ItemOrigin.STORE) and not is_behind:
-            return None
-        candidates = self._newest(
-            status
-            for status in self._statuses()
-            if status.can_read_store and status.store_version >= self._items.version
-        )
-        if not candidates and self._items.version == NO_VERSION:
-            # A host that starts while no host can read the store uses the items
-            # that its peers read last, as they do themselves.
-            candidates = self._newest(self._statuses())
-        return self._random.choice(candidates).address if candidates else None
+    async def _measure_turn(self) -> None:
+        """Record how long a turn of this host's event loop takes at present."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        await asyncio.sleep(0)
+        self._turn_s = max(loop.time() - started_s, self._turn_s * TURN_DECAY)
 
-    def _newest(self, statuses: Iterable[HostStatus]) -> list[HostStatus]:
-        """Return the peers with the newest version.
-
-        An older copy may have runners that have left and keys that were withdrawn.
-        """
-        peers = [status for status in statuses if status.store_version > NO_VERSION]
-        newest = max((status.store_version for status in peers), default=NO_VERSION)
-        return [status for status in peers if status.store_version == newest]
+    def _now_ms(self) -> int:
+        return self._clock.now().monotonic_ms
 
     async def _read(self, peer: str) -> None:
         async with connect(
@@ -193,7 +192,7 @@
             compression=None,
             max_size=MAX_MESSAGE_BYTES,
             ping_interval=None,
-            open_timeout=CONNECT_TIMEOUT_S,
+            open_timeout=connect_timeout_s(self._turn_s),
             close_timeout=CONNECT_TIMEOUT_S,
             proxy=None,
         ) as connection:
@@ -208,12 +207,18 @@
                 self._apply(message, is_first, has_lapsed)
                 is_first = False
                 if not message.can_read_store:
+                    self._choice.avoid(peer, self._now_ms())
                     self._items.set_available(
                         ItemOrigin.PEER, False, "peer can't read the store"
                     )
                     return
                 self._items.set_available(ItemOrigin.PEER, True, f"reading from {peer}")
-                if self._is_up_to_date():
+                is_behind = self._choice.is_behind(
+                    self._items.version, self._statuses(), self._now_ms()
+                )
+                if is_behind:
+                    raise TimeoutError("peer is behind others")
+                if self._items.is_available(ItemOrigin.STORE):
                     self._items.set_available(
                         ItemOrigin.PEER, False, "own copy is up to date"
                     )
@@ -236,23 +241,19 @@
             raise ValueError(f"peer is in era {message.version.era}, own is {era}")
         self._items.lower_era_start(era, message.era_start)
 
-    def _learn_era_start(self) -> None:
+    def _learn_era_start(self, statuses: Sequence[HostStatus]) -> None:
         """Learn from the peers how early this era of the store was listed."""
-        for status in self._statuses():
-            self._items.lower_era_start(status.era, status.era_start)
-
-    def _is_up_to_date(self) -> bool:
-        return self._items.is_available(ItemOrigin.STORE) and not self._is_behind()
-
-    def _is_behind(self) -> bool:
-        """Count this check; return whether enough checks in a row found newer peers."""
-        current_versions: list[Version] = [
-            status.store_version for status in self._statuses() if status.can_read_store
-        ]
-        if max(current_versions, default=NO_VERSION) > self._items.version:
-            self._behind_checks += 1
-        else:
-            self._behind_checks = 0
-        is_large = len(current_versions) >= LARGE_FLEET_HOSTS
-        min_checks = LARGE_FLEET_BEHIND_CHECKS if is_large else MIN_BEHIND_CHECKS
-        return self._behind_checks >= min_checks
+        era = self._items.version.era
+        if era == NO_VERSION.era:
+            return
+        starts = [status.era_start for status in statuses if status.era == era]
+        if starts:
+            self._items.lower_era_start(era, min(starts))
+
+
+def connect_timeout_s(turn_s: float) -> float:
+    """Return how long to wait for a connection if one turn of the loop takes so long.
+
+    A peer that doesn't answer is given up early where the own loop is fast.
+    """
+    return min(MAX_CONNECT_TIMEOUT_S, CONNECT_TIMEOUT_S + CONNECT_TURNS * turn_s)
