--- a/tests/gateway/test_peer_choice.py
+++ b/tests/gateway/test_peer_choice.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 from figshunt.dispatch import HostStatus
-from figshunt.gateway._peer_choice import LARGE_FLEET_BEHIND_MS, PeerChoice
+from figshunt.gateway._peer_choice import PeerChoice
 from figshunt.types import NO_VERSION, Version
 from tests.builders import build_host_status
 
@@ -38,14 +38,6 @@
             statuses = build_fleet(range(now_ms - 20, now_ms + 50))
             self.assertIsNone(choice.choose(own, True, statuses, now_ms))
 
-    def test_host_that_misses_a_version_reads_from_a_peer_that_has_it(self) -> None:
-        choice = PeerChoice(random.Random(1))
-        for now_ms in range(0, LARGE_FLEET_BEHIND_MS, CHECK_MS):
-            statuses = build_fleet(range(1, 20))
-            self.assertIsNone(choice.choose(Version.of(0, 18), True, statuses, now_ms))
-        peer = choice.choose(Version.of(0, 18), True, statuses, LARGE_FLEET_BEHIND_MS)
-        self.assertEqual("10.0.0.19", peer)
-
     def test_peer_that_failed_is_not_chosen_again_while_there_is_another(self) -> None:
         """Guards against waiting for the same unreachable peer several times."""
         choice = PeerChoice(random.Random(1))
