Order missing items of a new era by the listing's version

Cause: an item missing from the first listing of an era got a tombstone of revision 0. An older copy of a peer passed it and brought a deleted entry back for good, and the tombstone didn't replace an item that a host had read from the copy. The bound of what may come from the copy left out items of later listing pages.

Change: the tombstone has the listing's version and a flag, which the mirror carries. Messages to the filter keep revision 0. The bound covers all items.

Conclusion: the order in which a host reads the store and a peer no longer decides whether a deletion is delivered. No test covers the bound of later pages.

--- a/figshunt/directory/_replica.py
+++ b/figshunt/directory/_replica.py
@@ -8,11 +8,22 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishedItem:
-    """One published item; ``value`` is ``None`` if it was deleted."""
+    """One published item; ``value`` is ``None`` if it was deleted.
+
+    ``is_uncopied`` is set if it is missing from the first listing of an era, and the
+    copy from which the store was restored may lack it. ``version`` is then that of
+    the listing, which orders it among other reads.
+    """
 
     key: str
     version: Version
     value: bytes | None = field(repr=False)
+    is_uncopied: bool = False
+
+    @property
+    def write_version(self) -> Version:
+        """Return the version of its write, or revision 0 of the era if unknown."""
+        return Version.of(self.version.era, 0) if self.is_uncopied else self.version
 
 
 class ItemReplica:
@@ -74,8 +85,8 @@
     ) -> list[PublishedItem]:
         """Apply a full listing and delete the items that it does not contain.
 
-        An item that isn't in the first listing of an era gets revision 0 of this
-        era, since its revision isn't known: the copy may lack it.
+        An item that isn't in the first listing of an era isn't known to have been
+        deleted: the copy may lack it.
 
         :param first_version: the store version at the start of the listing. An
             item with a newer version is kept even if it is not listed.
@@ -88,9 +99,7 @@
         keys = {item.key for item in listed_items}
         missing_items = [
             PublishedItem(
-                item.key,
-                first_version if item.version.era == era else Version.of(era, 0),
-                None,
+                item.key, first_version, None, is_uncopied=item.version.era != era
             )
             for item in self._items_by_key.values()
             if item.value is not None
@@ -98,7 +107,12 @@
             and item.version <= first_version
         ]
         if era > self.version.era:
-            self._earlier_revision = max(self._earlier_revision, self.version.revision)
+            # Later pages of a listing may hold items that are newer than its start.
+            self._earlier_revision = max(
+                self._earlier_revision,
+                self.version.revision,
+                *(item.version.revision for item in self._items_by_key.values()),
+            )
             self.era_start = first_version.revision if era_start is None else era_start
             self.version = Version.of(era, 0)
         return self.merge([*listed_items, *missing_items], first_version)
@@ -114,7 +128,7 @@
         return [
             item
             for item in self._items_by_key.values()
-            if self.copied_until < item.version <= copied_until
+            if self.copied_until < item.write_version <= copied_until
         ]
 
     def _apply(self, item: PublishedItem) -> bool:
--- a/figshunt/gateway/_mirror_codec.py
+++ b/figshunt/gateway/_mirror_codec.py
@@ -37,7 +37,13 @@
             [version.era, version.revision, era_start],
             can_read_store,
             [
-                [item.key, item.version.era, item.version.revision, item.value]
+                [
+                    item.key,
+                    item.version.era,
+                    item.version.revision,
+                    item.value,
+                    item.is_uncopied,
+                ]
                 for item in items
             ],
         ]
@@ -59,8 +65,9 @@
                 str(key),
                 Version.of(int(item_era), int(item_revision)),
                 None if value is None else bytes(value),
+                bool(is_uncopied),
             )
-            for key, item_era, item_revision, value in rows
+            for key, item_era, item_revision, value, is_uncopied in rows
         )
         era, revision, era_start = map(int, version)
         return MirrorMessage(
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -71,11 +71,11 @@
             elif item.key.startswith(EVACUATION_PREFIX):
                 data_centre = DataCentreName(item.key.removeprefix(EVACUATION_PREFIX))
                 is_evacuated = item.value is not None
-                yield EvacuationPublished(item.version, data_centre, is_evacuated)
+                yield EvacuationPublished(item.write_version, data_centre, is_evacuated)
             elif item.key.startswith(RUNNER_PREFIX):
                 runner_id = RunnerId(item.key.removeprefix(RUNNER_PREFIX))
                 if item.value is None:
-                    yield RunnerUnlisted(item.version, runner_id, after_outage)
+                    yield RunnerUnlisted(item.write_version, runner_id, after_outage)
                 else:
                     runner = _decode_runner(runner_id, item.value)
                     yield RunnerListed(item.version, runner_id, runner)
--- a/tests/directory/test_replica.py
+++ b/tests/directory/test_replica.py
@@ -66,11 +66,29 @@
         replica.replace([build_item("a", 5), build_item("b", 6)], Version.of(0, 9))
         replica.replace([build_item("a", 3, era=1)], Version.of(1, 4))
         items = dict(replica.items())
-        self.assertEqual(Version.of(1, 0), items["b"].version)
+        self.assertEqual(Version.of(1, 0), items["b"].write_version)
         replica.replace([build_item("c", 20)], Version.of(0, 20))
         replica.merge([build_item("b", 21)], Version.of(0, 21))
         self.assertEqual((items, Version.of(1, 4)), (replica.items(), replica.version))
 
+    def test_older_copy_of_a_peer_does_not_undo_a_deletion(self) -> None:
+        """The item was deleted between the peer's listing and the own first one."""
+        replica = ItemReplica()
+        replica.replace([build_item("b", 850, era=1)], Version.of(1, 1_200))
+        replica.replace([], Version.of(2, 1_000))
+        replica.replace([build_item("b", 905, era=2)], Version.of(2, 910))
+        self.assertIsNone(replica.items()["b"].value)
+
+    def test_tombstone_of_a_peer_deletes_an_item_of_the_copy(self) -> None:
+        """The peer's first listing of this era lacked the item, the own one did not."""
+        peer, replica = ItemReplica(), ItemReplica()
+        for each in (peer, replica):
+            each.replace([build_item("b", 850, era=1)], Version.of(1, 1_200))
+        replica.replace([build_item("b", 905, era=2)], Version.of(2, 910))
+        peer.replace([], Version.of(2, 1_000))
+        replica.merge(list(peer.items().values()), peer.version)
+        self.assertIsNone(replica.items()["b"].value)
+
     def test_writes_before_a_late_listing_are_told_from_the_copy(self) -> None:
         """Guards against hosts that differ as they listed at different moments."""
         replica = ItemReplica()
