Begin grace periods of runners again with each restore

Cause: a runner missing from one copy kept the removal time of the first restore if the store was restored a second time, as did one in the grace period of an outage. The grace period of 1.8 s was also shorter than the time in which entries come back.

Change: a change of era renews every pending removal. Entries that a copy lacks have RESTORE_GRACE_MS, 3 s; removals after outages and within the window keep 1.8 s.

Conclusion: two restores in a row no longer remove runners that are running. A runner that stopped just after the copy is kept up to 3 s instead of 1.8 s.

--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -43,6 +43,10 @@
 # slightly shorter.
 RELIST_GRACE_MS = 1_800
 
+# Runners whose entries a restored store lacks write them again within about 2 s. In
+# large fleets a host reads them up to 0.5 s later.
+RESTORE_GRACE_MS = 3_000
+
 # Entries that runners can't renew in a restored store, because it doesn't know their
 # leases, expire within this time. They count as lapsed, as after an outage.
 RESTORE_WINDOW_MS = 2_500
@@ -216,6 +220,13 @@
         if not is_new_era:
             return
         self._restore_window_end_ms = now.monotonic_ms + RESTORE_WINDOW_MS
+        if self._removal_due_ms_by_id:
+            # A listing that lacks these entries as well isn't another change of them.
+            due_ms = now.monotonic_ms + RESTORE_GRACE_MS
+            self._removal_due_ms_by_id = dict.fromkeys(
+                self._removal_due_ms_by_id, due_ms
+            )
+            yield WakeAt(due_ms)
         for runner_id, runner in self._runners_by_id.items():
             if runner.is_leaving and runner.started_wall_ms is not None:
                 self._leaving_starts_by_id[runner_id] = runner.started_wall_ms
@@ -290,7 +301,9 @@
         fields = _version_fields(message.store_version)
         fields["runner"] = message.runner_id
         if message.after_outage:
-            due_ms = now.monotonic_ms + RELIST_GRACE_MS
+            is_uncopied = message.store_version <= self._copied_until
+            grace_ms = RESTORE_GRACE_MS if is_uncopied else RELIST_GRACE_MS
+            due_ms = now.monotonic_ms + grace_ms
             self._removal_due_ms_by_id.setdefault(message.runner_id, due_ms)
             yield LogEvent("runner_lapsed", self.step, fields)
             yield WakeAt(due_ms)
