Check eras before use, and pause between lost histories

Cause: an address that serves two eras in alternation led to listings at the speed of a round trip. A mirror message of another era ended an outage before it was refused. Messages between hosts could carry negative eras and revisions.

Change: from the second lost history without a watch in between, the reader pauses. The mirror reader checks the era first. Version.of raises for negative numbers, and the decoders use it. Watching and listing are functions of their own.

No test covers the order of the check and the end of an outage in the mirror reader.

--- a/figshunt/gateway/_directory_reader.py
+++ b/figshunt/gateway/_directory_reader.py
@@ -90,6 +90,7 @@
         self._error_log = UnexpectedErrorLog(log, clock)
         self._random = random_source
         self._has_listing = False
+        self._has_lost_history = False
         self._task: asyncio.Task[None] | None = None
 
     async def on_started(self) -> None:
@@ -111,6 +112,11 @@
             except HistoryLostError as error:
                 self._has_listing = False
                 self._log.write("history_lost", step=Step.STORE.value, detail=error)
+                if self._has_lost_history:
+                    # Without a watch in between, the next listing may be lost as well,
+                    # as if an address serves two eras in alternation.
+                    await asyncio.sleep(self._retry_delay_ms() / 1000)
+                self._has_lost_history = True
             except SourceError as error:
                 await self._pause(started_ms, str(error))
             except Exception as error:
@@ -127,29 +133,35 @@
         await asyncio.sleep(self._retry_delay_ms() / 1000)
 
     async def _read_once(self) -> None:
-        if self._has_listing:
-            wait_ms = self._watch_wait_ms()
-            after = self._items.version
-            listing = await self._source.watch(after, wait_ms)
-            eras = {after.era, listing.version.era, self._items.version.era}
-            if len(eras) > 1:
-                # The revisions of one era say nothing about those of another one.
-                raise HistoryLostError(f"the watch spans the eras {sorted(eras)}")
-            apply_listing = self._items.merge
-        else:
-            listing = await self._source.list_items()
-            known_era = self._items.version.era
-            if listing.version.era < known_era:
-                raise SourceError(
-                    f"store listed era {listing.version.era}, but a peer has read era "
-                    f"{known_era}"
-                )
-            apply_listing = self._items.replace
-        apply_listing(listing.items, listing.version, self._outage.record_success())
-        self._has_listing = True
+        listing = await (self._watch() if self._has_listing else self._list())
         if listing.items and self._count_hosts() >= LARGE_FLEET_HOSTS:
             await asyncio.sleep(self._batch_delay_ms() / 1000)
 
+    async def _watch(self) -> Listing:
+        after = self._items.version
+        listing = await self._source.watch(after, self._watch_wait_ms())
+        eras = {after.era, listing.version.era, self._items.version.era}
+        if len(eras) > 1:
+            # The revisions of one era say nothing about those of another one.
+            raise HistoryLostError(f"the watch spans the eras {sorted(eras)}")
+        has_lapsed = self._outage.record_success()
+        self._items.merge(listing.items, listing.version, has_lapsed)
+        self._has_lost_history = False
+        return listing
+
+    async def _list(self) -> Listing:
+        listing = await self._source.list_items()
+        known_era = self._items.version.era
+        if listing.version.era < known_era:
+            raise SourceError(
+                f"store listed era {listing.version.era}, but a peer has read era "
+                f"{known_era}"
+            )
+        has_lapsed = self._outage.record_success()
+        self._items.replace(listing.items, listing.version, has_lapsed)
+        self._has_listing = True
+        return listing
+
     def _batch_delay_ms(self) -> int:
         delay_ms = BATCH_DELAY_MS_PER_HOST * self._count_hosts()
         return min(MAX_BATCH_DELAY_MS, max(MIN_BATCH_DELAY_MS, delay_ms))
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -203,6 +203,7 @@
                 if isinstance(data, str):
                     raise ValueError("expected a binary message, got text")
                 message = decode_items(data)
+                self._check_era(message, is_first)
                 has_lapsed = message.can_read_store and self._outage.record_success()
                 self._apply(message, is_first, has_lapsed)
                 is_first = False
@@ -224,22 +225,25 @@
                     )
                     return
 
-    def _apply(self, message: MirrorMessage, is_first: bool, has_lapsed: bool) -> None:
-        """Apply one message; the first one on a connection is a complete copy.
+    def _check_era(self, message: MirrorMessage, is_first: bool) -> None:
+        """Check that a message can be applied to this host's copy.
 
         :raises ValueError: if the peer's copy is in another era than this host's.
             A complete copy is needed to follow it to a newer one.
         """
+        peer_era, own_era = message.version.era, self._items.version.era
+        if peer_era < own_era or (peer_era > own_era and not is_first):
+            raise ValueError(f"peer is in era {peer_era}, own is {own_era}")
+
+    def _apply(self, message: MirrorMessage, is_first: bool, has_lapsed: bool) -> None:
+        """Apply one message; the first one on a connection is a complete copy."""
         if is_first:
             self._items.replace(
                 message.items, message.version, has_lapsed, message.era_start
             )
         else:
             self._items.merge(message.items, message.version, has_lapsed)
-        era = self._items.version.era
-        if message.version.era != era:
-            raise ValueError(f"peer is in era {message.version.era}, own is {era}")
-        self._items.lower_era_start(era, message.era_start)
+        self._items.lower_era_start(message.version.era, message.era_start)
 
     def _learn_era_start(self, statuses: Sequence[HostStatus]) -> None:
         """Learn from the peers how early this era of the store was listed."""
--- a/figshunt/gateway/_mirror_codec.py
+++ b/figshunt/gateway/_mirror_codec.py
@@ -73,7 +73,7 @@
         return MirrorMessage(
             items,
             Version.of(era, revision),
-            StoreRevision(era_start),
+            Version.of(era, era_start).revision,
             bool(can_read_store),
         )
     except (cbor2.CBORDecodeError, TypeError, EOFError) as error:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -27,8 +27,7 @@
     Fingerprint,
     HostName,
     RunnerId,
-    StoreEra,
-    StoreRevision,
+    Version,
 )
 
 STATUS_FORMAT = 7
@@ -102,12 +101,14 @@
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
     suspects_digest, era, era_start = rest
+    store_version = Version.of(int(era), int(revision))
+    era_start_version = Version.of(int(era), int(era_start))
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
         address=str(ip_address(address)),
         version=int(version),
-        revision=int(revision),
+        revision=store_version.revision,
         can_read_store=bool(can_read_store),
         data_centre=DataCentreName(str(data_centre)),
         known_hosts=int(known_hosts),
@@ -132,8 +133,8 @@
         ),
         limits=tuple(_decode_limit(entry) for entry in limits),
         suspects_digest=int(suspects_digest),
-        era=StoreEra(int(era)),
-        era_start=StoreRevision(int(era_start)),
+        era=store_version.era,
+        era_start=era_start_version.revision,
     )
 
 
--- a/figshunt/types/_store_version.py
+++ b/figshunt/types/_store_version.py
@@ -18,7 +18,12 @@
 
     @classmethod
     def of(cls, era: int, revision: int) -> "Version":
-        """Return the version with these numbers."""
+        """Return a version from plain numbers, such as those of a message.
+
+        :raises ValueError: if one of them is negative.
+        """
+        if era < 0 or revision < 0:
+            raise ValueError(f"expected numbers from 0, got {era} and {revision}")
         return cls(StoreEra(era), StoreRevision(revision))
 
 
--- a/tests/gateway/test_directory_reader.py
+++ b/tests/gateway/test_directory_reader.py
@@ -21,7 +21,7 @@
     PublishedItems,
     SourceError,
 )
-from figshunt.gateway._directory_reader import MIN_BATCH_DELAY_MS
+from figshunt.gateway._directory_reader import MIN_BATCH_DELAY_MS, MIN_RETRY_DELAY_MS
 from figshunt.runtime import EventLog
 from figshunt.types import DataCentreName, ManualClock, Message, RunnerId, Version
 from tests.builders import build_item, build_listing
@@ -141,6 +141,14 @@
         )
         self.assertEqual(["list", "watch 5", "list", "watch 3"], self.source.calls)
 
+    async def test_eras_in_alternation_lead_to_pauses(self) -> None:
+        """Guards against calls without a pause, each of which has a price."""
+        alternation = (build_listing((), 3, 2), build_listing((), 9, 1))
+        started_s = asyncio.get_running_loop().time()
+        await self.read(*alternation * 4)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        self.assertGreaterEqual(elapsed_s, 3 * 0.5 * MIN_RETRY_DELAY_MS / 1000)
+
     async def test_entry_removed_in_an_outage_may_have_lapsed(self) -> None:
         self.clock = ManualClock()
 
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -131,6 +131,7 @@
             self.peer_items.replace([], Version.of(era, 3))
             await wait_until(lambda: self.own_items.version == Version.of(era, 3))
             self.assertEqual(3, self.own_items.era_start)
+            self.assertEqual(self.peer_items.all_items(), self.own_items.all_items())
 
     async def test_overloaded_host_reads_from_a_peer(self) -> None:
         """Guards against a host whose every attempt ends before its own loop is done.
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -183,6 +183,18 @@
         self.decode(b"\x81" * 1_000)
         self.decode(cbor2.dumps([STATUS_FORMAT]))
 
+    def test_negative_store_versions_are_rejected(self) -> None:
+        for status in (
+            build_host_status(era=-1),
+            build_host_status(era_start=-1),
+            build_host_status(revision=-1),
+        ):
+            bundle = Bundle(
+                HostName("h2"), DataCentreName("a"), BundlePurpose.INFORM, (status,)
+            )
+            with self.subTest(status=status), self.assertRaises(ValueError):
+                decode_bundle(encode_bundle(bundle))
+
     def test_notices_are_decoded_as_they_were_encoded(self) -> None:
         part = Suspect(SuspectKind.PART, Fingerprint("p1"))
         content = Suspect(SuspectKind.CONTENT, Fingerprint("c1"))
