Keep a draining process excluded after its entry lapsed in a restore

Cause: the removal of a lapsed entry also dropped the start time of a process that was leaving, and a write of "ready" read later made it usable. A runner that had announced its leaving counted as lapsed when its entry was removed after a restore.

Change: the start time is kept for 10 s after a lapse, or after a removal within the restore window. Such removals of leaving runners are immediate.

Conclusion: a process that drained before a restore gets no requests until it is replaced, for reads up to 10 s late.

--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -51,6 +51,10 @@
 # leases, expire within this time. They count as lapsed, as after an outage.
 RESTORE_WINDOW_MS = 2_500
 
+# A watch may last this long, so that an entry written before a removal may be read
+# this long after it.
+KEPT_START_MS = 10_000
+
 
 class DirectoryView(Protocol):
     """Read access to the published configuration and runners."""
@@ -80,7 +84,8 @@
     requests can finish, but is not returned for new requests. If it announced its
     leaving in an answer, that holds until its entry is removed or describes a new
     process, since the entry may be written or read later. The same holds after a
-    restore of the store for a runner whose entry said so before.
+    restore of the store for a runner whose entry said so before, and for
+    ``KEPT_START_MS`` after its entry lapsed.
 
     After a restore, what is in force stays so until it is written again: an item
     that may come from the copy isn't applied, except a configuration of a higher
@@ -111,6 +116,7 @@
         self._evacuated_data_centres: set[DataCentreName] = set()
         self._removal_due_ms_by_id: dict[RunnerId, int] = {}
         self._leaving_starts_by_id: dict[RunnerId, int | None] = {}
+        self._start_kept_until_ms_by_id: dict[RunnerId, int] = {}
         self._copied_until = NO_VERSION
         self._restore_window_end_ms = 0
 
@@ -162,11 +168,14 @@
                 yield from self._record_leaving(message)
             case RunnerListed():
                 yield from self._list_runner(message)
-            case RunnerUnlisted(version, _, after_outage):
+            case RunnerUnlisted(version, runner_id, after_outage):
                 has_lapsed = (
                     after_outage
                     or version <= self._copied_until
-                    or now.monotonic_ms < self._restore_window_end_ms
+                    or (
+                        self._is_in_restore_window(now)
+                        and runner_id not in self._leaving_starts_by_id
+                    )
                 )
                 message = replace(message, after_outage=has_lapsed)
                 yield from self._unlist_runner(message, now)
@@ -290,9 +299,21 @@
         self._leaving_starts_by_id[runner_id] = start
         yield LogEvent("runner_announced_leaving", self.step, {"runner": runner_id})
 
+    def _is_in_restore_window(self, now: Moment) -> bool:
+        return now.monotonic_ms < self._restore_window_end_ms
+
     def _forget(self, runner_id: RunnerId) -> None:
         self._runners_by_id.pop(runner_id, None)
         self._leaving_starts_by_id.pop(runner_id, None)
+        self._start_kept_until_ms_by_id.pop(runner_id, None)
+
+    def _forget_lapsed(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
+        """Remove a runner whose process may still write its entry again."""
+        self._runners_by_id.pop(runner_id, None)
+        if runner_id in self._leaving_starts_by_id:
+            until_ms = now.monotonic_ms + KEPT_START_MS
+            self._start_kept_until_ms_by_id[runner_id] = until_ms
+            yield WakeAt(until_ms)
 
     def _unlist_runner(self, message: RunnerUnlisted, now: Moment) -> Iterable[Output]:
         if message.runner_id not in self._runners_by_id:
@@ -309,7 +330,10 @@
             yield WakeAt(due_ms)
             return
         self._removal_due_ms_by_id.pop(message.runner_id, None)
-        self._forget(message.runner_id)
+        if self._is_in_restore_window(now):
+            yield from self._forget_lapsed(message.runner_id, now)
+        else:
+            self._forget(message.runner_id)
         yield LogEvent("runner_unlisted", self.step, fields)
 
     def _remove_expired(self, now: Moment) -> Iterable[Output]:
@@ -320,10 +344,15 @@
         ]
         for runner_id in expired_ids:
             del self._removal_due_ms_by_id[runner_id]
-            self._forget(runner_id)
+            yield from self._forget_lapsed(runner_id, now)
             yield LogEvent("runner_gone", self.step, {"runner": runner_id})
         if expired_ids:
             self._rebuild_usable_runners()
+        for runner_id, until_ms in tuple(self._start_kept_until_ms_by_id.items()):
+            if until_ms <= now.monotonic_ms:
+                del self._start_kept_until_ms_by_id[runner_id]
+                if runner_id not in self._runners_by_id:
+                    self._leaving_starts_by_id.pop(runner_id, None)
 
     def _rebuild_usable_runners(self) -> None:
         usable_runners_by_pool: dict[PoolName, dict[RunnerId, PublishedRunner]] = {}
--- a/figshunt/gateway/_published_items.py
+++ b/figshunt/gateway/_published_items.py
@@ -60,7 +60,7 @@
         version: Version,
         after_outage: bool = False,
     ) -> None:
-        """Merge changed items into the copy."""
+        """Apply changes of this era; the version is that up to which they are all."""
         self._publish(self._replica.merge(items, version), after_outage)
 
     def replace(
--- a/figshunt/runtime/_metrics.py
+++ b/figshunt/runtime/_metrics.py
@@ -83,7 +83,7 @@
         )
 
     def set_store_era(self, era: StoreEra) -> None:
-        """Set the era of the store that this host has read last."""
+        """Report an era; it rises with each restore of the store from a copy."""
         self._store_era.set(era)
 
     def count(self, effect: CountEvent) -> None:
--- a/tests/directory/test_restore.py
+++ b/tests/directory/test_restore.py
@@ -12,6 +12,7 @@
     RunnerUnlisted,
     StoreRestored,
 )
+from figshunt.directory._directory_filter import KEPT_START_MS
 from figshunt.types import DataCentreName, PoolName, RunnerId, TeamName, Version
 from tests.builders import build_configuration, build_published_runner
 from tests.dispatch.driver import CoreDriver
@@ -83,6 +84,21 @@
         self.list_runner(WRITTEN, 2_000)
         self.assertTrue(self.is_used())
 
+    def test_draining_process_stays_excluded_after_its_entry_was_missing(self) -> None:
+        """Guards against a write of "ready" that is read after the removal."""
+        for version in (Version.of(1, 0), WRITTEN):
+            with self.subTest(version=version):
+                self.setUp()
+                self.driver.list_runner(build_published_runner(is_leaving=True))
+                self.restore()
+                self.unlist(version)
+                self.driver.advance(RESTORE_GRACE_MS)
+                self.list_runner(WRITTEN)
+                self.driver.advance(KEPT_START_MS)
+                self.assertFalse(self.is_used())
+                self.list_runner(WRITTEN, 2_000)
+                self.assertTrue(self.is_used())
+
     def test_data_centre_stays_in_or_out_until_the_operator_writes(self) -> None:
         for is_out in (True, False):
             self.evacuate(Version.of(0, 900), is_out)
