--- a/figshunt/directory/__init__.py
+++ b/figshunt/directory/__init__.py
@@ -2,6 +2,7 @@
 
 from figshunt.directory._directory_filter import (
     RELIST_GRACE_MS,
+    RESTORE_GRACE_MS,
     DirectoryFilter,
     DirectoryView,
 )
@@ -14,6 +15,7 @@
     RunnerListed,
     RunnerUnlisted,
     SourceStateChanged,
+    StoreRestored,
 )
 from figshunt.directory._model import (
     Configuration,
@@ -29,6 +31,7 @@
 
 __all__ = [
     "RELIST_GRACE_MS",
+    "RESTORE_GRACE_MS",
     "Configuration",
     "ConfigurationPublished",
     "ConfigurationUnreadable",
@@ -49,4 +52,5 @@
     "RunnerListed",
     "RunnerUnlisted",
     "SourceStateChanged",
+    "StoreRestored",
 ]
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -23,7 +23,13 @@
     SuspectReport,
 )
 from figshunt.exchange import Bundle, BundlePurpose
-from figshunt.types import DataCentreName, Fingerprint, HostName, RunnerId
+from figshunt.types import (
+    DataCentreName,
+    Fingerprint,
+    HostName,
+    RunnerId,
+    Version,
+)
 
 STATUS_FORMAT = 7
 
@@ -92,6 +98,8 @@
         [_encode_limit(notice) for notice in status.limits],
         [_encode_speed(notice) for notice in status.speeds],
         status.suspects_digest,
+        status.era,
+        status.era_start,
     ]
 
 
@@ -99,13 +107,15 @@
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
-    speeds, suspects_digest = rest
+    speeds, suspects_digest, era, era_start = rest
+    store_version = Version.of(int(era), int(revision))
+    era_start_version = Version.of(int(era), int(era_start))
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
         address=str(ip_address(address)),
         version=int(version),
-        revision=int(revision),
+        revision=store_version.revision,
         can_read_store=bool(can_read_store),
         data_centre=DataCentreName(str(data_centre)),
         known_hosts=int(known_hosts),
@@ -131,6 +141,8 @@
         limits=tuple(_decode_limit(entry) for entry in limits),
         speeds=tuple(_decode_speed(entry) for entry in speeds),
         suspects_digest=int(suspects_digest),
+        era=store_version.era,
+        era_start=era_start_version.revision,
     )
 
 
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -9,7 +9,6 @@
 import aiohttp
 import cbor2
 
-from figshunt.directory import PublishedItem
 from figshunt.dispatch import (
     CallArrived,
     CrashAge,
@@ -38,8 +37,9 @@
     RunnerId,
     Step,
     TimerDue,
+    Version,
 )
-from tests.builders import build_host_status
+from tests.builders import build_host_status, build_item, build_listing
 from tests.gateway.fixture import GatewayFixture, wait_until
 from tests.gateway.test_directory_reader import RecordingMessageSink, StubItemCodec
 
@@ -121,9 +121,9 @@
         self.calls += 1
         if self.calls == 1:
             raise KeyError("rev")
-        return Listing((PublishedItem("a", 5, b"x"),), 5)
+        return build_listing((build_item("a", 5, b"x"),), 5)
 
-    async def watch(self, after_revision: int, wait_ms: int) -> Listing:
+    async def watch(self, after: Version, wait_ms: int) -> Listing:
         await asyncio.Event().wait()
         raise AssertionError("the wait ended")
 
@@ -150,7 +150,7 @@
         )
         await reader.start()
         self.addAsyncCleanup(reader.stop)
-        await wait_until(lambda: items.revision == 5)
+        await wait_until(lambda: items.version.revision == 5)
 
 
 class DatagramTest(unittest.TestCase):
@@ -184,6 +184,18 @@
         self.decode(b"\x81" * 1_000)
         self.decode(cbor2.dumps([STATUS_FORMAT]))
 
+    def test_negative_store_versions_are_rejected(self) -> None:
+        for status in (
+            build_host_status(era=-1),
+            build_host_status(era_start=-1),
+            build_host_status(revision=-1),
+        ):
+            bundle = Bundle(
+                HostName("h2"), DataCentreName("a"), BundlePurpose.INFORM, (status,)
+            )
+            with self.subTest(status=status), self.assertRaises(ValueError):
+                decode_bundle(encode_bundle(bundle))
+
     def test_notices_are_decoded_as_they_were_encoded(self) -> None:
         part = Suspect(SuspectKind.PART, Fingerprint("p1"))
         content = Suspect(SuspectKind.CONTENT, Fingerprint("c1"))
@@ -193,6 +205,8 @@
                 SuspectReport(content, 0, ()),
             ),
             suspects_digest=2**64 - 1,
+            era=2,
+            era_start=70,
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
             speeds=(SpeedNotice(RunnerId("e1"), None, 1.62, 2.5, 0.4, 0.0),),
