Add tests of clients that send heads and trailers without end

The tests' harness also stopped reading the output of a process behind a line of more than 64 KiB, so that the process waited for its output. The harness drops lines that are too long.

--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -12,6 +12,10 @@
     Fleet,
     create_seeded_random,
 )
+from tests.harness._hostile_crowd import (
+    HostileCrowd,
+    HostileRequest,
+)
 from tests.harness._next_request_callers import (
     END_PATH,
     NextRequestCallers,
@@ -52,6 +56,8 @@
     "Exchange",
     "FaultProxy",
     "Fleet",
+    "HostileCrowd",
+    "HostileRequest",
     "ManagedProcess",
     "NextRequestCallers",
     "ProxyMode",
--- a/tests/harness/_processes.py
+++ b/tests/harness/_processes.py
@@ -84,7 +84,15 @@
                 await self._output_changed.wait()
 
     async def _read_lines(self, stream: asyncio.StreamReader) -> None:
-        while line := await stream.readline():
+        while True:
+            try:
+                line = await stream.readline()
+            except ValueError:
+                # The stream has dropped a line beyond its limit. If it was read no
+                # more, the process would wait for its output.
+                continue
+            if not line:
+                break
             self.lines.append(line.decode(errors="replace").rstrip("\n"))
             self._output_changed.set()
         self._output_changed.set()
--- a/tests/integration/entry_host_case.py
+++ b/tests/integration/entry_host_case.py
@@ -26,7 +26,12 @@
 
 
 class EntryHostCase(unittest.IsolatedAsyncioTestCase):
-    """Runs a host with one engine, ``e1``, and one runner without an engine, ``b1``."""
+    """Runs a host with one engine, ``e1``, and one runner without an engine, ``b1``.
+
+    ``memory_mb`` is the memory that the settings tell the host.
+    """
+
+    memory_mb = 150
 
     async def asyncSetUp(self) -> None:
         # The loop's debug mode slows the runners, which share it, by a multiple.
@@ -59,7 +64,9 @@
     async def start_host(self, name: str) -> tuple[ManagedProcess, int]:
         """Start a host; return its process and the port of its callers."""
         settings_path = self.directory / f"{name}.toml"
-        write_settings(settings_path, self.store.port, host=name)
+        write_settings(
+            settings_path, self.store.port, host=name, memory_mb=self.memory_mb
+        )
         process = await start_module(
             "figshunt", ["gateway", "--settings", str(settings_path)]
         )
