Limit heads, trailers and connections of callers before the parser

Cause: the HTTP library limits single lines and keeps up to 128 of them for each head, nothing limits empty and folded lines or chunk extensions, and the framing kept incomplete heads whole. A request whose trailer the parser refused stayed open for ever, each further read of it was parsed again and queued an error with a copy of it, and the framing looked at each line. Change: RequestFraming limits heads, empty lines, trailers and extensions; CallerConnection refuses the rest of a request with 431, 400, 408 or 503 behind the responses to whole requests, parses nothing after that, reads 32 KiB at once and limits the time of a head; HeadBudget refuses the largest holder once all callers together hold more than a part of the memory; CallerServer closes refused and unused connections beyond 0.45 of the descriptors. maxHeaderBytes and headerTimeoutMs of the configuration raise the limits. The test that an endless chunk extension isn't kept now gives the framing a limit above its 4 MiB, as the default refuses them; tests of the limits are in tests/runtime/test_caller_limits.py. Handshakes of TLS in progress and bodies below 64 KiB are still bounded only by the number of connections.

--- a/figshunt/directory/_model.py
+++ b/figshunt/directory/_model.py
@@ -90,6 +90,14 @@
     urgency: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PublishedLimits:
+    """What callers may send of a request's head, where it is published."""
+
+    header_bytes: int | None = None
+    header_timeout_ms: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Configuration:
     """One version of the routes, pools and teams that operators publish."""
@@ -98,6 +106,7 @@
     routes: tuple[PublishedRoute, ...]
     pools_by_name: Mapping[PoolName, PublishedPool]
     teams_by_key_sha256: Mapping[str, PublishedTeam] = field(repr=False)
+    limits: PublishedLimits = PublishedLimits()
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -8,6 +8,7 @@
 
 from mode import Service
 
+from figshunt.directory import PublishedLimits
 from figshunt.dispatch import (
     AnswerAbort,
     AnswerComplete,
@@ -27,7 +28,11 @@
 from figshunt.gateway._directory_reader import DirectoryReader, ItemSource
 from figshunt.gateway._drain_plan import DrainPlan
 from figshunt.gateway._front_listener import FrontListener
-from figshunt.gateway._memory_bounds import build_receive_budget, build_unread_budget
+from figshunt.gateway._memory_bounds import (
+    build_receive_budget,
+    build_unread_budget,
+    compute_caller_memory,
+)
 from figshunt.gateway._mirror import MirrorListener, MirrorReader
 from figshunt.gateway._outage import OutageRecord
 from figshunt.gateway._peer_link import PeerLink
@@ -115,6 +120,8 @@
             self._log,
             self._metrics.count,
             build_unread_budget(settings.memory_bytes),
+            compute_caller_memory(settings.memory_bytes),
+            self._read_limits,
         )
         self.runners = RunnerCaller(
             call_codec, self, self._log, build_receive_budget(settings.memory_bytes)
@@ -285,6 +292,10 @@
                 values: dict[str, Any] = dict(fields)
                 self._log.write(event, step=step.value, **values)
 
+    def _read_limits(self) -> PublishedLimits:
+        configuration = self.core.directory.configuration
+        return configuration.limits if configuration else PublishedLimits()
+
     def _announce_revision(self) -> None:
         """Announce the revision, so that peers that missed the change read it."""
         self.peers.announce_revision()
--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -10,6 +10,7 @@
 from mode import Service
 from yarl import URL
 
+from figshunt.directory import PublishedLimits
 from figshunt.dispatch import (
     AnswerAbort,
     AnswerComplete,
@@ -26,6 +27,7 @@
 from figshunt.gateway._answer_queue import AnswerQueue
 from figshunt.gateway._body_budget import BodyBudget
 from figshunt.gateway._codecs import CallCodec
+from figshunt.gateway._memory_bounds import CallerMemory, compute_caller_memory
 from figshunt.gateway._open_request import (
     OpenRequest,
     OpenRequests,
@@ -35,7 +37,12 @@
 )
 from figshunt.gateway._settings import Address
 from figshunt.runtime import (
+    HEAD_TIMEOUT_S,
+    MAX_HEAD_BYTES,
+    CallerBounds,
     CallerConnection,
+    CallerFault,
+    CallerLimits,
     CallerServer,
     EventLog,
     MessageSink,
@@ -43,9 +50,14 @@
 )
 from figshunt.types import Clock, CountEvent, Moment, RequestId, Step
 
-MAX_HEADER_BYTES = 64 * 1024
 MAX_BODY_BYTES = 8 * 1024 * 1024
 
+# Callers may count the request line, or what their libraries add, otherwise.
+HEAD_MARGIN_BYTES = 8 * 1024
+
+# A head may be late by a repeated packet and a pause of this host.
+HEAD_MARGIN_S = 1.0
+
 # Callers reuse a connection that was idle for less than the published limit, which
 # is 15 s on known deployments, so idle connections are closed well after that.
 IDLE_TIMEOUT_S = 60.0
@@ -124,6 +136,8 @@
         log: EventLog,
         count: Callable[[CountEvent], None],
         unread_budget: ReceiveBudget | None = None,
+        caller_memory: CallerMemory = compute_caller_memory(None),
+        read_limits: Callable[[], PublishedLimits] = PublishedLimits,
     ) -> None:
         super().__init__()
         self._address = address
@@ -133,8 +147,19 @@
         self._log = log
         self._queues_by_call: dict[RequestId, tuple[AnswerQueue, web.BaseRequest]] = {}
         self._count = count
+        self._bounds = CallerBounds(
+            Step.FRONT_LISTENER,
+            clock,
+            log,
+            count,
+            lambda: build_caller_limits(read_limits()),
+            caller_memory.max_head_bytes,
+            caller_memory.max_connections,
+        )
         self._server = CallerServer(
-            self._build_connection, report_discarded=self._report_discarded
+            self._build_connection,
+            report_discarded=self._report_discarded,
+            max_connections=self._bounds.compute_max_connections,
         )
         self._http_server: web.Server | None = None
         self._body_budget = BodyBudget()
@@ -233,13 +258,16 @@
 
     def _build_connection(self) -> CallerConnection:
         assert self._http_server is not None
+        options = self._bounds.build_options()
+        max_head_bytes = options["limits"].head_bytes
         return CallerConnection(
             self._http_server,
             idle_timeout_s=IDLE_TIMEOUT_S,
             access_log=None,
             auto_decompress=False,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
+            max_line_size=max_head_bytes,
+            max_field_size=max_head_bytes,
+            **options,
         )
 
     def _build_request(
@@ -280,6 +308,11 @@
                 open_request.ending = RequestEnding.FAILED
                 return _reject(413)
             except (web.RequestPayloadError, HttpProcessingError):
+                connection = request.protocol
+                assert isinstance(connection, CallerConnection)
+                if connection.fault is CallerFault.NO_MEMORY:
+                    open_request.ending = RequestEnding.REFUSED
+                    return self._refuse(request, received, BodyRefusal.NO_MEMORY)
                 open_request.ending = RequestEnding.FAILED
                 return _reject(400)
             call = self._codec.decode_call(
@@ -392,6 +425,15 @@
             response.force_close()
 
 
+def build_caller_limits(published: PublishedLimits) -> CallerLimits:
+    """Return limits that no caller inside the published ones reaches."""
+    head_bytes = (published.header_bytes or 0) + HEAD_MARGIN_BYTES
+    head_timeout_s = HEAD_TIMEOUT_S
+    if published.header_timeout_ms is not None:
+        head_timeout_s = published.header_timeout_ms / 1000 + HEAD_MARGIN_S
+    return CallerLimits(max(MAX_HEAD_BYTES, head_bytes), head_timeout_s)
+
+
 async def _invite_body(request: web.BaseRequest) -> None:
     """Tell a caller that waits with the body that the host reads it now.
 
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -18,6 +18,7 @@
     EvacuationPublished,
     PoolShare,
     PublishedItem,
+    PublishedLimits,
     PublishedPool,
     PublishedRoute,
     PublishedRunner,
@@ -87,6 +88,7 @@
                 for pool in document["services"]
             },
             teams_by_key_sha256=_decode_teams(document.get("tenants") or ()),
+            limits=_decode_limits(document.get("limits")),
         )
     except _MALFORMED_ERRORS as error:
         detail = f"{type(error).__name__}: {error}"
@@ -94,6 +96,20 @@
     return ConfigurationPublished(revision, configuration)
 
 
+def _decode_limits(fields: Any) -> PublishedLimits:
+    """Decode limits of callers; malformed ones count as absent."""
+    if not isinstance(fields, dict):
+        return PublishedLimits()
+
+    def decode(name: str) -> int | None:
+        value = fields.get(name)
+        if isinstance(value, int | float) and 0 < value <= _MAX_INTEGER:
+            return int(value)
+        return None
+
+    return PublishedLimits(decode("maxHeaderBytes"), decode("headerTimeoutMs"))
+
+
 def _decode_route(fields: Mapping[str, Any]) -> PublishedRoute:
     split: Iterable[Mapping[str, Any]] = fields.get("split") or (
         {"service": fields.get("service"), "weight": 1},
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -7,7 +7,14 @@
     allow_body,
     forbid_resending,
 )
-from figshunt.runtime._caller_connection import CallerConnection
+from figshunt.runtime._caller_bounds import CallerBounds
+from figshunt.runtime._caller_connection import CallerConnection, RequestRefusedError
+from figshunt.runtime._caller_limits import (
+    HEAD_TIMEOUT_S,
+    MAX_HEAD_BYTES,
+    CallerFault,
+    CallerLimits,
+)
 from figshunt.runtime._caller_server import CallerServer
 from figshunt.runtime._event_log import (
     EventLog,
@@ -24,6 +31,7 @@
     attach_comments,
     join_events,
 )
+from figshunt.runtime._head_budget import MAX_HELD_HEAD_BYTES, HeadBudget
 from figshunt.runtime._log_rate_limit import LogRateLimit
 from figshunt.runtime._message_sink import MessageSink
 from figshunt.runtime._metrics import Metrics
@@ -42,15 +50,22 @@
     "BoundedConnector",
     "BoundedResponseHandler",
     "CONNECTION_BYTES",
+    "CallerBounds",
     "CallerConnection",
+    "CallerFault",
+    "CallerLimits",
     "CallerServer",
     "EventBatch",
     "EventLog",
     "EventStreamReader",
+    "HEAD_TIMEOUT_S",
+    "HeadBudget",
     "KeyValueDestination",
     "LogOutput",
     "LogRateLimit",
     "MAX_EVENT_BYTES",
+    "MAX_HEAD_BYTES",
+    "MAX_HELD_HEAD_BYTES",
     "MAX_RECEIVED_BYTES",
     "MessageSink",
     "Metrics",
@@ -58,6 +73,7 @@
     "ReceiveBudget",
     "ReceiveShare",
     "RequestFraming",
+    "RequestRefusedError",
     "ServerSentEvent",
     "UnexpectedErrorLog",
     "WakeTimer",
--- a/figshunt/runtime/_caller_server.py
+++ b/figshunt/runtime/_caller_server.py
@@ -11,6 +11,14 @@
 # The event loop passes unsent bytes to grown send buffers within this time.
 FLUSH_S = 0.05
 
+# Connections accepted in one turn of the event loop; each takes a descriptor before it
+# is counted, and those that are closed for it free theirs in the next turn.
+ACCEPTED_PER_TURN = 16
+
+# When there are too many, this part of them is closed together, as choosing takes time
+# in proportion to all of them.
+CLOSED_PART = 16
+
 # A caller completes its TLS handshake within this time.
 HANDSHAKE_TIMEOUT_S = 5.0
 
@@ -23,6 +31,8 @@
 
     :param build_connection: returns the protocol of one connection.
     :param report_discarded: is told how many such requests a connection had.
+    :param max_connections: returns how many may be open; beyond that, those are closed
+        that carry no whole request, first refused ones, then those that never did.
     """
 
     def __init__(
@@ -30,7 +40,9 @@
         build_connection: Callable[[], CallerConnection],
         tls_context: ssl.SSLContext | None = None,
         report_discarded: Callable[[int], None] | None = None,
+        max_connections: Callable[[], int] | None = None,
     ) -> None:
+        self._max_connections = max_connections
         self.discarded_requests = 0
         self._build_connection = build_connection
         self._report_discarded = report_discarded
@@ -77,10 +89,12 @@
         self._server = await loop.create_server(
             self._open_connection,
             sock=self._socket,
-            backlog=backlog,
+            backlog=min(backlog, ACCEPTED_PER_TURN),
             ssl=self._tls_context,
             ssl_handshake_timeout=self._handshake_timeout_s,
         )
+        # The event loop takes its argument for both.
+        self._socket.listen(backlog)
 
     async def stop_accepting(self) -> None:
         """Stop listening; connections in the queue of the socket are still served."""
@@ -153,6 +167,8 @@
 
     def _open_connection(self) -> CallerConnection:
         connection = self._build_connection()
+        if self._max_connections is not None:
+            self._make_room(connection, self._max_connections())
         self._connections.add(connection)
         self._all_closed.clear()
         connection.on_close(lambda: self._end(connection))
@@ -163,6 +179,24 @@
             )
         return connection
 
+    def _make_room(self, connection: CallerConnection, max_connections: int) -> None:
+        """Close connections beyond the limit, or else the new one."""
+        excess = len(self._connections) + 1 - max_connections
+        if excess <= 0:
+            return
+        closable = [entry for entry in self._connections if entry.is_closable]
+        closable.sort(
+            key=lambda entry: (
+                not entry.is_refused,
+                entry.has_had_request,
+                entry.opened_s,
+            )
+        )
+        if not closable:
+            connection.refuse_connection()
+        for entry in closable[: max(excess, max_connections // CLOSED_PART)]:
+            entry.refuse_connection()
+
     def _end(self, connection: CallerConnection) -> None:
         if connection.discarded_requests:
             self.discarded_requests += connection.discarded_requests
--- a/figshunt/runtime/_metrics.py
+++ b/figshunt/runtime/_metrics.py
@@ -22,6 +22,7 @@
     "trials": ("result",),
     "orphaned_requests": ("message",),
     "discarded_requests": (),
+    "caller_faults": ("fault",),
 }
 HELP_BY_COUNTER = {
     "requests": "Requests that ended, by route and result.",
@@ -35,6 +36,7 @@
     "trials": "Requests sent to try a refused content or prompt part, by result.",
     "orphaned_requests": "Requests answered because an error left them no owner.",
     "discarded_requests": "Requests received behind the close of a connection.",
+    "caller_faults": "Connections of callers on which nothing more was read, by cause.",
 }
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.45, 0.9, 2, 5, 10, 30, 60)
 
--- a/figshunt/runtime/_request_framing.py
+++ b/figshunt/runtime/_request_framing.py
@@ -1,8 +1,11 @@
 """Finds where the requests on a connection end."""
 
 import re
+from collections import deque
 from enum import Enum
 
+from figshunt.runtime._caller_limits import MAX_HEAD_BYTES, CallerFault
+
 LINE_END = b"\r\n"
 HEAD_END = b"\r\n\r\n"
 EMPTY_LINES = re.compile(rb"[\r\n]*")
@@ -18,14 +21,21 @@
 MAX_LENGTH_DIGITS = 20
 
 # What is kept of the start of an incomplete line. A chunk's size has at most 16
-# digits; the extensions behind it have no limit, nor does the parser limit them.
+# digits; the parser doesn't limit the extensions behind it.
 MAX_LINE_START_BYTES = 64
 
+# The line of a chunk's size without zeros in front and extensions behind it.
+PLAIN_SIZE_LINE_BYTES = 16 + len(LINE_END)
+
+# Bytes that a header field counts for beside its own: the parser's objects for it take
+# 300, and what is held of a head takes about 3.5 times its size; both were measured.
+FIELD_BYTES = 96
+
 
 class FramingState(Enum):
     """The part of a request to which the next byte belongs.
 
-    After ``INVALID`` bytes the HTTP parser ends the connection.
+    What follows ``INVALID`` bytes, or those behind a limit, is not looked at.
     """
 
     HEAD = "head"
@@ -40,12 +50,26 @@
     """Counts the whole requests among the bytes of an HTTP/1 connection.
 
     The parser of the HTTP library doesn't tell whether a part of a further request
-    has arrived. The framing follows RFC 9112, sections 6 and 7.1. ``completed`` is the
-    number of whole requests.
+    has arrived, and doesn't limit all that it keeps or skips. The framing follows RFC
+    9112, sections 6 and 7.1. ``completed`` is the number of whole requests, and
+    ``fault`` the limit that was exceeded. ``head_costs`` has the costs of whole heads,
+    from which the owner takes those of requests that were answered.
+
+    :param max_text_bytes: limit for a head, for the empty lines before it, for a
+        trailer, and for what the lines between chunks have beyond the chunks' data.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_text_bytes: int = MAX_HEAD_BYTES) -> None:
         self.completed = 0
+        self.fault: CallerFault | None = None
+        self.head_costs: deque[int] = deque()
+        self._max_text_bytes = max_text_bytes
+        self._empty_bytes = 0
+        # Of the incomplete line or trailer; what is pending may be less.
+        self._line_bytes = 0
+        self._fields = 0
+        self._extension_bytes = 0
+        self._data_bytes = 0
         self._state = FramingState.HEAD
         # The start of a line or head whose end hasn't been received.
         self._pending = bytearray()
@@ -59,9 +83,23 @@
         return self._state is FramingState.HEAD and not self._pending
 
     @property
-    def pending_bytes(self) -> int:
-        """Return the size of what is kept of an incomplete head or line."""
-        return len(self._pending)
+    def is_in_text(self) -> bool:
+        """Return whether a head or trailer has begun and isn't complete."""
+        return self._state is FramingState.TRAILER or (
+            self._state is FramingState.HEAD and bool(self._pending)
+        )
+
+    @property
+    def is_invalid(self) -> bool:
+        """Return whether the bytes received last belong to no request."""
+        return self._state is FramingState.INVALID
+
+    @property
+    def text_cost(self) -> int:
+        """Return what an incomplete head or trailer counts for, in bytes."""
+        if self._state in (FramingState.HEAD, FramingState.TRAILER):
+            return self._line_bytes + FIELD_BYTES * self._fields
+        return 0
 
     def stop(self) -> None:
         """Count no further requests."""
@@ -103,13 +141,23 @@
         if is_head and not self._pending:
             empty_lines = EMPTY_LINES.match(data, position)
             assert empty_lines is not None
+            self._empty_bytes += empty_lines.end() - position
             position = empty_lines.end()
-        end = HEAD_END if is_head else LINE_END
+            if self._empty_bytes > self._max_text_bytes:
+                self._exceed(CallerFault.EMPTY_LINES)
+            if self._state is FramingState.INVALID or position == len(data):
+                return len(data)
+        end = LINE_END if self._state is FramingState.CHUNK_SIZE else HEAD_END
         text_end = self._find_text_end(data, position, end)
+        read_end = len(data) if text_end < 0 else text_end
+        self._line_bytes += read_end - position
+        self._fields += data.count(LINE_END, position, read_end)
+        if self._check_size():
+            return len(data)
         if text_end < 0:
             self._pending += data[position:]
             if not is_head:
-                del self._pending[MAX_LINE_START_BYTES:-1]
+                del self._pending[MAX_LINE_START_BYTES:-3]
             return len(data)
         text = data[position:text_end]
         if self._pending:
@@ -118,6 +166,23 @@
         self._process_text(text[: -len(end)])
         return text_end
 
+    def _check_size(self) -> bool:
+        """Return whether the bytes of a head or line exceed their limit."""
+        if self._state is FramingState.CHUNK_SIZE:
+            size = self._extension_bytes + self._line_bytes - PLAIN_SIZE_LINE_BYTES
+            if size > self._max_text_bytes + self._data_bytes:
+                self._exceed(CallerFault.EXTENSIONS_TOO_LARGE)
+        elif self._line_bytes > self._max_text_bytes:
+            is_head = self._state is FramingState.HEAD
+            self._exceed(
+                CallerFault.HEAD_TOO_LARGE if is_head else CallerFault.TRAILER_TOO_LARGE
+            )
+        return self._state is FramingState.INVALID
+
+    def _exceed(self, fault: CallerFault) -> None:
+        self.fault = fault
+        self.stop()
+
     def _find_text_end(self, data: bytes, position: int, end: bytes) -> int:
         """Return the position behind the end of a head or line, or -1."""
         if self._pending:
@@ -131,13 +196,17 @@
         return found + len(end) if found >= 0 else -1
 
     def _process_text(self, text: bytes) -> None:
+        line_bytes, self._line_bytes = self._line_bytes, 0
+        fields, self._fields = self._fields, 0
         match self._state:
             case FramingState.HEAD:
+                self.head_costs.append(line_bytes + FIELD_BYTES * fields)
+                self._empty_bytes = self._extension_bytes = self._data_bytes = 0
                 self._start_body(text)
             case FramingState.CHUNK_SIZE:
+                self._extension_bytes += max(0, line_bytes - PLAIN_SIZE_LINE_BYTES)
                 self._start_chunk(text)
-            case _ if not text:
-                # An empty line ends the trailer.
+            case _:
                 self._complete()
 
     def _start_body(self, head: bytes) -> None:
@@ -170,8 +239,11 @@
         if size:
             self._state = FramingState.CHUNK
             self._remaining_bytes = size + len(LINE_END)
+            self._data_bytes += size
         else:
             self._state = FramingState.TRAILER
+            # An empty line ends the trailer, which may be its first one.
+            self._pending += LINE_END
 
     def _complete(self) -> None:
         self.completed += 1
--- a/figshunt/services/_caller_listener.py
+++ b/figshunt/services/_caller_listener.py
@@ -18,7 +18,15 @@
     decode_runner_path,
     fingerprint_content,
 )
-from figshunt.runtime import CallerServer, EventLog, MessageSink
+from figshunt.runtime import (
+    MAX_HEAD_BYTES,
+    CallerBounds,
+    CallerFault,
+    CallerLimits,
+    CallerServer,
+    EventLog,
+    MessageSink,
+)
 from figshunt.services._answer_stream import AnswerEffect, AnswerStream
 from figshunt.services._body_timeout import limit_body_time
 from figshunt.services._caller_protocol import CallerProtocol
@@ -47,6 +55,8 @@
 )
 
 LISTEN_BACKLOG = 1024
+# The settings limit a header field; a head has several of them.
+MAX_LARGE_FIELDS = 4
 MAX_QUEUED_BYTES = 1024 * 1024
 # Applies to requests that are still in progress after the drain, which normally
 # waits for all of them.
@@ -82,8 +92,14 @@
         self._streams_by_request: dict[RequestId, AnswerStream] = {}
         self._app_runner: web.AppRunner | None = None
         self._count = count
+        self._bounds = CallerBounds(
+            Step.CALLER_LISTENER, clock, log, count, self._build_limits
+        )
         self._server = CallerServer(
-            self._build_protocol, _build_ssl_context(tls), self._report_discarded
+            self._build_protocol,
+            _build_ssl_context(tls),
+            self._report_discarded,
+            self._bounds.compute_max_connections,
         )
         self._requests_in_progress = 0
         self._is_draining = False
@@ -185,8 +201,13 @@
             access_log=None,
             max_line_size=self._limits.header_bytes,
             max_field_size=self._limits.header_bytes,
+            **self._bounds.build_options(),
         )
 
+    def _build_limits(self) -> CallerLimits:
+        head_bytes = MAX_LARGE_FIELDS * self._limits.header_bytes
+        return CallerLimits(max(MAX_HEAD_BYTES, head_bytes))
+
     def _wrap_handler(
         self, handler: Callable[[web.Request], Awaitable[web.StreamResponse]]
     ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
@@ -278,6 +299,9 @@
         except web.HTTPRequestEntityTooLarge as error:
             raise _build_error(ErrorCode.BODY_TOO_LARGE, too_large_detail) from error
         except (web.RequestPayloadError, HttpProcessingError) as error:
+            if connection.fault is CallerFault.NO_MEMORY:
+                detail = "no memory for further large headers"
+                raise _build_error(ErrorCode.NO_MEMORY, detail) from error
             detail = f"malformed request body: {type(error).__name__}"
             raise _build_error(ErrorCode.BAD_REQUEST, detail) from error
         except TimeoutError as error:
--- a/figshunt/services/_caller_protocol.py
+++ b/figshunt/services/_caller_protocol.py
@@ -1,13 +1,16 @@
 """Connection handler that answers malformed HTTP with error codes."""
 
 from aiohttp import web
-from aiohttp.http_exceptions import LineTooLong
 
-from figshunt.runtime import CallerConnection
+from figshunt.runtime import CallerConnection, CallerFault, RequestRefusedError
 from figshunt.services._error_response import build_error_response
 from figshunt.types import ErrorCode, FigshuntError, RunOutcome, Step
 
-BAD_REQUEST_STATUS = 400
+CODE_BY_FAULT = {
+    CallerFault.HEAD_TOO_LARGE: ErrorCode.HEADER_TOO_LARGE,
+    CallerFault.HEAD_TOO_SLOW: ErrorCode.HEADER_TOO_SLOW,
+    CallerFault.NO_MEMORY: ErrorCode.NO_MEMORY,
+}
 
 
 class CallerProtocol(CallerConnection):
@@ -32,19 +35,16 @@
             raise ConnectionError(
                 "can't send an error response: part of the answer was already sent"
             )
-        response = build_error_response(_build_error(status, exc))
+        response = build_error_response(_build_error(exc))
         response.force_close()
         return response
 
 
-def _build_error(status: int, exc: BaseException | None) -> FigshuntError:
+def _build_error(exc: BaseException | None) -> FigshuntError:
     step = Step.CALLER_LISTENER
-    if isinstance(exc, LineTooLong):
-        detail = "request line or header field exceeds the size limit"
-        return FigshuntError(ErrorCode.HEADER_TOO_LARGE, step, detail)
-    if status == BAD_REQUEST_STATUS:
-        detail = f"malformed HTTP request: {type(exc).__name__}"
-        return FigshuntError(ErrorCode.BAD_REQUEST, step, detail)
+    if isinstance(exc, RequestRefusedError):
+        code = CODE_BY_FAULT.get(exc.fault, ErrorCode.BAD_REQUEST)
+        return FigshuntError(code, step, f"request not read on: {exc.fault.value}")
     return FigshuntError(
         ErrorCode.INTERNAL,
         step,
--- a/figshunt/types/_errors.py
+++ b/figshunt/types/_errors.py
@@ -18,6 +18,8 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     BODY_TOO_LARGE = "body_too_large"
     HEADER_TOO_LARGE = "header_too_large"
+    HEADER_TOO_SLOW = "header_too_slow"
+    NO_MEMORY = "no_memory"
     RATE_LIMITED = "rate_limited"
     QUEUE_FULL = "queue_full"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
@@ -47,6 +49,8 @@
     ErrorCode.CLAIM_UNAVAILABLE: 503,
     ErrorCode.BODY_TOO_LARGE: 413,
     ErrorCode.HEADER_TOO_LARGE: 431,
+    ErrorCode.HEADER_TOO_SLOW: 408,
+    ErrorCode.NO_MEMORY: 503,
     ErrorCode.RATE_LIMITED: 429,
     ErrorCode.QUEUE_FULL: 429,
     ErrorCode.DEADLINE_UNREACHABLE: 503,
--- a/tests/runtime/test_request_framing.py
+++ b/tests/runtime/test_request_framing.py
@@ -39,7 +39,7 @@
 
     def test_endless_chunk_extension_is_not_kept(self) -> None:
         """Guards against memory that grows with bytes that the parser discards."""
-        framing = RequestFraming()
+        framing = RequestFraming(max_text_bytes=32 * READ_BYTES)
         framing.feed(b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;")
         tracemalloc.start()
         self.addCleanup(tracemalloc.stop)
