Accept no answer with an invalid status or a body that was cut off

An entry host compared the connection's last error with that of a reset and took any Transfer-Encoding for chunks; a cell's daemon checked nothing. Change: BoundedResponse, which both clients of runners use, accepts statuses from 200 to 599; BoundedResponseHandler notes whether the connection's end cuts off a body: by an error, or while bytes of the request are unsent or not acknowledged. ChannelResponse, which kept the connection's protocol, is now part of BoundedResponse. A runner that ends its side while its system has the whole request, and reads nothing, still gives a complete answer: nothing on the wire tells that apart.

--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -21,6 +21,7 @@
 from figshunt.gateway._runner_channels import Channel, ChannelPool
 from figshunt.runtime import (
     MAX_EVENT_BYTES,
+    BoundedResponse,
     EventLog,
     EventStreamReader,
     MessageSink,
@@ -120,7 +121,7 @@
                 allow_redirects=False,
             ) as response:
                 channel.record_response(response)
-                head = await self._read_response(attempt, channel, response)
+                head = await self._read_response(attempt, response)
                 # After an answer to another request, the next one may be this
                 # request's.
                 is_reusable = head.matches_request
@@ -151,17 +152,16 @@
     async def _read_response(
         self,
         attempt: StartCallAttempt,
-        channel: Channel,
-        response: aiohttp.ClientResponse,
+        response: BoundedResponse,
     ) -> ReplyHead:
         head = self._codec.decode_head(
             attempt, response.status, _list_headers(response)
         )
         if head.is_stream:
-            await self._read_events(attempt, channel, head, response)
+            await self._read_events(attempt, head, response)
             return head
         body = await self._read_body(response)
-        self._check_not_reset(channel, head)
+        response.check_complete()
         self._message_sink.submit(ReplyComplete(attempt.attempt_id, head, body))
         return head
 
@@ -173,9 +173,8 @@
     async def _read_events(
         self,
         attempt: StartCallAttempt,
-        channel: Channel,
         head: ReplyHead,
-        response: aiohttp.ClientResponse,
+        response: BoundedResponse,
     ) -> None:
         self._message_sink.submit(ReplyStarted(attempt.attempt_id, head))
         reader = EventStreamReader()
@@ -198,21 +197,11 @@
                 )
                 if number % EVENTS_PER_TURN == 0:
                     await asyncio.sleep(0)
-        self._check_not_reset(channel, head)
+        response.check_complete()
         if reader.pending_bytes:
             raise aiohttp.ClientPayloadError("stream ended within an event")
         self._message_sink.submit(ReplyEnded(attempt.attempt_id))
 
-    def _check_not_reset(self, channel: Channel, head: ReplyHead) -> None:
-        """Raise if the end of the connection delimits the response but was a reset.
-
-        :raises aiohttp.ServerDisconnectedError: if the connection was reset.
-        """
-        if not head.is_delimited and channel.was_reset():
-            raise aiohttp.ServerDisconnectedError(
-                "connection was reset before the end of the response"
-            )
-
     def _report_failure(
         self,
         attempt: StartCallAttempt,
--- a/figshunt/gateway/_runner_channels.py
+++ b/figshunt/gateway/_runner_channels.py
@@ -5,9 +5,13 @@
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
-from aiohttp.connector import Connection
 
-from figshunt.runtime import BoundedConnector, ReceiveBudget, forbid_resending
+from figshunt.runtime import (
+    BoundedConnector,
+    BoundedResponse,
+    ReceiveBudget,
+    forbid_resending,
+)
 
 # Runners accept connections within a few ms, and TCP retransmits a lost first
 # packet only after a second. After this timeout there is still time to try another
@@ -28,22 +32,6 @@
 MAX_REQUESTS = 256
 
 
-class ChannelResponse(aiohttp.ClientResponse):
-    """A response that keeps a reference to its connection's protocol.
-
-    The library releases the connection as soon as the response is complete.
-    After that, only the protocol shows whether further bytes have arrived.
-    """
-
-    channel_protocol: ResponseHandler | None = None
-
-    async def start(self, connection: Connection) -> "ChannelResponse":
-        """Store the protocol and read the status line and headers."""
-        self.channel_protocol = connection.protocol
-        await super().start(connection)
-        return self
-
-
 class Channel:
     """One connection to a runner, opened with its first request."""
 
@@ -60,7 +48,7 @@
                 self._share, keepalive_timeout=IDLE_TIMEOUT_S + 5, force_close=False
             ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
-            response_class=ChannelResponse,
+            response_class=BoundedResponse,
             auto_decompress=False,
             read_bufsize=READ_BUFFER_BYTES,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -101,8 +89,8 @@
 
     def record_response(self, response: aiohttp.ClientResponse) -> None:
         """Store a response's protocol and compute when the idle connection expires."""
-        assert isinstance(response, ChannelResponse)
-        self._protocol = response.channel_protocol
+        assert isinstance(response, BoundedResponse)
+        self._protocol = response.handler
         idle_s = _parse_keep_alive_timeout_s(response.headers.get("Keep-Alive", ""))
         if idle_s is not None:
             idle_s = max(0.0, idle_s - CLOSE_MARGIN_S)
@@ -110,13 +98,6 @@
             IDLE_TIMEOUT_S, idle_s or IDLE_TIMEOUT_S
         )
 
-    def was_reset(self) -> bool:
-        """Return whether the connection ended with an error, such as a reset."""
-        protocol = self._protocol
-        return protocol is not None and isinstance(
-            protocol.exception(), aiohttp.ClientOSError
-        )
-
     def release_received(self) -> None:
         """Give what was received back to the budget, as it has been passed on."""
         self._share.release()
--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -42,9 +42,6 @@
 )
 from figshunt.types import Fingerprint, Moment, RequestId
 
-# One of these shows where an answer ends.
-DELIMITING_HEADERS = frozenset({"content-length", "transfer-encoding"})
-
 HeaderPairs = Iterable[tuple[str, str]]
 
 _HEADERS_NOT_FORWARDED = (
@@ -150,7 +147,7 @@
             ),
             retry_after_ms=_decode_seconds_as_ms(by_name.get(RETRY_AFTER.lower())),
             announces_leaving=by_name.get(SERVER_LEAVING.lower(), "").strip() == "1",
-            is_delimited=bool(by_name.keys() & DELIMITING_HEADERS),
+            is_delimited=_is_delimited(by_name),
             names_limit=SERVER_LIMIT.lower() in by_name,
             limit_per_s=_decode_rate(by_name.get(SERVER_LIMIT.lower(), "")),
         )
@@ -224,6 +221,14 @@
     return ReplyVerdict.ANSWERED if 200 <= status < 300 else ReplyVerdict.FAILED
 
 
+def _is_delimited(by_name: dict[str, str]) -> bool:
+    """Return whether a length or chunks show where an answer ends."""
+    codings = by_name.get("transfer-encoding")
+    if codings is not None:
+        return "chunked" in codings.lower()
+    return "content-length" in by_name
+
+
 def _compute_fingerprint(
     method: str, target: str, caller_key: str | None, body: bytes
 ) -> Fingerprint:
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -2,9 +2,12 @@
 
 from figshunt.runtime._bounded_connector import (
     BoundedConnector,
+    BoundedResponse,
     BoundedResponseHandler,
+    InvalidStatusError,
     OversizedResponseError,
     allow_body,
+    check_status,
     forbid_resending,
 )
 from figshunt.runtime._caller_bounds import CallerBounds
@@ -48,6 +51,7 @@
 
 __all__ = [
     "BoundedConnector",
+    "BoundedResponse",
     "BoundedResponseHandler",
     "CONNECTION_BYTES",
     "CallerBounds",
@@ -60,6 +64,7 @@
     "EventStreamReader",
     "HEAD_TIMEOUT_S",
     "HeadBudget",
+    "InvalidStatusError",
     "KeyValueDestination",
     "LogOutput",
     "LogRateLimit",
@@ -79,6 +84,7 @@
     "WakeTimer",
     "allow_body",
     "attach_comments",
+    "check_status",
     "drop_tracebacks",
     "forbid_resending",
     "format_value",
--- a/figshunt/runtime/_bounded_connector.py
+++ b/figshunt/runtime/_bounded_connector.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import functools
+import struct
+import termios
+from fcntl import ioctl
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
 from aiohttp.http_exceptions import HttpProcessingError
 
 from figshunt.runtime._receive_budget import ReceiveShare
@@ -19,6 +23,13 @@
 MAX_READ_BYTES = 32 * 1024
 
 
+VALID_STATUSES = range(200, 600)
+
+
+class InvalidStatusError(ValueError):
+    """A server sent a status that no final response has."""
+
+
 class OversizedResponseError(aiohttp.ClientPayloadError):
     """A server sent more of a body than is allowed."""
 
@@ -30,12 +41,18 @@
     what may come before and between them nor the size of a body. All bytes count,
     including those of the framing. They also count towards the connection's share of
     a budget, from which the owner of the share takes them.
+
+    ``is_truncated`` is set if a body without a length ended with a reset, or before the
+    server had received the whole request. The library takes both for its end, and an
+    error of the upload may replace that of the connection.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, share: ReceiveShare) -> None:
         super().__init__(loop)
         self._share = share
         self._allowed_bytes = MAX_HEAD_BYTES
+        self._ended_within_request = False
+        self.is_truncated = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Let the transport read less at once than by default.
@@ -46,6 +63,19 @@
         setattr(transport, "max_size", MAX_READ_BYTES)
         super().connection_made(transport)
 
+    def eof_received(self) -> None:
+        """Note whether the server ended its side before it had the whole request."""
+        assert self.transport is not None
+        self._ended_within_request = _has_unreceived_bytes(self.transport)
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note whether the end of the connection cuts off a body."""
+        ends_body = self._payload is not None and not self._payload.is_eof()
+        is_cut = exc is not None or self._ended_within_request
+        self.is_truncated = ends_body and is_cut
+        super().connection_lost(exc)
+
     def allow(self, max_bytes: int, kept_bytes: int = 0) -> None:
         """Allow ``max_bytes`` more, instead of what was still allowed before.
 
@@ -89,6 +119,46 @@
         self._factory = factory
 
 
+class BoundedResponse(aiohttp.ClientResponse):
+    """A response on a connection of a :class:`BoundedConnector`.
+
+    The library releases the connection as soon as the response is complete. After that,
+    only ``handler`` shows how it ended and whether further bytes have arrived.
+    """
+
+    handler: BoundedResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> "BoundedResponse":
+        """Read the status line and headers.
+
+        :raises InvalidStatusError: if the status isn't that of a final response.
+        """
+        assert isinstance(connection.protocol, BoundedResponseHandler)
+        self.handler = connection.protocol
+        await super().start(connection)
+        check_status(self)
+        return self
+
+    def check_complete(self) -> None:
+        """Check a response whose body was read to its end.
+
+        :raises aiohttp.ServerDisconnectedError: if the connection's end cut it off.
+        """
+        if self.handler is not None and self.handler.is_truncated:
+            raise aiohttp.ServerDisconnectedError(
+                "connection ended before the end of the response"
+            )
+
+
+def check_status(response: aiohttp.ClientResponse) -> None:
+    """Check that a response has the status of a final one.
+
+    :raises InvalidStatusError: if it hasn't.
+    """
+    if response.status not in VALID_STATUSES:
+        raise InvalidStatusError(f"invalid HTTP status {response.status:03}")
+
+
 def forbid_resending(session: aiohttp.ClientSession) -> None:
     """Let the session send each request once.
 
@@ -112,3 +182,17 @@
         assert isinstance(connection.protocol, BoundedResponseHandler)
         kept_bytes = response.content.total_bytes - passed_bytes
         connection.protocol.allow(max_bytes, kept_bytes)
+
+
+def _has_unreceived_bytes(transport: asyncio.Transport) -> bool:
+    """Return whether bytes are unsent, or the peer hasn't acknowledged them."""
+    info = transport.get_extra_info("socket")
+    if transport.get_write_buffer_size() or info is None:
+        return bool(transport.get_write_buffer_size())
+    try:
+        (unacknowledged,) = struct.unpack(
+            "i", ioctl(info.fileno(), termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        )
+    except OSError:
+        return False
+    return bool(unacknowledged)
--- a/figshunt/services/_load_watcher.py
+++ b/figshunt/services/_load_watcher.py
@@ -8,7 +8,7 @@
 import aiohttp
 from mode import Service
 
-from figshunt.runtime import MessageSink
+from figshunt.runtime import MessageSink, check_status
 from figshunt.types import (
     ColdEvidence,
     LoadReport,
@@ -83,6 +83,7 @@
     async def _read_reports(self, runner_id: RunnerId, url: str) -> None:
         assert self._session is not None
         async with self._session.get(f"{url}/load?watch=1") as response:
+            check_status(response)
             response.raise_for_status()
             last_line = b""
             last_submitted_s = 0.0
--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -9,6 +9,7 @@
 from figshunt.runtime import (
     MAX_EVENT_BYTES,
     BoundedConnector,
+    BoundedResponse,
     EventStreamReader,
     MessageSink,
     ReceiveBudget,
@@ -123,6 +124,7 @@
                     )
                 )
                 return
+            assert isinstance(response, BoundedResponse)
             content_type = response.headers.get(
                 "Content-Type", "application/octet-stream"
             )
@@ -163,7 +165,7 @@
         raise aiohttp.ClientPayloadError("event stream ended without an end marker")
 
     async def _read_plain_body(
-        self, effect: StartAttempt, response: aiohttp.ClientResponse
+        self, effect: StartAttempt, response: BoundedResponse
     ) -> None:
         offset = passed_bytes = 0
         allow_body(response, MAX_EVENT_BYTES)
@@ -172,6 +174,7 @@
             allow_body(response, MAX_EVENT_BYTES, passed_bytes)
             self._message_sink.submit(AttemptChunk(effect.attempt_id, data, 0, offset))
             offset += len(data)
+        response.check_complete()
         self._message_sink.submit(AttemptFinished(effect.attempt_id, 0))
 
     def _submit_failure(
@@ -198,6 +201,7 @@
     """Return a session for one request on a connection of its own."""
     session = aiohttp.ClientSession(
         connector=BoundedConnector(share, force_close=True),
+        response_class=BoundedResponse,
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         auto_decompress=False,
     )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -469,6 +469,26 @@
     return [head[:length] for head in heads for length in range(1, len(head))]
 
 
+def build_invalid_statuses() -> list[str]:
+    """Return statuses that no response may have."""
+    return ["000", "099", "101", "600", "999"]
+
+
+def build_answer_head(
+    status: str, content_type: str, framing: bytes = b"", *, not_run: bool = False
+) -> bytes:
+    """Return the head of a runner's answer to the request ``a1``.
+
+    :param framing: the header that tells the length; by default the answer ends with
+        its connection.
+    """
+    refusal = b"X-Figshunt-Not-Executed: 1\r\nRetry-After: 1\r\n" if not_run else b""
+    return (
+        f"HTTP/1.1 {status} Status\r\nX-Figshunt-Attempt-Id: a1\r\n"
+        f"X-Figshunt-Server-Stamp: stamp\r\nContent-Type: {content_type}\r\n"
+    ).encode() + b"Connection: close\r\n%s%s\r\n" % (framing, refusal)
+
+
 def build_raw_request(
     path: str,
     headers: Mapping[str, str],
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -17,11 +17,11 @@
     MAX_ANSWER_BYTES,
     RunnerCaller,
 )
-from figshunt.gateway._runner_channels import ChannelResponse
 from figshunt.platform import PlatformCallCodec
 from figshunt.runtime import (
     CONNECTION_BYTES,
     MAX_RECEIVED_BYTES,
+    BoundedResponse,
     BoundedResponseHandler,
     EventLog,
     ReceiveBudget,
@@ -111,7 +111,7 @@
 
 def count_responses() -> int:
     """Return the number of responses in memory, each with what was received of it."""
-    return sum(isinstance(entry, ChannelResponse) for entry in gc.get_objects())
+    return sum(isinstance(entry, BoundedResponse) for entry in gc.get_objects())
 
 
 class ReceiveBudgetTest(unittest.IsolatedAsyncioTestCase):
