--- a/figshunt/platform/_calls.py
+++ b/figshunt/platform/_calls.py
@@ -47,9 +47,6 @@
 # A longer figure in a load header is malformed.
 MAX_LOAD_DIGITS = 6
 
-# One of these shows where an answer ends.
-DELIMITING_HEADERS = frozenset({"content-length", "transfer-encoding"})
-
 HeaderPairs = Iterable[tuple[str, str]]
 
 _HEADERS_NOT_FORWARDED = (
@@ -155,7 +152,7 @@
             ),
             retry_after_ms=_decode_seconds_as_ms(by_name.get(RETRY_AFTER.lower())),
             announces_leaving=by_name.get(SERVER_LEAVING.lower(), "").strip() == "1",
-            is_delimited=bool(by_name.keys() & DELIMITING_HEADERS),
+            is_delimited=_is_delimited(by_name),
             names_limit=SERVER_LIMIT.lower() in by_name,
             limit_per_s=_decode_rate(by_name.get(SERVER_LIMIT.lower(), "")),
             load=_decode_load(by_name.get(SERVER_LOAD.lower())),
@@ -246,6 +243,14 @@
     return ReplyVerdict.ANSWERED if 200 <= status < 300 else ReplyVerdict.FAILED
 
 
+def _is_delimited(by_name: dict[str, str]) -> bool:
+    """Return whether a length or chunks show where an answer ends."""
+    codings = by_name.get("transfer-encoding")
+    if codings is not None:
+        return "chunked" in codings.lower()
+    return "content-length" in by_name
+
+
 def _compute_fingerprint(
     method: str, target: str, caller_key: str | None, body: bytes
 ) -> Fingerprint:
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -2,12 +2,22 @@
 
 from figshunt.runtime._bounded_connector import (
     BoundedConnector,
+    BoundedResponse,
     BoundedResponseHandler,
+    InvalidStatusError,
     OversizedResponseError,
     allow_body,
+    check_status,
     forbid_resending,
 )
-from figshunt.runtime._caller_connection import CallerConnection
+from figshunt.runtime._caller_bounds import CallerBounds
+from figshunt.runtime._caller_connection import CallerConnection, RequestRefusedError
+from figshunt.runtime._caller_limits import (
+    HEAD_TIMEOUT_S,
+    MAX_HEAD_BYTES,
+    CallerFault,
+    CallerLimits,
+)
 from figshunt.runtime._caller_server import CallerServer
 from figshunt.runtime._event_log import (
     EventLog,
@@ -24,6 +34,7 @@
     attach_comments,
     join_events,
 )
+from figshunt.runtime._head_budget import MAX_HELD_HEAD_BYTES, HeadBudget
 from figshunt.runtime._log_rate_limit import LogRateLimit
 from figshunt.runtime._message_sink import MessageSink
 from figshunt.runtime._metrics import Metrics
@@ -40,17 +51,26 @@
 
 __all__ = [
     "BoundedConnector",
+    "BoundedResponse",
     "BoundedResponseHandler",
     "CONNECTION_BYTES",
+    "CallerBounds",
     "CallerConnection",
+    "CallerFault",
+    "CallerLimits",
     "CallerServer",
     "EventBatch",
     "EventLog",
     "EventStreamReader",
+    "HEAD_TIMEOUT_S",
+    "HeadBudget",
+    "InvalidStatusError",
     "KeyValueDestination",
     "LogOutput",
     "LogRateLimit",
     "MAX_EVENT_BYTES",
+    "MAX_HEAD_BYTES",
+    "MAX_HELD_HEAD_BYTES",
     "MAX_RECEIVED_BYTES",
     "MessageSink",
     "Metrics",
@@ -58,11 +78,13 @@
     "ReceiveBudget",
     "ReceiveShare",
     "RequestFraming",
+    "RequestRefusedError",
     "ServerSentEvent",
     "UnexpectedErrorLog",
     "WakeTimer",
     "allow_body",
     "attach_comments",
+    "check_status",
     "drop_tracebacks",
     "forbid_resending",
     "format_value",
--- a/figshunt/runtime/_metrics.py
+++ b/figshunt/runtime/_metrics.py
@@ -24,6 +24,7 @@
     "orphaned_requests": ("message",),
     "discarded_requests": (),
     "store_restores": (),
+    "caller_faults": ("fault",),
 }
 HELP_BY_COUNTER = {
     "requests": "Requests that ended, by route and result.",
@@ -38,6 +39,7 @@
     "orphaned_requests": "Requests answered because an error left them no owner.",
     "discarded_requests": "Requests received behind the close of a connection.",
     "store_restores": "Restores of the store from a copy that this host has seen.",
+    "caller_faults": "Connections of callers on which nothing more was read, by cause.",
 }
 LATENCY_BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.45, 0.9, 2, 5, 10, 30, 60)
 
