Share the retry budget among the hosts

Cause: each host had an equal part of the fixed number of retries, or the share of its own requests if that was more. With 90 hosts and 220 retries that is one retry for each host in 10 s, and calls that a runner had refused went back to their callers.

Change: the share of own requests and the part of the fixed number are added. Two fifths of the bound are common: a host whose part is used up takes what the hosts that hear exactly the same hosts have left, at a rate that leaves room for retries that are not known yet. Statuses carry the counts while a host is in need, and a digest of the hosts that are heard. The datagram format is 7. A process less than a window old uses half of its part. Denied retries are counted and logged.

--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -45,7 +45,7 @@
             bounds,
             random_source,
         )
-        self.attempts = CallAttemptFilter(self.peers, self.placement, bounds)
+        self.attempts = CallAttemptFilter(host, self.peers, self.placement, bounds)
         pipeline = Pipeline(
             [
                 self.directory,
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -13,6 +13,7 @@
     DataCentreName,
     HostName,
     Message,
+    PoolName,
     RequestId,
     RunnerId,
     SendState,
@@ -318,6 +319,21 @@
     has_demand: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatNotice:
+    """What a host did with a pool in the window of the retry budget, as a whole.
+
+    ``requests`` counts those that stay in the window until the host tells again,
+    ``common_repeats`` the retries beyond the host's equal part. ``is_in_need`` is set
+    while that part is too small.
+    """
+
+    pool: PoolName
+    requests: int
+    common_repeats: int
+    is_in_need: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CrashAge:
     """A runner's process that crashed ``age_ms`` ago."""
@@ -353,6 +369,7 @@
     is the version of the configuration in force, ``revision`` the store revision up
     to which the host has all published items. ``can_read_store`` is set if the host
     can read the store itself. ``known_hosts`` is how many hosts it knows to live.
+    ``heard_digest`` is equal at hosts that hear the same hosts.
     """
 
     host: HostName
@@ -369,7 +386,9 @@
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
+    repeats: tuple[RepeatNotice, ...] = ()
     suspects_digest: int = 0
+    heard_digest: int = 0
 
     @property
     def notice_count(self) -> int:
@@ -381,6 +400,7 @@
             + len(self.silences)
             + len(self.occupancies)
             + len(self.limits)
+            + len(self.repeats)
         )
 
     def without_notices(self) -> "HostStatus":
@@ -395,6 +415,7 @@
             silences=(),
             occupancies=(),
             limits=(),
+            repeats=(),
         )
 
 
--- a/figshunt/dispatch/attempt/_call_attempt_filter.py
+++ b/figshunt/dispatch/attempt/_call_attempt_filter.py
@@ -28,6 +28,8 @@
     FirstEventSeen,
     GraceEnded,
     OpenCallsChecked,
+    PeerStatusReceived,
+    RepeatNotice,
     ReplyComplete,
     ReplyEnded,
     ReplyEvent,
@@ -44,6 +46,7 @@
     judge_event,
 )
 from figshunt.dispatch.attempt._retry_policy import RetryPolicy
+from figshunt.dispatch.attempt._shared_budget import SharedRetryBudget
 from figshunt.dispatch.fleet._cold_limit import SharedBounds
 from figshunt.dispatch.fleet._peer_filter import PeersView
 from figshunt.pipeline import Feedback, Output
@@ -53,6 +56,7 @@
     CancelReason,
     CountEvent,
     ErrorCode,
+    HostName,
     LogEvent,
     Message,
     Moment,
@@ -114,13 +118,19 @@
         TimerDue,
         CallAttemptDue,
         OpenCallsChecked,
+        PeerStatusReceived,
     )
 
     def __init__(
-        self, peers: PeersView, other_runners: OtherRunnersView, bounds: SharedBounds
+        self,
+        host: HostName,
+        peers: PeersView,
+        other_runners: OtherRunnersView,
+        bounds: SharedBounds,
     ) -> None:
         self._other_runners = other_runners
-        self._retry_policy = RetryPolicy(peers, bounds)
+        self._retry_budget = SharedRetryBudget(host, peers, bounds)
+        self._retry_policy = RetryPolicy(self._retry_budget)
         self._numberings = StreamNumberings()
         self._attempts: dict[AttemptId, CallAttempt] = {}
         self._attempt_ids_by_call: dict[RequestId, AttemptId] = {}
@@ -130,6 +140,10 @@
         """Return the number of attempts in flight."""
         return len(self._attempts)
 
+    def repeat_notices(self, now: Moment) -> tuple[RepeatNotice, ...]:
+        """Return what each status of this host tells of its retries."""
+        return self._retry_budget.notices(now)
+
     def call_of(self, attempt_id: AttemptId) -> RequestId | None:
         """Return the call of an attempt, if that is in flight."""
         attempt = self._attempts.get(attempt_id)
@@ -160,10 +174,13 @@
                 yield from self._end_all()
             case TimerDue():
                 yield from self._check_time_limits(now)
+                yield from self._retry_budget.report_denied(now)
             case CallAttemptDue(attempt_id):
                 yield from self._end_due_attempt(attempt_id, now)
             case OpenCallsChecked(open_ids):
                 yield from self._drop_closed(open_ids)
+            case PeerStatusReceived(status):
+                self._retry_budget.record_status(status, now)
 
     def _start_attempt(self, plan: CallAttemptPlanned, now: Moment) -> Iterable[Output]:
         routed = plan.routed.with_attempt(plan.runner.runner_id)
--- a/figshunt/dispatch/fleet/_cold_limit.py
+++ b/figshunt/dispatch/fleet/_cold_limit.py
@@ -29,9 +29,8 @@
     limit_window_ms: int = 4_000
 
 
-# Shares of the common bounds that hosts use. The rest is a reserve for hosts that
-# are not known yet and for attempts that arrive in bursts.
-RETRY_BOUND_SHARE = 0.7
+# Share of the common bound that hosts use. The rest is a reserve for hosts that are
+# not known yet and for attempts that arrive in bursts.
 COLD_BOUND_SHARE = 0.9
 
 SECOND_MS = 1_000
--- a/figshunt/dispatch/fleet/_peer_filter.py
+++ b/figshunt/dispatch/fleet/_peer_filter.py
@@ -1,6 +1,7 @@
 """Tracks the other entry hosts by their status messages."""
 
 from collections.abc import Iterable, Mapping
+from hashlib import blake2b
 from typing import Protocol
 
 from figshunt.dispatch._messages import HostStatus, PeerStarted, PeerStatusReceived
@@ -59,6 +60,12 @@
         Hosts that were not heard for ``within_ms`` don't count.
         """
 
+    def agreeing_hosts(self) -> frozenset[HostName]:
+        """Return the peers that hear exactly the same hosts as this one."""
+
+    def is_younger(self, age_ms: int, now: Moment) -> bool:
+        """Return whether this process is young and may have peers."""
+
 
 class PeerFilter:
     """Stores the latest status of each peer.
@@ -78,6 +85,7 @@
         self._heard_since_ms_by_host: dict[HostName, int] = {}
         self._statuses_by_host: dict[HostName, HostStatus] = {}
         self._lost_hosts: set[HostName] = set()
+        self.heard_digest = _digest_hosts({host})
 
     def statuses(self) -> Mapping[HostName, HostStatus]:
         """Return the latest status of each peer that is not lost."""
@@ -100,6 +108,22 @@
         judged_host = host or self._host
         return sum(1 for other in hosts if other < judged_host) < count
 
+    def agreeing_hosts(self) -> frozenset[HostName]:
+        """Return the peers that hear exactly the same hosts as this one."""
+        return frozenset(
+            host
+            for host, status in self._statuses_by_host.items()
+            if status.heard_digest == self.heard_digest and host not in self._lost_hosts
+        )
+
+    def is_younger(self, age_ms: int, now: Moment) -> bool:
+        """Return whether this process is young and may have peers."""
+        has_peers = self.expects_peers or bool(self._statuses_by_host)
+        started_ms = self._started_ms
+        return has_peers and (
+            started_ms is None or now.monotonic_ms - started_ms < age_ms
+        )
+
     def rank(self, now: Moment) -> HostRank:
         """Return this host's rank among the hosts that share a bound.
 
@@ -167,6 +191,8 @@
             self._heard_since_ms_by_host[status.host] = now.monotonic_ms
         self._last_received_ms_by_host[status.host] = now.monotonic_ms
         self._lost_hosts.discard(status.host)
+        if is_new:
+            self.heard_digest = _digest_hosts({self._host, *self.statuses()})
         if is_new or (previous and previous.incarnation != status.incarnation):
             fields: dict[str, LogValue] = {
                 "peer": status.host,
@@ -186,5 +212,12 @@
                 self._lost_hosts.discard(host)
             elif silent_ms > PEER_LOST_MS and host not in self._lost_hosts:
                 self._lost_hosts.add(host)
+                self.heard_digest = _digest_hosts({self._host, *self.statuses()})
                 fields: dict[str, LogValue] = {"peer": host, "silent_ms": silent_ms}
                 yield LogEvent("peer_lost", self.step, fields)
+
+
+def _digest_hosts(hosts: Iterable[HostName]) -> int:
+    """Return a number that differs between different sets of hosts."""
+    digest = blake2b("\n".join(sorted(hosts)).encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big")
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -198,6 +198,7 @@
                 has_freed = self._fleet.record_occupancies(status, now)
                 if has_freed or status.limits:
                     yield from self._try_held_calls(now)
+                yield message
             case GraceEnded():
                 for held_call in self._held_calls.in_order(now.monotonic_ms):
                     yield from self._refuse(
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -16,15 +16,16 @@
     PlacementNotice,
     PromptPart,
     QueueNotice,
+    RepeatNotice,
     SilenceNotice,
     Suspect,
     SuspectKind,
     SuspectReport,
 )
 from figshunt.exchange import Bundle, BundlePurpose
-from figshunt.types import DataCentreName, Fingerprint, HostName, RunnerId
+from figshunt.types import DataCentreName, Fingerprint, HostName, PoolName, RunnerId
 
-STATUS_FORMAT = 6
+STATUS_FORMAT = 7
 
 
 def encode_bundle(bundle: Bundle) -> bytes:
@@ -84,7 +85,9 @@
             for notice in status.occupancies
         ],
         [_encode_limit(notice) for notice in status.limits],
+        [_encode_repeats(notice) for notice in status.repeats],
         status.suspects_digest,
+        status.heard_digest,
     ]
 
 
@@ -92,7 +95,7 @@
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
-    (suspects_digest,) = rest
+    repeats, suspects_digest, heard_digest = rest
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -122,7 +125,9 @@
             for runner_id, priority, requests, tokens in occupancies
         ),
         limits=tuple(_decode_limit(entry) for entry in limits),
+        repeats=tuple(_decode_repeats(entry) for entry in repeats),
         suspects_digest=int(suspects_digest),
+        heard_digest=int(heard_digest),
     )
 
 
@@ -195,6 +200,18 @@
     )
 
 
+def _encode_repeats(notice: RepeatNotice) -> list[Any]:
+    return [notice.pool, notice.requests, notice.common_repeats, notice.is_in_need]
+
+
+def _decode_repeats(fields: list[Any]) -> RepeatNotice:
+    pool, requests, common_repeats, is_in_need = fields
+    counts = (int(requests), int(common_repeats))
+    if min(counts) < 0:
+        raise ValueError(f"expected counts of requests from 0, got {counts}")
+    return RepeatNotice(PoolName(str(pool)), *counts, bool(is_in_need))
+
+
 def _encode_placement(notice: PlacementNotice) -> list[Any]:
     return [
         notice.runner_id,
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -15,6 +15,7 @@
     CrashAge,
     LimitNotice,
     OccupancyNotice,
+    RepeatNotice,
     ReplyEvent,
     Suspect,
     SuspectKind,
@@ -34,6 +35,7 @@
     ManualClock,
     Message,
     Moment,
+    PoolName,
     RunnerId,
     Step,
     TimerDue,
@@ -194,6 +196,8 @@
             suspects_digest=2**64 - 1,
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
+            repeats=(RepeatNotice(PoolName("llm"), 70, 3, True),),
+            heard_digest=2**32 - 1,
         )
         bundle = Bundle(
             HostName("h2"), DataCentreName("a"), BundlePurpose.INFORM, (status,)
