Keep the shared retry budget within its bound after pauses and restarts

Cause: after a pause of all hosts each took the common part as if no other host exceeded its equal part, since reports had expired and the peers that agree had not. Reports for a pool that a host had not used yet were dropped. Each first attempt scanned the reports of all peers.

Change: a process that paused or lost a peer within 2.8 s, is less than a window old or knows half as many hosts as before, or fewer, uses its own part only. Peers agree only if heard within 2.5 s of the decision. The digest is computed anew when a silent peer is dropped. The reported field is is_over_equal_part.

Conclusion: the sum stays within the bound in the failures that were tried, at the price of a smaller common part. In its first 2.8 s a process of a small fleet still has less of the fixed number than before, as it cannot know yet how many hosts there are.

--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -323,15 +323,15 @@
 class RepeatNotice:
     """What a host did with a pool in the window of the retry budget, as a whole.
 
-    ``requests`` counts those that stay in the window until the host tells again,
-    ``common_repeats`` the retries beyond the host's equal part. ``is_in_need`` is set
-    while that part is too small.
+    ``requests`` counts those that stay in the window until the host reports again,
+    ``common_repeats`` the retries beyond the host's equal part.
+    ``is_over_equal_part`` is set while that part is too small.
     """
 
     pool: PoolName
     requests: int
     common_repeats: int
-    is_in_need: bool
+    is_over_equal_part: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/fleet/_peer_filter.py
+++ b/figshunt/dispatch/fleet/_peer_filter.py
@@ -35,6 +35,10 @@
 INITIAL_HOST_COUNT = 12
 DISCOVERY_MS = 4_000
 
+# Timers are due several times in this time. After a longer gap datagrams that waited
+# may be read as if they had just been sent.
+PAUSE_MS = 600
+
 
 class PeersView(Protocol):
     """Read access to this host's rank among the known hosts."""
@@ -60,11 +64,17 @@
         Hosts that were not heard for ``within_ms`` don't count.
         """
 
-    def agreeing_hosts(self) -> frozenset[HostName]:
-        """Return the peers that hear exactly the same hosts as this one."""
+    def agreeing_hosts(self, now: Moment) -> frozenset[HostName]:
+        """Return the peers heard lately that hear exactly the same hosts."""
+
+    def may_miss_peers(self, age_ms: int, now: Moment) -> bool:
+        """Return whether this process may have peers and is younger than that."""
+
+    def is_undisturbed(self, for_ms: int, now: Moment) -> bool:
+        """Return whether this process did not pause or lose a peer for that long.
 
-    def is_younger(self, age_ms: int, now: Moment) -> bool:
-        """Return whether this process is young and may have peers."""
+        It is not while it knows half as many hosts as before, or fewer.
+        """
 
 
 class PeerFilter:
@@ -86,6 +96,10 @@
         self._statuses_by_host: dict[HostName, HostStatus] = {}
         self._lost_hosts: set[HostName] = set()
         self.heard_digest = _digest_hosts({host})
+        self._rank = 0
+        self._most_hosts = 1
+        self._last_timer_ms: int | None = None
+        self._disturbed_ms: int | None = None
 
     def statuses(self) -> Mapping[HostName, HostStatus]:
         """Return the latest status of each peer that is not lost."""
@@ -108,16 +122,33 @@
         judged_host = host or self._host
         return sum(1 for other in hosts if other < judged_host) < count
 
-    def agreeing_hosts(self) -> frozenset[HostName]:
-        """Return the peers that hear exactly the same hosts as this one."""
+    def agreeing_hosts(self, now: Moment) -> frozenset[HostName]:
+        """Return the peers heard lately that hear exactly the same hosts."""
+        since_ms = now.monotonic_ms - PEER_LOST_MS
         return frozenset(
             host
             for host, status in self._statuses_by_host.items()
-            if status.heard_digest == self.heard_digest and host not in self._lost_hosts
+            if status.heard_digest == self.heard_digest
+            and host not in self._lost_hosts
+            and self._last_received_ms_by_host[host] >= since_ms
         )
 
-    def is_younger(self, age_ms: int, now: Moment) -> bool:
-        """Return whether this process is young and may have peers."""
+    def is_undisturbed(self, for_ms: int, now: Moment) -> bool:
+        """Return whether this process did not pause or lose a peer for that long.
+
+        It is not while it knows half as many hosts as before, or fewer.
+        """
+        known_hosts = 1 + len(self._last_received_ms_by_host)
+        if 2 * known_hosts <= self._most_hosts:
+            return False
+        now_ms = now.monotonic_ms
+        last_timer_ms, disturbed_ms = self._last_timer_ms, self._disturbed_ms
+        if last_timer_ms is not None and now_ms - last_timer_ms > PAUSE_MS:
+            return False
+        return disturbed_ms is None or now_ms - disturbed_ms >= for_ms
+
+    def may_miss_peers(self, age_ms: int, now: Moment) -> bool:
+        """Return whether this process may have peers and is younger than that."""
         has_peers = self.expects_peers or bool(self._statuses_by_host)
         started_ms = self._started_ms
         return has_peers and (
@@ -129,8 +160,7 @@
 
         Ranks are unique among hosts with the same set of known hosts.
         """
-        rank = sum(1 for host in self._last_received_ms_by_host if host < self._host)
-        return HostRank(rank, self._count_hosts(now))
+        return HostRank(self._rank, self._count_hosts(now))
 
     def count_unheard(self, now: Moment, after_ms: int) -> float:
         """Return how many other hosts that share a bound aren't heard.
@@ -174,9 +204,23 @@
             case PeerStatusReceived(status):
                 yield from self._record_status(status, now)
             case TimerDue():
+                self._record_pause(now)
                 yield from self._expire_silent_peers(now)
                 yield message
 
+    def _record_pause(self, now: Moment) -> None:
+        last_timer_ms = self._last_timer_ms
+        self._last_timer_ms = now.monotonic_ms
+        if last_timer_ms is not None and now.monotonic_ms - last_timer_ms > PAUSE_MS:
+            self._disturbed_ms = now.monotonic_ms
+
+    def _update_hosts(self) -> None:
+        """Compute what depends only on the sets of known and heard hosts."""
+        known_hosts = self._last_received_ms_by_host
+        self._rank = sum(1 for host in known_hosts if host < self._host)
+        self._most_hosts = max(self._most_hosts, 1 + len(known_hosts))
+        self.heard_digest = _digest_hosts({self._host, *self.statuses()})
+
     def _record_status(self, status: HostStatus, now: Moment) -> Iterable[Output]:
         previous = self._statuses_by_host.get(status.host)
         if previous is not None and status.incarnation < previous.incarnation:
@@ -192,7 +236,7 @@
         self._last_received_ms_by_host[status.host] = now.monotonic_ms
         self._lost_hosts.discard(status.host)
         if is_new:
-            self.heard_digest = _digest_hosts({self._host, *self.statuses()})
+            self._update_hosts()
         if is_new or (previous and previous.incarnation != status.incarnation):
             fields: dict[str, LogValue] = {
                 "peer": status.host,
@@ -210,9 +254,11 @@
                 del self._heard_since_ms_by_host[host]
                 del self._statuses_by_host[host]
                 self._lost_hosts.discard(host)
+                self._update_hosts()
             elif silent_ms > PEER_LOST_MS and host not in self._lost_hosts:
                 self._lost_hosts.add(host)
-                self.heard_digest = _digest_hosts({self._host, *self.statuses()})
+                self._disturbed_ms = now.monotonic_ms
+                self._update_hosts()
                 fields: dict[str, LogValue] = {"peer": host, "silent_ms": silent_ms}
                 yield LogEvent("peer_lost", self.step, fields)
 
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -201,15 +201,20 @@
 
 
 def _encode_repeats(notice: RepeatNotice) -> list[Any]:
-    return [notice.pool, notice.requests, notice.common_repeats, notice.is_in_need]
+    return [
+        notice.pool,
+        notice.requests,
+        notice.common_repeats,
+        notice.is_over_equal_part,
+    ]
 
 
 def _decode_repeats(fields: list[Any]) -> RepeatNotice:
-    pool, requests, common_repeats, is_in_need = fields
+    pool, requests, common_repeats, is_over_equal_part = fields
     counts = (int(requests), int(common_repeats))
     if min(counts) < 0:
         raise ValueError(f"expected counts of requests from 0, got {counts}")
-    return RepeatNotice(PoolName(str(pool)), *counts, bool(is_in_need))
+    return RepeatNotice(PoolName(str(pool)), *counts, bool(is_over_equal_part))
 
 
 def _encode_placement(notice: PlacementNotice) -> list[Any]:
--- a/tests/dispatch/budget_fleet.py
+++ b/tests/dispatch/budget_fleet.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from figshunt.dispatch import HostStatus, PeerFilter, PeerStatusReceived, SharedBounds
+from figshunt.dispatch import (
+    HostStatus,
+    PeerFilter,
+    PeerStatusReceived,
+    RepeatNotice,
+    SharedBounds,
+)
 from figshunt.dispatch.attempt._shared_budget import SharedRetryBudget
 from figshunt.types import HostName, Moment, PoolName, TimerDue
 from tests.builders import build_host_status
@@ -12,6 +18,7 @@
 POOL = PoolName("bookings")
 STEP_MS = 20
 HEARTBEAT_MS = 1_000
+TIMER_MS = 200
 MIN_DELAY_MS = 15
 MAX_DELAY_MS = 75
 
@@ -75,11 +82,27 @@
             for receiver, status in self._deliveries.pop(self.now_ms, ()):
                 self._hosts[receiver].receive(status, now)
             for number, host in enumerate(self._hosts):
-                if (self.now_ms + self._phases_ms[number]) % HEARTBEAT_MS == 0:
+                phase_ms = self.now_ms + self._phases_ms[number]
+                if phase_ms % TIMER_MS == 0:
                     list(host.peers.process(TimerDue(), now))
+                if phase_ms % HEARTBEAT_MS == 0:
                     self._send_status(number, now)
             act()
 
+    def pause(self, duration_ms: int) -> None:
+        """Advance the time in which no host runs; datagrams wait for the hosts."""
+        resumed_ms = self.now_ms + duration_ms
+        waiting = [self._deliveries.pop(due_ms) for due_ms in sorted(self._deliveries)]
+        self._deliveries = {resumed_ms + STEP_MS: sum(waiting, [])}
+        self.now_ms = resumed_ms
+
+    def report(self, number: int, notice: RepeatNotice) -> None:
+        """Let all other hosts receive a status with such a notice."""
+        status = replace(self._build_status(number), repeats=(notice,))
+        for receiver, host in enumerate(self._hosts):
+            if receiver != number:
+                host.receive(status, Moment(self.now_ms, 0))
+
     def find_excess(self) -> float:
         """Return the most retries in any window in relation to the bound."""
         bounds = self._bounds
@@ -95,14 +118,14 @@
         )
 
     def _send_status(self, number: int, now: Moment) -> None:
-        host = self._hosts[number]
-        status = replace(
-            host.status,
-            repeats=host.budget.notices(now),
-            heard_digest=host.peers.heard_digest,
-        )
+        repeats = self._hosts[number].budget.notices(now)
+        status = replace(self._build_status(number), repeats=repeats)
         for receiver in range(len(self._hosts)):
             if receiver != number and self.delivers(number, receiver):
                 delay_ms = self.random.randrange(MIN_DELAY_MS, MAX_DELAY_MS)
                 due_ms = self.now_ms + -(-delay_ms // STEP_MS) * STEP_MS
                 self._deliveries.setdefault(due_ms, []).append((receiver, status))
+
+    def _build_status(self, number: int) -> HostStatus:
+        host = self._hosts[number]
+        return replace(host.status, heard_digest=host.peers.heard_digest)
--- a/tests/dispatch/test_shared_budget.py
+++ b/tests/dispatch/test_shared_budget.py
@@ -2,10 +2,13 @@
 
 import unittest
 from collections.abc import Callable
+from math import ceil
 
 from figshunt.dispatch import PeerStatusReceived, RepeatNotice, SharedBounds
+from figshunt.dispatch.attempt._shared_budget import EQUAL_SHARE
+from figshunt.dispatch.fleet._peer_filter import DISCOVERY_MS
 from tests.builders import build_call, build_host_status, build_published_runner
-from tests.dispatch.budget_fleet import STEP_MS, BudgetFleet
+from tests.dispatch.budget_fleet import HEARTBEAT_MS, POOL, STEP_MS, BudgetFleet
 from tests.dispatch.driver import CoreDriver
 
 HOSTS = 90
@@ -92,14 +95,58 @@
                 self.assertTrue(fleet.repeats_ms)
                 self.assertLessEqual(fleet.find_excess(), 1)
 
+    def test_sum_stays_within_the_bound_if_all_hosts_pause(self) -> None:
+        for pause_ms in (3_000, 9_500):
+            with self.subTest(pause_ms=pause_ms):
+                fleet = run_refusals(range(HOSTS))
+                fleet.pause(pause_ms)
+                for number in range(HOSTS):
+                    fleet.request(number, 30)
+                fleet.run(
+                    5_000, lambda: fleet.request(fleet.random.randrange(HOSTS), 3)
+                )
+                self.assertLessEqual(fleet.find_excess(), 1)
+
+    def test_hosts_new_to_a_pool_count_what_a_lost_peer_used(self) -> None:
+        hosts = 20
+        fleet = BudgetFleet(hosts, BOUNDS)
+        fleet.run(WARM_UP_MS)
+        for late_count in (SLACK, 0):
+            fleet.report(0, RepeatNotice(POOL, 0, late_count, True))
+        fleet.delivers = lambda sender, receiver: sender != 0
+        fleet.run(8_000, lambda: fleet.request(hosts - 1, 3))
+        requests = len(fleet.requests_ms)
+        equal_part = SLACK / hosts + BOUNDS.retry_share * requests
+        self.assertLessEqual(len(fleet.repeats_ms), ceil(equal_part / 2))
+
+    def test_few_hosts_retry_as_often_as_with_equal_parts_alone(self) -> None:
+        for hosts in (4, 13):
+            with self.subTest(hosts=hosts):
+                fleet = BudgetFleet(hosts, BOUNDS)
+                fleet.run(DISCOVERY_MS + HEARTBEAT_MS)
+                fleet.request(0, SLACK)
+                self.assertGreaterEqual(len(fleet.repeats_ms), int(SLACK * 0.7 / hosts))
+                for number in range(1, hosts):
+                    fleet.request(number, SLACK)
+                self.assertLessEqual(fleet.find_excess(), 1)
+
+    def test_equal_parts_add_up_to_their_share(self) -> None:
+        fleet = BudgetFleet(HOSTS, BOUNDS)
+        fleet.run(WARM_UP_MS)
+        fleet.pause(1_000)
+        for number in range(HOSTS):
+            fleet.request(number, SLACK)
+        share = EQUAL_SHARE * (SLACK + BOUNDS.retry_share * HOSTS)
+        self.assertAlmostEqual(share, len(fleet.repeats_ms), delta=2)
+
     def test_statuses_reach_the_budget(self) -> None:
         driver = CoreDriver(build_published_runner())
         driver.call(build_call("r1"))
         pool = build_published_runner().pool
-        notice = RepeatNotice(pool, 30, 2, is_in_need=True)
+        notice = RepeatNotice(pool, 30, 2, is_over_equal_part=True)
         driver.handle(PeerStatusReceived(build_host_status(repeats=(notice,))))
-        told = driver.core.attempts.repeat_notices(driver.clock.now())
-        self.assertEqual([pool], [notice.pool for notice in told])
+        reported = driver.core.attempts.repeat_notices(driver.clock.now())
+        self.assertEqual([pool], [notice.pool for notice in reported])
 
 
 if __name__ == "__main__":
