--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -14,6 +14,7 @@
     DataCentreName,
     HostName,
     Message,
+    PoolName,
     RequestId,
     RunnerId,
     SendState,
@@ -369,6 +370,21 @@
     recent_weight: float
 
 
+@dataclass(frozen=True, slots=True)
+class RepeatNotice:
+    """What a host did with a pool in the window of the retry budget, as a whole.
+
+    ``requests`` counts those that stay in the window until the host reports again,
+    ``common_repeats`` the retries beyond the host's equal part.
+    ``is_over_equal_part`` is set while that part is too small.
+    """
+
+    pool: PoolName
+    requests: int
+    common_repeats: int
+    is_over_equal_part: bool
+
+
 @dataclass(frozen=True, slots=True)
 class CrashAge:
     """A runner's process that crashed ``age_ms`` ago."""
@@ -406,6 +422,7 @@
     can read the store itself. ``known_hosts`` is how many hosts it knows to live.
     ``era`` is the era of ``revision``, ``era_start`` the lowest revision at which any
     host that it knows of listed the items of this era.
+    ``heard_digest`` is equal at hosts that hear the same hosts.
     """
 
     host: HostName
@@ -423,7 +440,9 @@
     occupancies: tuple[OccupancyNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     speeds: tuple[SpeedNotice, ...] = ()
+    repeats: tuple[RepeatNotice, ...] = ()
     suspects_digest: int = 0
+    heard_digest: int = 0
     era: StoreEra = NO_VERSION.era
     era_start: StoreRevision = NO_VERSION.revision
 
@@ -443,6 +462,7 @@
             + len(self.occupancies)
             + len(self.limits)
             + len(self.speeds)
+            + len(self.repeats)
         )
 
     def without_notices(self) -> "HostStatus":
@@ -458,6 +478,7 @@
             occupancies=(),
             limits=(),
             speeds=(),
+            repeats=(),
         )
 
 
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -16,6 +16,7 @@
     PlacementNotice,
     PromptPart,
     QueueNotice,
+    RepeatNotice,
     SilenceNotice,
     SpeedNotice,
     Suspect,
@@ -27,6 +28,7 @@
     DataCentreName,
     Fingerprint,
     HostName,
+    PoolName,
     RunnerId,
     Version,
 )
@@ -97,9 +99,11 @@
         ],
         [_encode_limit(notice) for notice in status.limits],
         [_encode_speed(notice) for notice in status.speeds],
+        [_encode_repeats(notice) for notice in status.repeats],
         status.suspects_digest,
         status.era,
         status.era_start,
+        status.heard_digest,
     ]
 
 
@@ -107,7 +111,7 @@
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
-    speeds, suspects_digest, era, era_start = rest
+    speeds, repeats, suspects_digest, era, era_start, heard_digest = rest
     store_version = Version.of(int(era), int(revision))
     era_start_version = Version.of(int(era), int(era_start))
     return HostStatus(
@@ -140,9 +144,11 @@
         ),
         limits=tuple(_decode_limit(entry) for entry in limits),
         speeds=tuple(_decode_speed(entry) for entry in speeds),
+        repeats=tuple(_decode_repeats(entry) for entry in repeats),
         suspects_digest=int(suspects_digest),
         era=store_version.era,
         era_start=era_start_version.revision,
+        heard_digest=int(heard_digest),
     )
 
 
@@ -245,6 +251,23 @@
     )
 
 
+def _encode_repeats(notice: RepeatNotice) -> list[Any]:
+    return [
+        notice.pool,
+        notice.requests,
+        notice.common_repeats,
+        notice.is_over_equal_part,
+    ]
+
+
+def _decode_repeats(fields: list[Any]) -> RepeatNotice:
+    pool, requests, common_repeats, is_over_equal_part = fields
+    counts = (int(requests), int(common_repeats))
+    if min(counts) < 0:
+        raise ValueError(f"expected counts of requests from 0, got {counts}")
+    return RepeatNotice(PoolName(str(pool)), *counts, bool(is_over_equal_part))
+
+
 def _encode_placement(notice: PlacementNotice) -> list[Any]:
     return [
         notice.runner_id,
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -14,6 +14,7 @@
     CrashAge,
     LimitNotice,
     OccupancyNotice,
+    RepeatNotice,
     ReplyEvent,
     SpeedNotice,
     Suspect,
@@ -34,6 +35,7 @@
     ManualClock,
     Message,
     Moment,
+    PoolName,
     RunnerId,
     Step,
     TimerDue,
@@ -210,6 +212,8 @@
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
             speeds=(SpeedNotice(RunnerId("e1"), None, 1.62, 2.5, 0.4, 0.0),),
+            repeats=(RepeatNotice(PoolName("llm"), 70, 3, True),),
+            heard_digest=2**32 - 1,
         )
         bundle = Bundle(
             HostName("h2"), DataCentreName("a"), BundlePurpose.INFORM, (status,)
