Choose a few candidates of a large pool before estimating

Cause: placement estimated a call at every runner of its pool and asked all of them for room, prefill share, cached prefix and less urgent requests, so the processor time of a call grew with the pool. Change: pools of engines with more than 8 runners give at most ten candidates: holders of the prefix by an index from part to runner, and the least loaded of samples of the local, all and calm runners. Only if none has room are all asked. Mean prefill share is computed at most every 200 ms and less urgent requests are counted for the pool as they change. Smaller pools and plain services are treated as before.

--- a/figshunt/dispatch/fleet/_engine_load.py
+++ b/figshunt/dispatch/fleet/_engine_load.py
@@ -35,15 +35,28 @@
     told_ms: int
 
 
+class PoolLoad:
+    """The requests in flight at all engines of a pool, by priority."""
+
+    def __init__(self) -> None:
+        self.requests_by_level = [0] * PRIORITY_LEVELS
+
+    def has_less_urgent(self, priority: int) -> bool:
+        """Return whether a less urgent request is in flight."""
+        return any(self.requests_by_level[priority + 1 :])
+
+
 class EngineLoad:
     """The demand in flight at one engine, by priority.
 
     This host's part is exact. Other hosts tell theirs as a whole, not as a change,
-    so that a lost datagram matters only until the next one.
+    so that a lost datagram matters only until the next one. Each change is also counted
+    in ``pool_load``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pool_load: PoolLoad | None = None) -> None:
         self.requests = 0
+        self._pool_load = pool_load or PoolLoad()
         self._requests_by_level = [0] * PRIORITY_LEVELS
         self._tokens_by_level = [0] * PRIORITY_LEVELS
         self._own_by_level = [NO_DEMAND] * PRIORITY_LEVELS
@@ -118,4 +131,5 @@
     def _change(self, priority: int, change: Demand) -> None:
         self.requests += change.requests
         self._requests_by_level[priority] += change.requests
+        self._pool_load.requests_by_level[priority] += change.requests
         self._tokens_by_level[priority] += change.tokens
--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -1,9 +1,10 @@
 """Owns this host's models of all runners."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from math import inf
 
 from figshunt.directory import DirectoryView, PublishedPool, PublishedRunner
-from figshunt.dispatch._call import RoutedCall
+from figshunt.dispatch._call import PromptPart, RoutedCall
 from figshunt.dispatch._effects import BroadcastStatus
 from figshunt.dispatch._messages import (
     FirstEventSeen,
@@ -16,18 +17,26 @@
 )
 from figshunt.dispatch.fleet._cold_limit import ColdLimit, SharedBounds
 from figshunt.dispatch.fleet._engine_bounds import find_free_tokens, is_crowded
-from figshunt.dispatch.fleet._engine_load import Demand
+from figshunt.dispatch.fleet._engine_load import Demand, PoolLoad
 from figshunt.dispatch.fleet._named_limit import LimitGroup, NamedLimits
 from figshunt.dispatch.fleet._peer_filter import PeersView
+from figshunt.dispatch.fleet._pool_summary import (
+    MAX_UNSAMPLED_RUNNERS,
+    PoolSummary,
+    summarize_pool,
+)
 from figshunt.dispatch.fleet._prefix_cache import RecentParts
+from figshunt.dispatch.fleet._prefix_index import PrefixIndex
 from figshunt.dispatch.fleet._runner_model import RunnerModel, RunningAttempt
 from figshunt.pipeline import Output
 from figshunt.types import (
     AttemptId,
+    DataCentreName,
     HostName,
     LogEvent,
     LogValue,
     Moment,
+    PoolName,
     RunnerId,
     Step,
 )
@@ -72,8 +81,10 @@
         directory: DirectoryView,
         peers: PeersView,
         bounds: SharedBounds,
+        data_centre: DataCentreName,
     ) -> None:
         self._directory = directory
+        self._data_centre = data_centre
         self._peers = peers
         self._bounds = bounds
         self._cold_limit = ColdLimit(bounds)
@@ -85,6 +96,9 @@
         self._starts_by_runner: dict[RunnerId, int | None] = {}
         self._incarnations_by_host: dict[HostName, int] = {}
         self._next_expiry_ms = 0
+        self._prefix_index = PrefixIndex()
+        self._loads_by_pool: dict[PoolName, PoolLoad] = {}
+        self._summaries_by_pool: dict[PoolName, PoolSummary] = {}
 
     def find(self, runner_id: RunnerId) -> RunnerModel | None:
         """Return the model of a runner, or ``None`` if there is none."""
@@ -94,10 +108,44 @@
         """Return the model of a runner, creating it if there is none."""
         model = self._models_by_runner.get(runner_id)
         if model is None:
-            model = RunnerModel(_kv_tokens(pool))
-            self._models_by_runner[runner_id] = model
+            model = self._add_model(runner_id, pool, pool.name if pool else None)
         return model
 
+    def is_available(self, runner_id: RunnerId, now: Moment) -> bool:
+        """Return whether a runner is neither excluded nor asked for a pause."""
+        model = self._models_by_runner.get(runner_id)
+        return model is not None and (
+            model.is_available(now.monotonic_ms)
+            and model.paused_until_ms <= now.monotonic_ms
+        )
+
+    def occupancy(self, runner: PublishedRunner) -> float:
+        """Return the requests known to be in flight at a runner for each slot."""
+        model = self._models_by_runner.get(runner.runner_id)
+        return model.load.requests / max(1, runner.slots) if model else 0.0
+
+    def holders(self, parts: Sequence[PromptPart]) -> Iterable[RunnerId]:
+        """Return the runners with the longest cached prefix of a prompt."""
+        return self._prefix_index.holders(parts)
+
+    def summary(
+        self,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> PoolSummary:
+        """Return a recent summary of a pool's runners, as the directory lists them."""
+        summary = self._summaries_by_pool.get(pool.name)
+        if summary is None or not summary.is_current(runners, now.monotonic_ms):
+            models_by_id = {
+                runner_id: self.model(runner_id, pool) for runner_id in runners
+            }
+            summary = summarize_pool(
+                models_by_id, runners, self._data_centre, now.monotonic_ms
+            )
+            self._summaries_by_pool[pool.name] = summary
+        return summary
+
     def record_attempt(
         self, runner_id: RunnerId, pool: PublishedPool, now: Moment
     ) -> None:
@@ -213,6 +261,8 @@
         self, routed: RoutedCall, pool: PublishedPool, runners: list[PublishedRunner]
     ) -> bool:
         """Return whether nothing less urgent than a call is in flight."""
+        if len(self._directory.runners(pool.name)) > MAX_UNSAMPLED_RUNNERS:
+            return not self._pool_load(pool.name).has_less_urgent(routed.priority)
         return not any(
             self.model(runner.runner_id, pool).load.has_less_urgent(routed.priority)
             for runner in runners
@@ -347,12 +397,20 @@
         parts that can already be fetched count.
         """
         prompt = routed.call.prompt
-        if prompt is None or pool.engine is None:
+        if prompt is None or pool.engine is None or not pool.engine.fetch_tokens_per_ms:
             return None, 0
         holder: PublishedRunner | None = None
         holder_tokens = 0
-        for runner in runners.values():
-            model = self.model(runner.runner_id, pool)
+        holders: Iterable[tuple[float, RunnerId]] = ((inf, name) for name in runners)
+        if len(runners) > MAX_UNSAMPLED_RUNNERS:
+            holders = self._prefix_index.holders_by_length(prompt.parts)
+        for max_tokens, runner_id in holders:
+            if holder_tokens >= max_tokens:
+                break
+            runner = runners.get(runner_id)
+            if runner is None:
+                continue
+            model = self.model(runner_id, pool)
             if max(model.excluded_until_ms, model.fetchable_from_ms) > now.monotonic_ms:
                 continue
             if model.failure_share(now.monotonic_ms) > MAX_HOLDER_FAILURE_SHARE:
@@ -373,6 +431,8 @@
         """Return the mean share of time that a pool's runners spend on prefill."""
         if pool.engine is None:
             return 0.0
+        if len(runners) > MAX_UNSAMPLED_RUNNERS:
+            return self.summary(pool, runners, now).mean_prefill_share
         shares = [
             min(1.0, self.model(runner_id, pool).prefill_share(now.monotonic_ms))
             for runner_id in runners
@@ -405,7 +465,11 @@
             attempt_id,
             max(0, prompt_tokens - notice.prefill_tokens),
         )
-        model.prefix_cache.record(notice.parts, prefill_end_ms + READY_MARGIN_MS)
+        self._prefix_index.add(notice.runner_id, notice.parts)
+        evicted_ids = model.prefix_cache.record(
+            notice.parts, prefill_end_ms + READY_MARGIN_MS
+        )
+        self._prefix_index.remove(notice.runner_id, evicted_ids)
 
     def record_backlog(self, notice: QueueNotice, now: Moment) -> None:
         """Account for the backlog of a runner that a peer observed."""
@@ -448,11 +512,14 @@
     def update_from_entry(self, runner: PublishedRunner, now: Moment) -> None:
         """Update the model of a runner from its directory entry."""
         pool = self._directory.pool(runner.pool)
-        model = self.model(runner.runner_id, pool)
+        model = self._models_by_runner.get(runner.runner_id) or self._add_model(
+            runner.runner_id, pool, runner.pool
+        )
         known_start = self._starts_by_runner.get(runner.runner_id)
         cold_until_ms = now.monotonic_ms + runner.cold_left_ms
         if known_start is not None and known_start != runner.started_wall_ms:
             self._named_limits.forget(runner.runner_id)
+            self._prefix_index.remove(runner.runner_id, model.prefix_cache.part_ids())
             model.restart(cold_until_ms, _kv_tokens(pool))
         elif runner.cold_left_ms:
             model.cold_until_ms = max(model.cold_until_ms, cold_until_ms)
@@ -471,12 +538,26 @@
             for runner_id in self._directory.runners(pool)
         }
         for runner_id in self._models_by_runner.keys() - listed_ids:
-            if not self._models_by_runner[runner_id].running_attempts:
+            model = self._models_by_runner[runner_id]
+            if not model.running_attempts:
+                model.load.forget_all()
+                self._prefix_index.remove(runner_id, model.prefix_cache.part_ids())
                 del self._models_by_runner[runner_id]
                 self._starts_by_runner.pop(runner_id, None)
         self._cold_limit.retain(listed_ids)
         self._named_limits.retain(listed_ids)
 
+    def _add_model(
+        self, runner_id: RunnerId, pool: PublishedPool | None, name: PoolName | None
+    ) -> RunnerModel:
+        pool_load = None if name is None else self._pool_load(name)
+        model = RunnerModel(_kv_tokens(pool), pool_load)
+        self._models_by_runner[runner_id] = model
+        return model
+
+    def _pool_load(self, pool: PoolName) -> PoolLoad:
+        return self._loads_by_pool.setdefault(pool, PoolLoad())
+
     def _forget_host(self, host: HostName) -> None:
         for model in self._models_by_runner.values():
             model.load.forget(host)
--- a/figshunt/dispatch/fleet/_prefix_cache.py
+++ b/figshunt/dispatch/fleet/_prefix_cache.py
@@ -1,7 +1,7 @@
 """Models which prompt parts are in the KV cache of a runner."""
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from figshunt.dispatch._call import PartId, PromptPart
@@ -81,11 +81,17 @@
             fetchable_tokens += part.tokens
         return fetchable_tokens
 
-    def record(self, parts: Sequence[PromptPart], ready_ms: int) -> None:
+    def part_ids(self) -> Iterable[PartId]:
+        """Return the cached parts."""
+        return self._cached_by_part.keys()
+
+    def record(self, parts: Sequence[PromptPart], ready_ms: int) -> list[PartId]:
         """Record the parts as just used, and evict the least recently used ones.
 
         The leading parts of a prompt are evicted last, since more prompts share
         them.
+
+        :returns: the evicted parts.
         """
         for part in reversed(parts):
             previous = self._cached_by_part.pop(part.part_id, None)
@@ -94,6 +100,9 @@
             part_ready_ms = min(ready_ms, previous.ready_ms) if previous else ready_ms
             self._cached_by_part[part.part_id] = CachedPart(part.tokens, part_ready_ms)
             self._cached_tokens += part.tokens
+        evicted_ids = []
         while self._cached_tokens > self._max_tokens and self._cached_by_part:
-            _, evicted = self._cached_by_part.popitem(last=False)
+            part_id, evicted = self._cached_by_part.popitem(last=False)
             self._cached_tokens -= evicted.tokens
+            evicted_ids.append(part_id)
+        return evicted_ids
--- a/figshunt/dispatch/fleet/_runner_model.py
+++ b/figshunt/dispatch/fleet/_runner_model.py
@@ -4,7 +4,7 @@
 from heapq import heappop, heappush
 from math import exp
 
-from figshunt.dispatch.fleet._engine_load import Demand, EngineLoad
+from figshunt.dispatch.fleet._engine_load import Demand, EngineLoad, PoolLoad
 from figshunt.dispatch.fleet._prefill_queue import PrefillQueue
 from figshunt.dispatch.fleet._prefix_cache import PrefixCache
 from figshunt.types import AttemptId, HostName, RunnerId
@@ -100,10 +100,10 @@
 class RunnerModel:
     """The state of one runner as estimated by this host."""
 
-    def __init__(self, kv_tokens: int) -> None:
+    def __init__(self, kv_tokens: int, pool_load: PoolLoad | None = None) -> None:
         self.prefix_cache = PrefixCache(kv_tokens)
         self.prefill_queue = PrefillQueue()
-        self.load = EngineLoad()
+        self.load = EngineLoad(pool_load)
         self.running_attempts: dict[AttemptId, RunningAttempt] = {}
         self.streams_by_gap_ms: dict[int, RunningStreams] = {}
         self.slowness = 1.0
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -39,6 +39,11 @@
     RunnerModel,
     RunningAttempt,
 )
+from figshunt.dispatch.placement._candidates import (
+    CandidateChooser,
+    HolderSource,
+    SampleSource,
+)
 from figshunt.dispatch.placement._runner_cost import (
     Estimate,
     answer_value,
@@ -146,7 +151,11 @@
         self._refusals = refusals
         self._data_centre = data_centre
         self._random = random_source
-        self._fleet = FleetModel(host, directory, peers, bounds)
+        self._fleet = FleetModel(host, directory, peers, bounds, data_centre)
+        self._candidates = CandidateChooser(
+            self._fleet,
+            (HolderSource(self._fleet), SampleSource(self._fleet, random_source)),
+        )
         self._return_schedule = ReturnSchedule(random_source)
         self._held_calls = HeldCalls()
         self._attempt_count = 0
@@ -236,7 +245,21 @@
         pool = self._directory.pool(routed.pool)
         runners = self._directory.runners(routed.pool)
         untried_runners = _without_tried(routed, runners)
-        usable_runners = self._fleet.usable_runners(pool, untried_runners, now)
+        candidates = self._candidates.choose(
+            routed, pool, runners, untried_runners, now
+        )
+        # A call that may have run goes even to a full runner, but not before one with
+        # room anywhere in the pool.
+        may_have_run = routed.possible_runs or routed.answer_started
+        asked_runners = untried_runners if may_have_run else candidates
+        usable_runners, open_runners = self._find_room(routed, pool, asked_runners, now)
+        if not open_runners and len(asked_runners) < len(untried_runners):
+            full_runners = usable_runners
+            usable_runners, open_runners = self._find_room(
+                routed, pool, untried_runners, now
+            )
+            # A least urgent call is compared at those that it was meant for, too.
+            usable_runners = full_runners or usable_runners
         if pool is None or not usable_runners:
             wake_ms = self._next_usable_ms(routed, now)
             is_limited = self._fleet.waits_for_limit(pool, untried_runners, now)
@@ -245,16 +268,19 @@
                 routed, reason, wake_ms, bool(untried_runners), now
             )
             return
-        open_runners = self._fleet.open_runners(routed, pool, usable_runners)
         if not open_runners:
             yield from self._hold_for_room(routed, now)
             return
+        open_runners = self._candidates.limit(pool, open_runners, candidates)
         mean_prefill_share = self._fleet.mean_prefill_share(pool, runners, now)
         holder, holder_tokens = self._fleet.find_holder(routed, pool, runners, now)
         recent_tokens = self._fleet.recent_tokens(routed, now)
         is_least_urgent = self._fleet.is_least_urgent(routed, pool, usable_runners)
         # Full runners matter only as the ones that a least urgent call gives up.
-        compared_runners = usable_runners if is_least_urgent else open_runners
+        compared_runners = open_runners
+        if is_least_urgent:
+            usable_runners = self._candidates.limit(pool, usable_runners, candidates)
+            compared_runners = list(dict.fromkeys((*usable_runners, *open_runners)))
         estimates = {
             runner.runner_id: self._estimate(
                 routed,
@@ -267,21 +293,23 @@
             )
             for runner in compared_runners
         }
-        candidates = open_runners
+        accepted_runners = open_runners
         if is_least_urgent:
-            candidates = _without_harmful(
+            accepted_runners = _without_harmful(
                 routed, usable_runners, open_runners, estimates
             )
-        if not candidates:
+        if not accepted_runners:
             yield from self._hold_for_room(routed, now)
             return
         self._held_calls.release(routed.call_id)
         if routed.trial is not None:
-            candidates = _least_occupied(candidates, estimates)
-        lowest_cost = min(estimates[runner.runner_id].cost for runner in candidates)
+            accepted_runners = _least_occupied(accepted_runners, estimates)
+        lowest_cost = min(
+            estimates[runner.runner_id].cost for runner in accepted_runners
+        )
         cheapest_runners = [
             runner
-            for runner in candidates
+            for runner in accepted_runners
             if estimates[runner.runner_id].cost <= lowest_cost + COST_TIE_MARGIN
         ]
         selected_runner = self._random.choice(cheapest_runners)
@@ -291,6 +319,19 @@
             routed, selected_runner, pool, estimate, fetch_source, now
         )
 
+    def _find_room(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool | None,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> tuple[list[PublishedRunner], list[PublishedRunner]]:
+        """Return which of the runners are usable, and which of those have room."""
+        usable_runners = self._fleet.usable_runners(pool, runners, now)
+        if pool is None:
+            return usable_runners, []
+        return usable_runners, self._fleet.open_runners(routed, pool, usable_runners)
+
     def _estimate(
         self,
         routed: RoutedCall,
@@ -591,8 +632,10 @@
 
 def _without_tried(
     routed: RoutedCall, runners: Mapping[RunnerId, PublishedRunner]
-) -> dict[RunnerId, PublishedRunner]:
+) -> Mapping[RunnerId, PublishedRunner]:
     """Return the runners that a call has not been sent to."""
+    if not routed.tried_runner_ids:
+        return runners
     return {
         runner_id: runner
         for runner_id, runner in runners.items()
