Send shared prefixes to home engines, and urgent calls to free slots first

Cause: hosts chose among all engines by cost alone, so a shared prefix was read again at engine after engine; engines of 12 slots counted as full from six requests on, and calls preempted others while slots were free elsewhere. Change: rendezvous hashing of the shared parts over the published ids and slots names home engines; overloaded ones are passed over. An engine that is no home costs more for the shared tokens that it would read. Engines are kept for streams with a tight gap target, as many as those in flight need. Engines with a free slot come before those that would preempt, also beyond the candidates. Engines with at most 16 slots count as free up to 0.8. At equal cost the own data centre is chosen. All of it applies to pools of more than 8 engines.

--- a/benchmarks/virtual_hosts.py
+++ b/benchmarks/virtual_hosts.py
@@ -3,7 +3,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from figshunt.directory import (
@@ -25,7 +25,9 @@
     CancelCallAttempt,
     DispatchCore,
     OccupancyNotice,
+    PartId,
     PeerStatusReceived,
+    PromptPart,
     ReplyComplete,
     ReplyEnded,
     ReplyEvent,
@@ -71,15 +73,41 @@
 MAX_RETURN_SHARE = 1 / 3
 
 
+# Reading a shared part again counts within this time of its last use.
+REUSE_WINDOW_MS = 6_100
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpeed:
+    """How fast engines work, and whether their prefix cache has a bound."""
+
+    prefill_tokens_per_ms: float = PREFILL_TOKENS_PER_MS
+    step_ms: float = STEP_MS
+    has_bounded_cache: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SharedPart:
+    """A part of a prompt of which there are so many variants."""
+
+    variants: int
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class CallShape:
-    """The requests of one route; ``prompt_tokens`` includes the shared part."""
+    """The requests of one route; ``prompt_tokens`` includes the shared parts.
+
+    By default, there is one shared part with twenty variants. The last of
+    ``shared_parts`` determines the variants of those before it.
+    """
 
     route: PublishedRoute
     prompt_tokens: int
     shared_tokens: int
     output_tokens: int
     patience_ms: int
+    shared_parts: tuple[SharedPart, ...] = ()
 
 
 @dataclass(slots=True)
@@ -121,7 +149,9 @@
     kv_tokens: int
     waiting: list[EngineRun] = field(default_factory=list)
     running: list[EngineRun] = field(default_factory=list)
-    cached_parts: set[str] = field(default_factory=set)
+    speed: EngineSpeed = field(default_factory=EngineSpeed)
+    cached_parts: dict[PartId, int] = field(default_factory=dict)
+    slot_ms: float = 0.0
     is_stepping: bool = False
 
     def admit_waiting(self) -> None:
@@ -139,6 +169,25 @@
                 continue
             self.running.append(self.waiting.pop(0))
 
+    def read_parts(self, parts: Sequence[PromptPart]) -> int:
+        """Return how many leading tokens are cached, and cache all parts."""
+        cached_tokens = 0
+        for part in parts:
+            if part.part_id not in self.cached_parts:
+                break
+            cached_tokens += part.tokens
+        for part in reversed(parts):
+            self.cached_parts.pop(part.part_id, None)
+            self.cached_parts[part.part_id] = part.tokens
+        if self.speed.has_bounded_cache:
+            left_tokens = self.kv_tokens - sum(
+                run.memory_tokens for run in self.running
+            )
+            excess_tokens = sum(self.cached_parts.values()) - max(0, left_tokens)
+            while excess_tokens > 0:
+                excess_tokens -= self.cached_parts.pop(next(iter(self.cached_parts)))
+        return cached_tokens
+
     def take_chunk(self) -> int:
         """Read prompt tokens of the runs in their order, and return how many."""
         budget = PREFILL_CHUNK_TOKENS
@@ -171,7 +220,12 @@
         runners: Iterable[PublishedRunner],
         configuration: Configuration,
         seed: int = 1,
+        data_centres: str = "a",
+        speed: EngineSpeed = EngineSpeed(),
     ) -> None:
+        self.reread_tokens = 0
+        self.shared_tokens = 0
+        self._used_ms_by_part: dict[PartId, int] = {}
         self.calls: list[VirtualCall] = []
         self.engines_by_id: dict[RunnerId, VirtualEngine] = {}
         self._random = random.Random(seed)
@@ -187,7 +241,7 @@
         self._cores = [
             DispatchCore(
                 HostName(f"h{number}"),
-                DataCentreName("a"),
+                DataCentreName(data_centres[number % len(data_centres)]),
                 SharedBounds(),
                 random.Random(seed * 1_000 + number),
             )
@@ -200,7 +254,7 @@
             engine_limits = configuration.pools_by_name[runner.pool].engine
             assert engine_limits is not None
             self.engines_by_id[runner.runner_id] = VirtualEngine(
-                runner, engine_limits.kv_tokens
+                runner, engine_limits.kv_tokens, speed=speed
             )
             for host in range(host_count):
                 self._handle(host, RunnerListed(2, runner.runner_id, runner))
@@ -254,14 +308,12 @@
         host = self._random.randrange(len(self._cores))
         virtual_call = VirtualCall(shape, self.now_ms, may_return)
         self.calls.append(virtual_call)
-        # Twenty shared parts for each route, so that engines cache some of them.
-        shared_name = f"{shape.route.name}-{number % 20}"
         call = build_call(
             f"r{number}",
             f"{shape.route.path_prefix}1",
             prompt=build_prompt(
                 shape.prompt_tokens,
-                (shared_name, shape.shared_tokens),
+                *self._draw_parts(shape, number),
                 name=f"own-{number}",
                 output_tokens=shape.output_tokens,
             ),
@@ -279,6 +331,28 @@
         )
         self._handle(host, CallArrived(call))
 
+    def _draw_parts(self, shape: CallShape, number: int) -> list[tuple[str, int]]:
+        name = shape.route.name
+        if not shape.shared_parts:
+            # Few variants, so that engines cache some of them.
+            return [(f"{name}-{number % 20}", shape.shared_tokens)]
+        # The square makes some variants hot.
+        drawn = self._random.random() ** 2
+        variant = int(shape.shared_parts[-1].variants * drawn)
+        return [
+            (f"{name}-{depth}-{variant % part.variants}", part.tokens)
+            for depth, part in enumerate(shape.shared_parts)
+        ]
+
+    def _count_reread(self, parts: Sequence[PromptPart], cached_tokens: int) -> None:
+        self.shared_tokens += sum(part.tokens for part in parts[:-1])
+        for part in parts[:-1]:
+            cached_tokens -= part.tokens
+            used_ms = self._used_ms_by_part.get(part.part_id, -REUSE_WINDOW_MS)
+            if cached_tokens < 0 and self.now_ms - used_ms < REUSE_WINDOW_MS:
+                self.reread_tokens += part.tokens
+            self._used_ms_by_part[part.part_id] = self.now_ms
+
     def _abandon_without_event(self, host: int, call_id: RequestId) -> None:
         if self._calls_by_id[call_id].first_event_ms is None:
             self._abandon(host, call_id)
@@ -357,15 +431,14 @@
             )
             return
         assert attempt.call.prompt is not None
-        shared_part = attempt.call.prompt.parts[0]
-        is_cached = shared_part.part_id in engine.cached_parts
-        engine.cached_parts.add(shared_part.part_id)
+        cached_tokens = engine.read_parts(attempt.call.prompt.parts)
+        self._count_reread(attempt.call.prompt.parts, cached_tokens)
         run = EngineRun(
             attempt,
             self._calls_by_id[attempt.call.call_id],
             host,
             next(self._numbers),
-            attempt.call.prompt.input_tokens - is_cached * shared_part.tokens,
+            attempt.call.prompt.input_tokens - cached_tokens,
         )
         self._runs_by_attempt[attempt.attempt_id] = run
         engine.waiting.append(run)
@@ -388,8 +461,10 @@
         if not engine.running:
             engine.is_stepping = False
             return
-        prefill_ms = engine.take_chunk() / PREFILL_TOKENS_PER_MS
-        step_ms = STEP_MS + STEP_MS_PER_REQUEST * len(engine.running) + prefill_ms
+        prefill_ms = engine.take_chunk() / engine.speed.prefill_tokens_per_ms
+        step_ms = engine.speed.step_ms + STEP_MS_PER_REQUEST * len(engine.running)
+        step_ms += prefill_ms
+        engine.slot_ms += step_ms * len(engine.running)
         decoding_runs = [run for run in engine.running if not run.unread_tokens]
         self._schedule(
             self.now_ms + step_ms, lambda: self._end_step(engine, decoding_runs)
--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -119,6 +119,15 @@
             and model.paused_until_ms <= now.monotonic_ms
         )
 
+    def requests(self, runner_id: RunnerId) -> int:
+        """Return the requests known to be in flight at a runner."""
+        model = self._models_by_runner.get(runner_id)
+        return model.load.requests if model else 0
+
+    def has_free_slot(self, runner: PublishedRunner) -> bool:
+        """Return whether fewer requests than slots are known to be in flight."""
+        return self.requests(runner.runner_id) < runner.slots
+
     def occupancy(self, runner: PublishedRunner) -> float:
         """Return the requests known to be in flight at a runner for each slot."""
         model = self._models_by_runner.get(runner.runner_id)
@@ -141,7 +150,11 @@
                 runner_id: self.model(runner_id, pool) for runner_id in runners
             }
             summary = summarize_pool(
-                models_by_id, runners, self._data_centre, now.monotonic_ms
+                models_by_id,
+                runners,
+                pool.engine.event_tokens if pool.engine else 1,
+                self._data_centre,
+                now.monotonic_ms,
             )
             self._summaries_by_pool[pool.name] = summary
         return summary
--- a/figshunt/dispatch/fleet/_pool_summary.py
+++ b/figshunt/dispatch/fleet/_pool_summary.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from hashlib import blake2b
+from math import ceil
 
 from figshunt.directory import PublishedRunner
-from figshunt.dispatch.fleet._runner_model import RunnerModel
+from figshunt.dispatch.fleet._runner_model import GAP_HEADROOM, RunnerModel
 from figshunt.types import DataCentreName, RunnerId
 
 # Calls are compared at all runners of a pool of at most this size.
@@ -14,24 +16,31 @@
 # change little within it.
 SUMMARY_MS = 200
 
-# Share of a pool's runners that counts as calm.
-CALM_SHARE = 0.25
+# Quiet engines have slots for this multiple of the streams with a tight gap target in
+# flight, so that the next ones find room, and are at most this share of a pool.
+QUIET_FACTOR = 1.5
+MAX_QUIET_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class PoolSummary:
     """The runners of a pool at ``computed_ms``.
 
-    ``mean_prefill_share`` is the mean share of time that they spend on prefill.
-    ``calm_ids`` are those that spend the least time on the prefill of long prompts,
-    ``local_ids`` those of this host's data centre.
+    ``mean_requests`` is the mean number of requests in flight at one of them,
+    ``mean_prefill_share`` the mean share of time that they spend on prefill,
+    ``max_stall_ms`` the mean of the longest gaps between events during prefill.
+    ``quiet_ids`` are those kept for streams that such a gap would make late,
+    ``common_ids`` the others, and ``local_ids`` those of them in this host's data
+    centre.
     """
 
     runners: Mapping[RunnerId, PublishedRunner]
     computed_ms: int
+    mean_requests: float
     mean_prefill_share: float
-    runner_ids: tuple[RunnerId, ...]
-    calm_ids: tuple[RunnerId, ...]
+    max_stall_ms: float
+    quiet_ids: tuple[RunnerId, ...]
+    common_ids: tuple[RunnerId, ...]
     local_ids: tuple[RunnerId, ...]
 
     def is_current(
@@ -40,30 +49,63 @@
         """Return whether the summary may still be used for these runners."""
         return self.runners is runners and now_ms - self.computed_ms < SUMMARY_MS
 
+    def is_tight(self, gap_target_ms: int | None) -> bool:
+        """Return whether continuous prefill breaks the gap target of a stream."""
+        return _is_tight(gap_target_ms, self.max_stall_ms)
+
 
 def summarize_pool(
     models_by_id: Mapping[RunnerId, RunnerModel],
     runners: Mapping[RunnerId, PublishedRunner],
-    data_centre: DataCentreName | None,
+    event_tokens: int,
+    data_centre: DataCentreName,
     now_ms: int,
 ) -> PoolSummary:
     """Summarize the runners of a pool of engines, which isn't empty."""
-    shares = [
-        min(1.0, models_by_id[runner_id].prefill_share(now_ms)) for runner_id in runners
-    ]
-    calm_ids = sorted(
-        runners,
-        key=lambda runner_id: models_by_id[runner_id].long_prefill_share(now_ms),
+    models = [models_by_id[runner_id] for runner_id in runners]
+    count = len(models)
+    shares = [min(1.0, model.prefill_share(now_ms)) for model in models]
+    max_stall_ms = sum(model.max_stall_ms(event_tokens) for model in models) / count
+    tight_streams = sum(
+        streams.count(now_ms)
+        for model in models
+        for gap_ms, streams in model.streams_by_gap_ms.items()
+        if _is_tight(gap_ms, max_stall_ms)
+    )
+    mean_slots = sum(runner.slots for runner in runners.values()) / count
+    quiet_count = min(
+        ceil(QUIET_FACTOR * tight_streams / max(1.0, mean_slots)),
+        int(MAX_QUIET_SHARE * count),
     )
+    ordered_ids = sorted(runners, key=role_rank)
+    quiet_ids = tuple(ordered_ids[:quiet_count])
+    common_ids = tuple(ordered_ids[quiet_count:])
     return PoolSummary(
         runners=runners,
         computed_ms=now_ms,
-        mean_prefill_share=sum(shares) / len(shares),
-        runner_ids=tuple(runners),
-        calm_ids=tuple(calm_ids[: max(1, int(len(runners) * CALM_SHARE))]),
+        mean_requests=sum(model.load.requests for model in models) / count,
+        mean_prefill_share=sum(shares) / count,
+        max_stall_ms=max_stall_ms,
+        quiet_ids=quiet_ids,
+        common_ids=common_ids,
         local_ids=tuple(
             runner_id
-            for runner_id, runner in runners.items()
-            if runner.data_centre == data_centre
+            for runner_id in common_ids
+            if runners[runner_id].data_centre == data_centre
         ),
     )
+
+
+def role_rank(runner_id: RunnerId) -> float:
+    """Return a number from 0 to 1 that depends on the id only.
+
+    Engines with a low one are kept for streams with a tight gap target.
+    """
+    digest = blake2b(runner_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest) / 0xFFFFFFFF
+
+
+def _is_tight(gap_target_ms: int | None, max_stall_ms: float) -> bool:
+    if not gap_target_ms:
+        return False
+    return max_stall_ms > gap_target_ms * (1 - GAP_HEADROOM)
--- a/figshunt/dispatch/fleet/_runner_model.py
+++ b/figshunt/dispatch/fleet/_runner_model.py
@@ -56,6 +56,9 @@
 SILENCE_REPORTS = 2
 SILENCE_REPORT_MS = 3_000
 
+# Share of a gap target that is reserved for transport.
+GAP_HEADROOM = 0.15
+
 SLOWNESS_BOUNDS = (0.5, 12.0)
 
 
@@ -134,6 +137,11 @@
         )
         return prefill_ms * self.slowness
 
+    def max_stall_ms(self, event_tokens: int) -> float:
+        """Return the longest gap between two events during continuous prefill."""
+        step_ms = PRIOR_STEP_MS * self.slowness
+        return event_tokens * (self.prefill_ms(PREFILL_CHUNK_TOKENS) + step_ms)
+
     def prefill_share(self, now_ms: int) -> float:
         """Return the recent share of time spent on prefill."""
         self._decay(now_ms)
--- a/figshunt/dispatch/placement/_candidates.py
+++ b/figshunt/dispatch/placement/_candidates.py
@@ -11,7 +11,7 @@
 from heapq import nsmallest
 from typing import Protocol
 
-from figshunt.directory import PublishedPool, PublishedRunner
+from figshunt.directory import DirectoryView, PublishedPool, PublishedRunner
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch.fleet._fleet_model import FleetModel
 from figshunt.dispatch.fleet._pool_summary import (
@@ -20,13 +20,13 @@
 )
 from figshunt.types import Moment, RunnerId
 
-# Candidates from each source. Four sources of them are estimated in about the time
-# of a pool that isn't sampled.
-MAX_HOLDERS = 3
-CALM_SAMPLE = 2
+# Candidates from each source. With the homes of a prefix, they are at most ten, which
+# are estimated in about the time of a pool that isn't sampled.
+MAX_HOLDERS = 2
+MAX_QUIET = 3
+MAX_LOCAL = 3
+MAX_COMMON = 2
 SAMPLED_RUNNERS = 8
-MAX_LEAST_LOADED = 3
-MAX_LOCAL_LEAST_LOADED = 2
 
 # If only a search among all runners found room, few of those are estimated.
 MAX_CANDIDATES = 10
@@ -63,9 +63,9 @@
     """Proposes the least loaded runners of random samples.
 
     Samples differ between hosts, which would otherwise all choose the runner that
-    was the least loaded when they last heard of it. One sample is of all runners, one
-    of those in this host's data centre, and one of those that spend the least time on
-    long prompts, where streams with a tight gap target belong.
+    was the least loaded when they last heard of it. One sample is of the runners in the
+    own data centre or, for streams with a tight gap target, of those that are kept
+    for them; the other one is of all that aren't kept.
     """
 
     def __init__(self, fleet: FleetModel, random_source: random.Random) -> None:
@@ -76,10 +76,11 @@
         self, routed: RoutedCall, pool: PublishedPool, summary: PoolSummary, now: Moment
     ) -> Iterable[RunnerId]:
         """Return a few runners of each sample."""
-        yield from self._sample(summary.local_ids, summary, MAX_LOCAL_LEAST_LOADED)
-        yield from self._sample(summary.runner_ids, summary, MAX_LEAST_LOADED)
-        if routed.route.gap_target_ms is not None:
-            yield from self._sample(summary.calm_ids, summary, CALM_SAMPLE)
+        if summary.is_tight(routed.route.gap_target_ms):
+            yield from self._sample(summary.quiet_ids, summary, MAX_QUIET)
+        else:
+            yield from self._sample(summary.local_ids, summary, MAX_LOCAL)
+        yield from self._sample(summary.common_ids, summary, MAX_COMMON)
 
     def _sample(
         self, runner_ids: tuple[RunnerId, ...], summary: PoolSummary, count: int
@@ -94,8 +95,16 @@
 class CandidateChooser:
     """Chooses the candidates for a call before anything is estimated."""
 
-    def __init__(self, fleet: FleetModel, sources: Iterable[CandidateSource]) -> None:
+    def __init__(
+        self,
+        fleet: FleetModel,
+        directory: DirectoryView,
+        sources: Iterable[CandidateSource],
+        random_source: random.Random,
+    ) -> None:
         self._fleet = fleet
+        self._directory = directory
+        self._random = random_source
         self._sources = tuple(sources)
 
     def choose(
@@ -124,6 +133,39 @@
                     candidates[runner_id] = runner
         return candidates
 
+    def sample_free(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> Mapping[RunnerId, PublishedRunner]:
+        """Return some of the runners that have a free slot.
+
+        Holders of the prompt's prefix come first, and runners that are kept for other
+        streams last.
+        """
+        free_runners = [
+            runner for runner in runners.values() if self._fleet.has_free_slot(runner)
+        ]
+        prompt = routed.call.prompt
+        holders = frozenset(self._fleet.holders(prompt.parts) if prompt else ())
+        summary = self._fleet.summary(pool, self._directory.runners(pool.name), now)
+        is_tight = summary.is_tight(routed.route.gap_target_ms)
+        quiet_ids = frozenset(summary.quiet_ids)
+        free_runners = (
+            [runner for runner in free_runners if runner.runner_id in holders]
+            or [
+                runner
+                for runner in free_runners
+                if (runner.runner_id in quiet_ids) == is_tight
+            ]
+            or free_runners
+        )
+        if len(free_runners) > MAX_FOUND:
+            free_runners = self._random.sample(free_runners, MAX_FOUND)
+        return {runner.runner_id: runner for runner in free_runners}
+
     def limit(
         self,
         pool: PublishedPool,
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -33,6 +33,7 @@
 from figshunt.dispatch.fleet._cold_limit import SharedBounds
 from figshunt.dispatch.fleet._fleet_model import FleetModel, estimate_demand
 from figshunt.dispatch.fleet._peer_filter import PeersView
+from figshunt.dispatch.fleet._pool_summary import MAX_UNSAMPLED_RUNNERS
 from figshunt.dispatch.fleet._runner_model import (
     PRIOR_STEP_MS,
     PrefixFetch,
@@ -44,6 +45,7 @@
     HolderSource,
     SampleSource,
 )
+from figshunt.dispatch.placement._prefix_homes import HomeSource, PrefixHomes
 from figshunt.dispatch.placement._runner_cost import (
     Estimate,
     answer_value,
@@ -152,9 +154,16 @@
         self._data_centre = data_centre
         self._random = random_source
         self._fleet = FleetModel(host, directory, peers, bounds, data_centre)
+        self._home_source = HomeSource(self._fleet, PrefixHomes())
         self._candidates = CandidateChooser(
             self._fleet,
-            (HolderSource(self._fleet), SampleSource(self._fleet, random_source)),
+            directory,
+            (
+                HolderSource(self._fleet),
+                self._home_source,
+                SampleSource(self._fleet, random_source),
+            ),
+            random_source,
         )
         self._return_schedule = ReturnSchedule(random_source)
         self._held_calls = HeldCalls()
@@ -248,18 +257,9 @@
         candidates = self._candidates.choose(
             routed, pool, runners, untried_runners, now
         )
-        # A call that may have run goes even to a full runner, but not before one with
-        # room anywhere in the pool.
-        may_have_run = routed.possible_runs or routed.answer_started
-        asked_runners = untried_runners if may_have_run else candidates
-        usable_runners, open_runners = self._find_room(routed, pool, asked_runners, now)
-        if not open_runners and len(asked_runners) < len(untried_runners):
-            full_runners = usable_runners
-            usable_runners, open_runners = self._find_room(
-                routed, pool, untried_runners, now
-            )
-            # A least urgent call is compared at those that it was meant for, too.
-            usable_runners = full_runners or usable_runners
+        usable_runners, open_runners = self._search(
+            routed, pool, candidates, untried_runners, now
+        )
         if pool is None or not usable_runners:
             wake_ms = self._next_usable_ms(routed, now)
             is_limited = self._fleet.waits_for_limit(pool, untried_runners, now)
@@ -275,6 +275,7 @@
         mean_prefill_share = self._fleet.mean_prefill_share(pool, runners, now)
         holder, holder_tokens = self._fleet.find_holder(routed, pool, runners, now)
         recent_tokens = self._fleet.recent_tokens(routed, now)
+        home_ids = self._find_homes(routed, pool, runners, now)
         is_least_urgent = self._fleet.is_least_urgent(routed, pool, usable_runners)
         # Full runners matter only as the ones that a least urgent call gives up.
         compared_runners = open_runners
@@ -289,6 +290,7 @@
                 recent_tokens,
                 holder_tokens,
                 mean_prefill_share,
+                home_ids is None or runner.runner_id in home_ids,
                 now,
             )
             for runner in compared_runners
@@ -312,6 +314,13 @@
             for runner in accepted_runners
             if estimates[runner.runner_id].cost <= lowest_cost + COST_TIE_MARGIN
         ]
+        if home_ids is not None:
+            # A data centre spills to others only where its own engines cost more.
+            cheapest_runners = [
+                runner
+                for runner in cheapest_runners
+                if runner.data_centre == self._data_centre
+            ] or cheapest_runners
         selected_runner = self._random.choice(cheapest_runners)
         estimate = estimates[selected_runner.runner_id]
         fetch_source = holder if estimate.fetched_tokens else None
@@ -319,6 +328,53 @@
             routed, selected_runner, pool, estimate, fetch_source, now
         )
 
+    def _find_homes(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> tuple[RunnerId, ...] | None:
+        """Return the homes of a prefix, or ``None`` if the pool is small or plain."""
+        if pool.engine is None or len(runners) <= MAX_UNSAMPLED_RUNNERS:
+            return None
+        return self._home_source.find(routed, self._fleet.summary(pool, runners, now))
+
+    def _search(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool | None,
+        candidates: Mapping[RunnerId, PublishedRunner],
+        runners: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> tuple[list[PublishedRunner], list[PublishedRunner]]:
+        """Return the usable runners to compare, and those of them with room.
+
+        All runners are asked if no candidate has room. Those with a free slot come
+        before those that would have to preempt a less urgent request.
+        """
+        if pool is None or candidates is runners:
+            return self._find_room(routed, pool, runners, now)
+        # A call that may have run goes even to a full runner, but not before one with
+        # room anywhere in the pool.
+        may_have_run = routed.possible_runs or routed.answer_started
+        usable_runners: list[PublishedRunner] = []
+        open_runners: list[PublishedRunner] = []
+        if not may_have_run:
+            usable_runners, open_runners = self._find_room(
+                routed, pool, candidates, now
+            )
+        free_runners = [
+            runner for runner in open_runners if self._fleet.has_free_slot(runner)
+        ]
+        if not free_runners:
+            others = self._candidates.sample_free(routed, pool, runners, now)
+            _, free_runners = self._find_room(routed, pool, others, now)
+        if free_runners or open_runners:
+            # A least urgent call is compared at those that it was meant for, too.
+            return usable_runners or free_runners, free_runners or open_runners
+        return self._find_room(routed, pool, runners, now)
+
     def _find_room(
         self,
         routed: RoutedCall,
@@ -340,6 +396,7 @@
         recent_tokens: int,
         fetchable_tokens: int,
         mean_prefill_share: float,
+        is_home: bool,
         now: Moment,
     ) -> Estimate:
         model = self._fleet.model(runner.runner_id, pool)
@@ -357,6 +414,7 @@
             fetchable_tokens,
             mean_prefill_share,
             now.monotonic_ms,
+            is_home,
         )
 
     def _start_attempt(
--- a/figshunt/dispatch/placement/_runner_cost.py
+++ b/figshunt/dispatch/placement/_runner_cost.py
@@ -1,12 +1,13 @@
 """Estimates the cost of sending a request to a runner."""
 
 from dataclasses import dataclass
-from hashlib import blake2b
 from math import exp
 
 from figshunt.directory import EngineLimits, PublishedRunner
 from figshunt.dispatch._call import Prompt, RoutedCall
+from figshunt.dispatch.fleet._pool_summary import role_rank
 from figshunt.dispatch.fleet._runner_model import (
+    GAP_HEADROOM,
     PREFILL_CHUNK_TOKENS,
     PREFILL_WINDOW_MS,
     PRIOR_FIRST_MS,
@@ -28,13 +29,15 @@
 ESTIMATE_SPREAD = 0.2
 GAP_SPREAD = 0.08
 
-# Share of a gap target that is reserved for transport.
-GAP_HEADROOM = 0.15
-
 # Cost of processing shared prompt tokens again that a runner processed recently.
 # The platform charges about a tenth of an answer's value per thousand tokens.
 REPEATED_PREFILL_COST_PER_TOKEN = 0.12 / 1_000
 
+# Cost of reading shared prompt tokens at an engine that is no home of the prefix. It
+# takes engine time and cache from the prefixes that belong there. For a prefix of 4,000
+# tokens it is less than the cost of a late first event and answer.
+SPREAD_COST_PER_TOKEN = 0.3 / 1_000
+
 # Cost of fetching cached prompt parts from another runner. The platform charges
 # for the bytes moved, about a tenth of its price for processing the tokens again.
 FETCH_COST_PER_TOKEN = 0.014 / 1_000
@@ -87,6 +90,11 @@
 FREE_SLOT_OCCUPANCY = 0.5
 FREE_SLOT_SPREAD = 0.1
 
+# The same of an engine with few slots, which hosts could not half fill otherwise: with
+# 12 slots and 0.5, a replay of peak load read 1.4 times as many shared tokens again.
+FEW_SLOTS = 16
+FEW_FREE_SLOT_OCCUPANCY = 0.8
+
 # Must exceed the cost of the first stream with a tight gap target at another
 # engine, so that a full engine is not preferred to it.
 FULL_ENGINE_COST = 6.0
@@ -121,6 +129,7 @@
     fetchable_tokens: int,
     mean_prefill_share: float,
     now_ms: int,
+    is_home: bool = True,
 ) -> Estimate:
     """Estimate the cost of a call at a model engine.
 
@@ -136,6 +145,7 @@
         from another one.
     :param mean_prefill_share: mean share of time that the runners of the
         pool spend on prefill.
+    :param is_home: whether the runner is a home of the prompt's shared prefix.
     """
     prompt = routed.call.prompt
     input_tokens = prompt.input_tokens if prompt else 0
@@ -162,11 +172,16 @@
     cost += REPEATED_PREFILL_COST_PER_TOKEN * max(
         0, recent_tokens - cached_tokens - fetched_tokens
     )
+    if prompt is not None and not is_home:
+        shared_tokens = sum(part.tokens for part in prompt.parts[:-1])
+        cost += SPREAD_COST_PER_TOKEN * max(
+            0, shared_tokens - cached_tokens - fetched_tokens
+        )
     cost += FETCH_COST_PER_TOKEN * fetched_tokens
     cost += _common_cost(routed, runner, model, own_data_centre, now_ms)
     streams = model.load.requests
     occupancy = streams / max(1, runner.slots)
-    cost += answer_value(routed.urgency) * _occupancy_cost(occupancy)
+    cost += answer_value(routed.urgency) * _occupancy_cost(occupancy, runner.slots)
     return Estimate(
         cost, prefill_tokens, int(first_ms), fetched_tokens, delay_cost, streams
     )
@@ -235,7 +250,7 @@
     cost = answer_value(routed.urgency) * LATE_PENALTY * late_probability
     tight_streams = model.count_streams(gap_ms, now_ms)
     cost += FIRST_STREAM_COST * tightness * mean_prefill_share / (1 + tight_streams)
-    rank = _role_rank(runner.runner_id)
+    rank = role_rank(runner.runner_id)
     return cost + ROLE_PREFERENCE_COST * abs(rank - (1 - tightness))
 
 
@@ -254,10 +269,11 @@
     return cost
 
 
-def _occupancy_cost(occupancy: float) -> float:
-    exponent = (FREE_SLOT_OCCUPANCY - occupancy) / (
-        FREE_SLOT_OCCUPANCY * FREE_SLOT_SPREAD
+def _occupancy_cost(occupancy: float, slots: int = FEW_SLOTS + 1) -> float:
+    free_occupancy = (
+        FEW_FREE_SLOT_OCCUPANCY if slots <= FEW_SLOTS else FREE_SLOT_OCCUPANCY
     )
+    exponent = (free_occupancy - occupancy) / (free_occupancy * FREE_SLOT_SPREAD)
     return OCCUPANCY_COST * occupancy**2 + FULL_ENGINE_COST / (
         1 + exp(min(20.0, exponent))
     )
@@ -295,7 +311,7 @@
 
 def _gap_tightness(model: RunnerModel, engine: EngineLimits, gap_ms: int) -> float:
     """Return the probability that continuous prefill breaks the gap target."""
-    return _gap_late_probability(_stall_ms(model, engine, float("inf")), gap_ms)
+    return _gap_late_probability(model.max_stall_ms(engine.event_tokens), gap_ms)
 
 
 def _gap_late_probability(stall_ms: float, gap_ms: int) -> float:
@@ -340,9 +356,3 @@
         cost += MAX_ANSWER_VALUE * LATE_PENALTY * added_probability * delayed_streams
         cost += DELAY_COST_PER_STREAM_S * delayed_streams * prefill_ms / 1_000
     return cost
-
-
-def _role_rank(runner_id: str) -> float:
-    """Return a number from 0 to 1 that depends on the id only."""
-    digest = blake2b(runner_id.encode(), digest_size=4).digest()
-    return int.from_bytes(digest) / 0xFFFFFFFF
