--- a/benchmarks/dispatch_cost.py
+++ b/benchmarks/dispatch_cost.py
@@ -27,7 +27,14 @@
     SharedBounds,
     StartCallAttempt,
 )
-from figshunt.types import DataCentreName, HostName, ManualClock, Moment, RunnerId
+from figshunt.types import (
+    DataCentreName,
+    HostName,
+    ManualClock,
+    Moment,
+    RunnerId,
+    Version,
+)
 from tests.builders import (
     build_call,
     build_configuration,
@@ -51,10 +58,15 @@
         HostName("h1"), DataCentreName("a"), SharedBounds(), random.Random(1)
     )
     core.handle(SourceStateChanged(True, "benchmark"), clock.now())
-    core.handle(ConfigurationPublished(1, build_configuration()), clock.now())
+    core.handle(
+        ConfigurationPublished(Version.of(0, 1), build_configuration()), clock.now()
+    )
     for number in range(runners):
         runner = build_published_runner(f"e{number}")
-        core.handle(RunnerListed(2 + number, runner.runner_id, runner), clock.now())
+        core.handle(
+            RunnerListed(Version.of(0, 2 + number), runner.runner_id, runner),
+            clock.now(),
+        )
     return core
 
 
--- a/benchmarks/status_cost.py
+++ b/benchmarks/status_cost.py
@@ -25,7 +25,14 @@
 )
 from figshunt.exchange import Bundle, BundlePurpose
 from figshunt.gateway._status_codec import decode_bundle, encode_bundle
-from figshunt.types import DataCentreName, HostName, ManualClock, Moment, RunnerId
+from figshunt.types import (
+    DataCentreName,
+    HostName,
+    ManualClock,
+    Moment,
+    RunnerId,
+    Version,
+)
 from tests.builders import (
     build_configuration,
     build_host_status,
@@ -48,10 +55,15 @@
     )
     clock = ManualClock(Moment(100_000, 0))
     core.handle(SourceStateChanged(True, "benchmark"), clock.now())
-    core.handle(ConfigurationPublished(1, build_configuration()), clock.now())
+    core.handle(
+        ConfigurationPublished(Version.of(0, 1), build_configuration()), clock.now()
+    )
     for number in range(RUNNER_COUNT):
         runner = build_published_runner(f"e{number}")
-        core.handle(RunnerListed(2 + number, runner.runner_id, runner), clock.now())
+        core.handle(
+            RunnerListed(Version.of(0, 2 + number), runner.runner_id, runner),
+            clock.now(),
+        )
     status = build_host_status(placements=placements)
     bundle = Bundle(status.host, status.data_centre, BundlePurpose.INFORM, (status,))
     data = encode_bundle(bundle)
--- a/figshunt/dispatch/fleet/_runner_model.py
+++ b/figshunt/dispatch/fleet/_runner_model.py
@@ -4,7 +4,7 @@
 from heapq import heappop, heappush
 from math import exp
 
-from figshunt.dispatch.fleet._engine_load import Demand, EngineLoad
+from figshunt.dispatch.fleet._engine_load import Demand, EngineLoad, PoolLoad
 from figshunt.dispatch.fleet._prefill_queue import PrefillQueue
 from figshunt.dispatch.fleet._prefix_cache import PrefixCache
 from figshunt.dispatch.fleet._service_times import ServiceTimes
@@ -56,6 +56,9 @@
 SILENCE_REPORTS = 2
 SILENCE_REPORT_MS = 3_000
 
+# Share of a gap target that is reserved for transport.
+GAP_HEADROOM = 0.15
+
 
 @dataclass(slots=True)
 class RunningStreams:
@@ -107,11 +110,14 @@
     """
 
     def __init__(
-        self, kv_tokens: int, service_times: ServiceTimes | None = None
+        self,
+        kv_tokens: int,
+        pool_load: PoolLoad | None = None,
+        service_times: ServiceTimes | None = None,
     ) -> None:
         self.prefix_cache = PrefixCache(kv_tokens)
         self.prefill_queue = PrefillQueue()
-        self.load = EngineLoad()
+        self.load = EngineLoad(pool_load)
         self.running_attempts: dict[AttemptId, RunningAttempt] = {}
         self.streams_by_gap_ms: dict[int, RunningStreams] = {}
         self.service_times = service_times or ServiceTimes()
@@ -144,6 +150,11 @@
         )
         return prefill_ms * self.slowness
 
+    def max_stall_ms(self, event_tokens: int) -> float:
+        """Return the longest gap between two events during continuous prefill."""
+        step_ms = PRIOR_STEP_MS * self.slowness
+        return event_tokens * (self.prefill_ms(PREFILL_CHUNK_TOKENS) + step_ms)
+
     def prefill_share(self, now_ms: int) -> float:
         """Return the recent share of time spent on prefill."""
         self._decay(now_ms)
