Don't refuse a head as slow that the host itself didn't read

Cause: while 32 requests or a body wait for their handlers the library reads no more, and the time of the head behind them went on; a host whose descriptors have no limit would have closed every connection, as the system tells that as -1.

--- a/figshunt/runtime/_caller_bounds.py
+++ b/figshunt/runtime/_caller_bounds.py
@@ -14,6 +14,9 @@
 # another one for its runner, and the other parts of the process need some too.
 DESCRIPTOR_SHARE = 0.45
 
+# What a process can use at most where no limit is set.
+UNLIMITED_DESCRIPTORS = 1024 * 1024
+
 # One line a second tells of a kind of refusal, with the number of the others.
 LOG_INTERVAL_MS = 1_000
 
@@ -57,6 +60,8 @@
     def compute_max_connections(self) -> int:
         """Return how many connections of callers may be open."""
         descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if descriptors == resource.RLIM_INFINITY:
+            descriptors = UNLIMITED_DESCRIPTORS
         max_connections = int(descriptors * DESCRIPTOR_SHARE)
         if self._max_connections is None:
             return max_connections
--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -408,10 +408,12 @@
     def _check_head(self, remaining_checks: int) -> None:
         if self.transport is None or self._has_sent_last or self.is_refused:
             return
-        if self.has_unread_bytes and remaining_checks:
+        # The library reads no more while requests or bodies wait for their handlers.
+        is_paused = self._reading_paused or self._buffer_paused
+        if is_paused or (self.has_unread_bytes and remaining_checks):
             loop = asyncio.get_running_loop()
             self._head_timer = loop.call_later(
-                HEAD_CHECK_S, self._check_head, remaining_checks - 1
+                HEAD_CHECK_S, self._check_head, remaining_checks - (not is_paused)
             )
         else:
             self._refuse(CallerFault.HEAD_TOO_SLOW)
