Keep streams apart from long prompts in large pools, and describe placement

Cause: holders and samples of common engines still drew chats among long prompts, free engines were judged by slots without memory, and the log did not tell why a runner was chosen. Change: holders and samples come from the engines that are meant for a call; quiet engines hold twice the slots of the streams in flight. An engine counts as free by slots and memory. call_sent has the field choice.

--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -89,6 +89,19 @@
     routed: RoutedCall
 
 
+class PlacementChoice(Enum):
+    """As what a runner was chosen.
+
+    ``HOME`` is a home of the prompt's shared prefix, ``HOLDER`` another runner that has
+    it cached, ``OTHER`` any other one. ``ANY`` is a runner of a pool without homes.
+    """
+
+    HOME = "home"
+    HOLDER = "holder"
+    OTHER = "other"
+    ANY = "any"
+
+
 @dataclass(frozen=True, slots=True)
 class CallAttemptPlanned(Message):
     """A runner was chosen; the attempt is about to start.
@@ -106,6 +119,7 @@
     expected_first_ms: int
     fetch_from: str | None = None
     known_streams: int = 0
+    choice: PlacementChoice = PlacementChoice.ANY
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/dispatch/attempt/_call_attempt_filter.py
+++ b/figshunt/dispatch/attempt/_call_attempt_filter.py
@@ -191,6 +191,7 @@
                 "team": routed.team,
                 "priority": routed.priority,
                 "known_streams": plan.known_streams,
+                "choice": plan.choice.value,
                 "read_tokens": plan.prefill_tokens,
                 "expected_first_ms": plan.expected_first_ms,
                 "fetch_from": plan.fetch_from,
--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -124,9 +124,20 @@
         model = self._models_by_runner.get(runner_id)
         return model.load.requests if model else 0
 
-    def has_free_slot(self, runner: PublishedRunner) -> bool:
-        """Return whether fewer requests than slots are known to be in flight."""
-        return self.requests(runner.runner_id) < runner.slots
+    def is_free(
+        self, routed: RoutedCall, pool: PublishedPool, runner: PublishedRunner
+    ) -> bool:
+        """Return whether an engine can run a call without preempting any request."""
+        model = self._models_by_runner.get(runner.runner_id)
+        if model is None or pool.engine is None or not model.load.requests:
+            return True
+        if model.load.requests >= runner.slots:
+            return False
+        free_tokens = pool.engine.kv_tokens - model.load.tokens
+        return (
+            _max_tokens(routed) <= free_tokens
+            or estimate_demand(routed, model).tokens <= free_tokens
+        )
 
     def occupancy(self, runner: PublishedRunner) -> float:
         """Return the requests known to be in flight at a runner for each slot."""
--- a/figshunt/dispatch/fleet/_pool_summary.py
+++ b/figshunt/dispatch/fleet/_pool_summary.py
@@ -18,7 +18,7 @@
 
 # Quiet engines have slots for this multiple of the streams with a tight gap target in
 # flight, so that the next ones find room, and are at most this share of a pool.
-QUIET_FACTOR = 1.5
+QUIET_FACTOR = 2.0
 MAX_QUIET_SHARE = 0.5
 
 
@@ -53,6 +53,12 @@
         """Return whether continuous prefill breaks the gap target of a stream."""
         return _is_tight(gap_target_ms, self.max_stall_ms)
 
+    def group(self, gap_target_ms: int | None) -> tuple[RunnerId, ...]:
+        """Return the engines that are meant for requests with a gap target."""
+        if self.quiet_ids and self.is_tight(gap_target_ms):
+            return self.quiet_ids
+        return self.common_ids
+
 
 def summarize_pool(
     models_by_id: Mapping[RunnerId, RunnerModel],
--- a/figshunt/dispatch/placement/_candidates.py
+++ b/figshunt/dispatch/placement/_candidates.py
@@ -23,9 +23,8 @@
 # Candidates from each source. With the homes of a prefix, they are at most ten, which
 # are estimated in about the time of a pool that isn't sampled.
 MAX_HOLDERS = 2
-MAX_QUIET = 3
-MAX_LOCAL = 3
-MAX_COMMON = 2
+MAX_SAMPLED = 3
+MAX_LOCAL = 2
 SAMPLED_RUNNERS = 8
 
 # If only a search among all runners found room, few of those are estimated.
@@ -56,6 +55,8 @@
         if prompt is None:
             return ()
         holders = self._fleet.holders(prompt.parts)
+        group_ids = frozenset(summary.group(routed.route.gap_target_ms))
+        holders = [name for name in holders if name in group_ids] or holders
         return _least_loaded(self._fleet, holders, summary, MAX_HOLDERS)
 
 
@@ -63,9 +64,8 @@
     """Proposes the least loaded runners of random samples.
 
     Samples differ between hosts, which would otherwise all choose the runner that
-    was the least loaded when they last heard of it. One sample is of the runners in the
-    own data centre or, for streams with a tight gap target, of those that are kept
-    for them; the other one is of all that aren't kept.
+    was the least loaded when they last heard of it. One sample is of the engines that
+    are meant for such calls, a second one of those of them in the own data centre.
     """
 
     def __init__(self, fleet: FleetModel, random_source: random.Random) -> None:
@@ -76,11 +76,10 @@
         self, routed: RoutedCall, pool: PublishedPool, summary: PoolSummary, now: Moment
     ) -> Iterable[RunnerId]:
         """Return a few runners of each sample."""
-        if summary.is_tight(routed.route.gap_target_ms):
-            yield from self._sample(summary.quiet_ids, summary, MAX_QUIET)
-        else:
+        group_ids = summary.group(routed.route.gap_target_ms)
+        yield from self._sample(group_ids, summary, MAX_SAMPLED)
+        if group_ids is summary.common_ids:
             yield from self._sample(summary.local_ids, summary, MAX_LOCAL)
-        yield from self._sample(summary.common_ids, summary, MAX_COMMON)
 
     def _sample(
         self, runner_ids: tuple[RunnerId, ...], summary: PoolSummary, count: int
@@ -140,26 +139,23 @@
         runners: Mapping[RunnerId, PublishedRunner],
         now: Moment,
     ) -> Mapping[RunnerId, PublishedRunner]:
-        """Return some of the runners that have a free slot.
+        """Return some of the runners that need not preempt for the call.
 
         Holders of the prompt's prefix come first, and runners that are kept for other
         streams last.
         """
         free_runners = [
-            runner for runner in runners.values() if self._fleet.has_free_slot(runner)
+            runner
+            for runner in runners.values()
+            if self._fleet.is_free(routed, pool, runner)
         ]
         prompt = routed.call.prompt
         holders = frozenset(self._fleet.holders(prompt.parts) if prompt else ())
         summary = self._fleet.summary(pool, self._directory.runners(pool.name), now)
-        is_tight = summary.is_tight(routed.route.gap_target_ms)
-        quiet_ids = frozenset(summary.quiet_ids)
+        group_ids = frozenset(summary.group(routed.route.gap_target_ms))
         free_runners = (
             [runner for runner in free_runners if runner.runner_id in holders]
-            or [
-                runner
-                for runner in free_runners
-                if (runner.runner_id in quiet_ids) == is_tight
-            ]
+            or [runner for runner in free_runners if runner.runner_id in group_ids]
             or free_runners
         )
         if len(free_runners) > MAX_FOUND:
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -24,6 +24,7 @@
     GraceEnded,
     OpenCallsChecked,
     PeerStatusReceived,
+    PlacementChoice,
     PlacementNotice,
     RunnerLimitSeen,
     SilenceNotice,
@@ -325,7 +326,7 @@
         estimate = estimates[selected_runner.runner_id]
         fetch_source = holder if estimate.fetched_tokens else None
         yield from self._start_attempt(
-            routed, selected_runner, pool, estimate, fetch_source, now
+            routed, selected_runner, pool, estimate, fetch_source, home_ids, now
         )
 
     def _find_homes(
@@ -350,8 +351,8 @@
     ) -> tuple[list[PublishedRunner], list[PublishedRunner]]:
         """Return the usable runners to compare, and those of them with room.
 
-        All runners are asked if no candidate has room. Those with a free slot come
-        before those that would have to preempt a less urgent request.
+        All runners are asked if no candidate has room. Those with a free slot and free
+        memory come before those that would have to preempt a less urgent request.
         """
         if pool is None or candidates is runners:
             return self._find_room(routed, pool, runners, now)
@@ -365,7 +366,9 @@
                 routed, pool, candidates, now
             )
         free_runners = [
-            runner for runner in open_runners if self._fleet.has_free_slot(runner)
+            runner
+            for runner in open_runners
+            if self._fleet.is_free(routed, pool, runner)
         ]
         if not free_runners:
             others = self._candidates.sample_free(routed, pool, runners, now)
@@ -424,6 +427,7 @@
         pool: PublishedPool,
         estimate: Estimate,
         holder: PublishedRunner | None,
+        home_ids: tuple[RunnerId, ...] | None,
         now: Moment,
     ) -> Iterable[Output]:
         self._attempt_count += 1
@@ -455,6 +459,7 @@
             estimate.first_ms,
             holder.address if holder else None,
             estimate.streams,
+            _classify_choice(routed, runner.runner_id, estimate, home_ids),
         )
 
     def _build_notice(
@@ -678,6 +683,23 @@
                 full_pools.add(routed.pool)
 
 
+def _classify_choice(
+    routed: RoutedCall,
+    runner_id: RunnerId,
+    estimate: Estimate,
+    home_ids: tuple[RunnerId, ...] | None,
+) -> PlacementChoice:
+    prompt = routed.call.prompt
+    if home_ids is None or prompt is None:
+        return PlacementChoice.ANY
+    if runner_id in home_ids:
+        return PlacementChoice.HOME
+    shares_parts = len(prompt.parts) > 1
+    if shares_parts and estimate.prefill_tokens <= prompt.parts[-1].tokens:
+        return PlacementChoice.HOLDER
+    return PlacementChoice.OTHER
+
+
 def _least_occupied(
     runners: list[PublishedRunner], estimates: Mapping[RunnerId, Estimate]
 ) -> list[PublishedRunner]:
--- a/figshunt/dispatch/placement/_prefix_homes.py
+++ b/figshunt/dispatch/placement/_prefix_homes.py
@@ -100,10 +100,7 @@
         if prefix is None:
             return ()
         max_requests = LOAD_BOUND * summary.mean_requests + LOAD_SLACK
-        if summary.is_tight(routed.route.gap_target_ms):
-            group_ids = frozenset(summary.quiet_ids)
-        else:
-            group_ids = frozenset(summary.common_ids)
+        group_ids = frozenset(summary.group(routed.route.gap_target_ms))
         homes = (
             runner_id
             for runner_id in self._homes.ranked(prefix, summary.runners)
