Keep calls that a plain service turned away until it has room

Cause: a call that a runner turned away went to another one at once, without regard to its load, or back to its caller if the retry budget was used up or all runners had been tried, although its caller had seconds left and runners had room soon.

Change: once a runner of a plain service turns a call away, hosts tell each other what they have in flight there, as for engines, and no runner gets more than its slots. A call without room is held in the queue that engines have. A call that was turned away and has not run is kept: it uses the retry budget when it is sent, and may go again to a runner that was full a moment ago.

--- a/benchmarks/virtual_hosts.py
+++ b/benchmarks/virtual_hosts.py
@@ -334,7 +334,7 @@
         if effect.can_wait:
             return
         fields = {name: getattr(effect, name) for name in effect.__dataclass_fields__}
-        del fields["can_wait"]
+        del fields["can_wait"], fields["is_urgent"]
         fields["occupancies"] = tuple(self._waiting_notices[host])
         self._waiting_notices[host] = []
         status = build_host_status(f"h{host}", **fields)
--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -78,6 +78,8 @@
     forwarded, after which the stream can't be resumed.
     ``answer_started`` is set once the answer to the caller has started.
     ``trial`` is the suspect of runner crashes that this call tries.
+    ``full_runner_ids`` are the runners that turned it away; they may get it again.
+    ``is_repeat`` is set while it waits for the retry budget.
     """
 
     call: Call
@@ -95,12 +97,32 @@
     has_unnumbered_events: bool = False
     answer_started: bool = False
     trial: Suspect | None = None
+    full_runner_ids: frozenset[RunnerId] = frozenset()
+    is_repeat: bool = False
 
     @property
     def call_id(self) -> RequestId:
         """Return the id of the underlying call."""
         return self.call.call_id
 
+    def has_tried(self, runner_id: RunnerId) -> bool:
+        """Return whether a runner has had the call and did not turn it away."""
+        return (
+            runner_id in self.tried_runner_ids and runner_id not in self.full_runner_ids
+        )
+
+    def without_run(self) -> "RoutedCall":
+        """Return a copy after an attempt that certainly did not run."""
+        return replace(
+            self, possible_runs=self.possible_runs - 1, refusals=self.refusals + 1
+        )
+
+    def as_kept(self, runner_id: RunnerId) -> "RoutedCall":
+        """Return a copy that waits after this runner turned the call away."""
+        return replace(
+            self, full_runner_ids=self.full_runner_ids | {runner_id}, is_repeat=True
+        )
+
     def with_attempt(self, runner_id: RunnerId) -> "RoutedCall":
         """Return a copy that includes an attempt at the runner."""
         return replace(
--- a/figshunt/dispatch/_core.py
+++ b/figshunt/dispatch/_core.py
@@ -9,6 +9,7 @@
 from figshunt.dispatch.admission._team_filter import TeamFilter
 from figshunt.dispatch.attempt._call_attempt_filter import CallAttemptFilter
 from figshunt.dispatch.attempt._call_recovery import CallRecovery
+from figshunt.dispatch.attempt._shared_budget import SharedRetryBudget
 from figshunt.dispatch.fleet._cold_limit import SharedBounds
 from figshunt.dispatch.fleet._peer_filter import PeerFilter
 from figshunt.dispatch.placement._placement_filter import PlacementFilter
@@ -36,6 +37,7 @@
         self.directory = DirectoryFilter()
         self.peers = PeerFilter(host, expects_peers)
         self.crashes = CrashFilter(host, self.peers)
+        retry_budget = SharedRetryBudget(host, self.peers, bounds)
         self.placement = PlacementFilter(
             host,
             self.directory,
@@ -43,9 +45,10 @@
             self.crashes,
             data_centre,
             bounds,
+            retry_budget,
             random_source,
         )
-        self.attempts = CallAttemptFilter(host, self.peers, self.placement, bounds)
+        self.attempts = CallAttemptFilter(self.placement, retry_budget)
         pipeline = Pipeline(
             [
                 self.directory,
--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -8,6 +8,7 @@
     OccupancyNotice,
     PlacementNotice,
     QueueNotice,
+    RejectionNotice,
     ReplyHead,
     SilenceNotice,
     SuspectReport,
@@ -111,7 +112,8 @@
 class BroadcastStatus(Effect):
     """Send this host's status to its peers, together with these notices.
 
-    Notices that ``can_wait`` are sent with the next status that is due anyway.
+    Notices that ``can_wait`` are sent with the next status that is due anyway, those
+    that are ``urgent`` at once.
     """
 
     placements: tuple[PlacementNotice, ...] = ()
@@ -120,7 +122,9 @@
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
+    rejections: tuple[RejectionNotice, ...] = ()
     can_wait: bool = False
+    is_urgent: bool = False
 
 
 AnswerEffect = (
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -286,9 +286,16 @@
     exclusion_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class RejectionNotice:
+    """A runner of a plain service turned a call away."""
+
+    runner_id: RunnerId
+
+
 @dataclass(frozen=True, slots=True)
 class OccupancyNotice:
-    """What a host has in flight at an engine at one priority, as a whole.
+    """What a host has in flight at a runner at one priority, as a whole.
 
     ``tokens`` is the size of the KV cache that the requests need.
     """
@@ -386,6 +393,7 @@
     silences: tuple[SilenceNotice, ...] = ()
     occupancies: tuple[OccupancyNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
+    rejections: tuple[RejectionNotice, ...] = ()
     repeats: tuple[RepeatNotice, ...] = ()
     suspects_digest: int = 0
     heard_digest: int = 0
@@ -400,6 +408,7 @@
             + len(self.silences)
             + len(self.occupancies)
             + len(self.limits)
+            + len(self.rejections)
             + len(self.repeats)
         )
 
@@ -415,6 +424,7 @@
             silences=(),
             occupancies=(),
             limits=(),
+            rejections=(),
             repeats=(),
         )
 
--- a/figshunt/dispatch/attempt/_call_attempt_filter.py
+++ b/figshunt/dispatch/attempt/_call_attempt_filter.py
@@ -47,8 +47,6 @@
 )
 from figshunt.dispatch.attempt._retry_policy import RetryPolicy
 from figshunt.dispatch.attempt._shared_budget import SharedRetryBudget
-from figshunt.dispatch.fleet._cold_limit import SharedBounds
-from figshunt.dispatch.fleet._peer_filter import PeersView
 from figshunt.pipeline import Feedback, Output
 from figshunt.types import (
     AttemptFailure,
@@ -56,7 +54,6 @@
     CancelReason,
     CountEvent,
     ErrorCode,
-    HostName,
     LogEvent,
     Message,
     Moment,
@@ -123,14 +120,12 @@
 
     def __init__(
         self,
-        host: HostName,
-        peers: PeersView,
         other_runners: OtherRunnersView,
-        bounds: SharedBounds,
+        retry_budget: SharedRetryBudget,
     ) -> None:
         self._other_runners = other_runners
-        self._retry_budget = SharedRetryBudget(host, peers, bounds)
-        self._retry_policy = RetryPolicy(self._retry_budget)
+        self._retry_budget = retry_budget
+        self._retry_policy = RetryPolicy(retry_budget)
         self._numberings = StreamNumberings()
         self._attempts: dict[AttemptId, CallAttempt] = {}
         self._attempt_ids_by_call: dict[RequestId, AttemptId] = {}
@@ -319,12 +314,8 @@
         self, attempt: CallAttempt, head: ReplyHead, now: Moment
     ) -> Iterable[Output]:
         """Handle an answer which states that the request did not run."""
-        routed = replace(
-            attempt.routed,
-            possible_runs=attempt.routed.possible_runs - 1,
-            refusals=attempt.routed.refusals + 1,
-        )
         is_wrong_runner = head.verdict is ReplyVerdict.WRONG_RUNNER
+        routed = attempt.routed.without_run()
         yield from self._end_attempt(
             attempt,
             CallAttemptResult.REFUSED,
@@ -332,7 +323,13 @@
             is_wrong_runner,
             0 if is_wrong_runner else _pause_ms(head),
         )
-        if self._retry_policy.may_reassign(routed, now):
+        # A request that may have run already is not kept waiting.
+        if not is_wrong_runner and not routed.possible_runs:
+            if self._retry_policy.may_keep(routed, now):
+                kept = routed.as_kept(attempt.runner.runner_id)
+                yield Feedback(CallAdmitted(kept))
+                return
+        elif self._retry_policy.may_reassign(routed, now):
             yield from self._retry(routed, now)
             return
         yield from self._fail_call(
@@ -498,11 +495,7 @@
             return
         result = RESULT_BY_FAILURE[failure.failure]
         if failure.sent is SendState.UNSENT:
-            routed = replace(
-                attempt.routed,
-                possible_runs=attempt.routed.possible_runs - 1,
-                refusals=attempt.routed.refusals + 1,
-            )
+            routed = attempt.routed.without_run()
             yield from self._end_attempt(attempt, result, failure.detail)
             if self._retry_policy.may_reassign(routed, now):
                 yield from self._retry(routed, now)
--- a/figshunt/dispatch/attempt/_retry_policy.py
+++ b/figshunt/dispatch/attempt/_retry_policy.py
@@ -26,14 +26,20 @@
         """Count the first attempt of a request."""
         self._budget.record_request(pool, now)
 
-    def may_reassign(self, routed: RoutedCall, now: Moment) -> bool:
-        """Return whether a request that did not run may go to another runner."""
+    def may_keep(self, routed: RoutedCall, now: Moment) -> bool:
+        """Return whether a request that a runner turned away waits for another one.
+
+        The budget is used only once it is sent there.
+        """
         return (
             routed.refusals < MAX_REFUSALS
             and routed.deadline_ms - now.monotonic_ms > MIN_TIME_LEFT_MS
-            and self._budget.take(routed.pool, now)
         )
 
+    def may_reassign(self, routed: RoutedCall, now: Moment) -> bool:
+        """Return whether a request that did not run may go to another runner."""
+        return self.may_keep(routed, now) and self._budget.take(routed.pool, now)
+
     def may_retry(self, routed: RoutedCall, now: Moment) -> bool:
         """Return whether a request that may have run may be sent again."""
         repeatability = routed.route.repeatability
--- a/figshunt/dispatch/fleet/_engine_load.py
+++ b/figshunt/dispatch/fleet/_engine_load.py
@@ -1,4 +1,4 @@
-"""Counts the requests that all hosts have in flight at one engine."""
+"""Counts the requests that all hosts have in flight at one runner."""
 
 from dataclasses import dataclass
 
@@ -36,7 +36,7 @@
 
 
 class EngineLoad:
-    """The demand in flight at one engine, by priority.
+    """The demand in flight at one runner, by priority.
 
     This host's part is exact. Other hosts tell theirs as a whole, not as a change,
     so that a lost datagram matters only until the next one.
@@ -84,11 +84,11 @@
         for host in tuple(self._told_by_host):
             self.forget(host)
 
-    def expire(self, now_ms: int) -> None:
+    def expire(self, now_ms: int, keep_ms: int = TOLD_DEMAND_MS) -> None:
         """Drop what was told too long ago."""
         for host, told_by_level in tuple(self._told_by_host.items()):
             for priority, told in tuple(told_by_level.items()):
-                if now_ms - told.told_ms > TOLD_DEMAND_MS:
+                if now_ms - told.told_ms > keep_ms:
                     self._change(priority, NO_DEMAND - told.demand)
                     del told_by_level[priority]
             if not told_by_level:
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterable, Mapping
+from dataclasses import replace
 
 from figshunt.directory import (
     DirectoryView,
@@ -30,6 +31,7 @@
 )
 from figshunt.dispatch.admission._crash_filter import RefusalsView
 from figshunt.dispatch.admission._refusal import refuse_call
+from figshunt.dispatch.attempt._shared_budget import SharedRetryBudget
 from figshunt.dispatch.fleet._cold_limit import SharedBounds
 from figshunt.dispatch.fleet._fleet_model import FleetModel, estimate_demand
 from figshunt.dispatch.fleet._peer_filter import PeersView
@@ -45,11 +47,12 @@
     estimate_engine,
     estimate_plain,
 )
-from figshunt.dispatch.waiting._held_calls import HeldCalls
+from figshunt.dispatch.waiting._held_calls import HeldCalls, full_until_ms
 from figshunt.dispatch.waiting._return_schedule import ReturnSchedule
 from figshunt.pipeline import Feedback, Output
 from figshunt.types import (
     AttemptId,
+    CountEvent,
     DataCentreName,
     ErrorCode,
     HostName,
@@ -79,6 +82,9 @@
 # runner: the directory entry is stale and should be removed soon.
 WRONG_RUNNER_EXCLUSION_MS = 3_000
 
+# A call that waits for the retry budget alone asks for it again after this time.
+BUDGET_INTERVAL_MS = 100
+
 # Pause for callers whose calls had no usable runner.
 RETRY_AFTER_MS = 400
 
@@ -140,6 +146,7 @@
         refusals: RefusalsView,
         data_centre: DataCentreName,
         bounds: SharedBounds,
+        retry_budget: SharedRetryBudget,
         random_source: random.Random,
     ) -> None:
         self._directory = directory
@@ -149,6 +156,7 @@
         self._fleet = FleetModel(host, directory, peers, bounds)
         self._return_schedule = ReturnSchedule(random_source)
         self._held_calls = HeldCalls()
+        self._retry_budget = retry_budget
         self._attempt_count = 0
 
     def holds(self, call_id: RequestId) -> bool:
@@ -191,6 +199,10 @@
                     self._fleet.record_placement(notice, now)
                 for queue in status.queues:
                     self._fleet.record_backlog(queue, now)
+                for rejection in status.rejections:
+                    yield from self._fleet.record_rejection(
+                        rejection.runner_id, now, is_own=False
+                    )
                 for silence in status.silences:
                     yield from self._record_silence(status.host, silence, now)
                 for limit in status.limits:
@@ -240,13 +252,17 @@
         usable_runners = self._fleet.usable_runners(pool, untried_runners, now)
         if pool is None or not usable_runners:
             wake_ms = self._next_usable_ms(routed, now)
-            is_limited = self._fleet.waits_for_limit(pool, untried_runners, now)
-            reason = ErrorCode.QUEUE_FULL if is_limited else ErrorCode.NO_RUNNER
+            is_busy = self._fleet.waits_for_limit(
+                pool, untried_runners, now
+            ) or self._waits_for_pause(routed, untried_runners, wake_ms, now)
+            reason = ErrorCode.QUEUE_FULL if is_busy else ErrorCode.NO_RUNNER
             yield from self._hold_or_refuse(
                 routed, reason, wake_ms, bool(untried_runners), now
             )
             return
-        open_runners = self._fleet.open_runners(routed, pool, usable_runners)
+        open_runners = _prefer_untried(
+            routed, self._fleet.open_runners(routed, pool, usable_runners, now)
+        )
         if not open_runners:
             yield from self._hold_for_room(routed, now)
             return
@@ -276,6 +292,15 @@
         if not candidates:
             yield from self._hold_for_room(routed, now)
             return
+        if routed.is_repeat:
+            if not self._retry_budget.take(routed.pool, now):
+                wake_ms = now.monotonic_ms + BUDGET_INTERVAL_MS
+                yield from self._hold_or_refuse(
+                    routed, ErrorCode.QUEUE_FULL, wake_ms, True, now
+                )
+                return
+            yield CountEvent("repeats", {"route": routed.route.name})
+            routed = replace(routed, is_repeat=False)
         self._held_calls.release(routed.call_id)
         if routed.trial is not None:
             candidates = _least_occupied(candidates, estimates)
@@ -345,10 +370,13 @@
             ),
         )
         self._fleet.record_attempt(runner.runner_id, pool, now)
+        self._held_calls.record_start(routed, now)
         if pool.engine is not None:
             notice = self._build_notice(routed, runner, model, estimate)
             self._fleet.record_placement(notice, now, attempt_id)
             yield BroadcastStatus(placements=(notice,), occupancies=(occupancy,))
+        elif self._fleet.tells_occupancy(pool, now):
+            yield BroadcastStatus(occupancies=(occupancy,), is_urgent=True)
         yield CallAttemptPlanned(
             attempt_id,
             runner,
@@ -385,8 +413,17 @@
             attempt.runner_id, pool
         )
         occupancy = self._fleet.end_attempt(attempt.runner_id, attempt.attempt_id)
-        if occupancy is not None and pool is not None and pool.engine is not None:
-            yield BroadcastStatus(occupancies=(occupancy,), can_wait=not is_crowded)
+        if (
+            occupancy is not None
+            and pool is not None
+            and self._fleet.tells_occupancy(pool, now)
+        ):
+            # The work of a plain service takes less time than an engine's notice waits.
+            yield BroadcastStatus(
+                occupancies=(occupancy,),
+                can_wait=not is_crowded,
+                is_urgent=is_crowded and pool.engine is None,
+            )
         yield from self._record_result(attempt, now)
 
     def _record_result(
@@ -400,6 +437,8 @@
         model.update_failure_share(attempt.result in FAILED_RESULTS, now.monotonic_ms)
         if attempt.result in ANSWERED_RESULTS:
             model.record_response(now.monotonic_ms)
+        if attempt.result is CallAttemptResult.REFUSED and not attempt.is_wrong_runner:
+            yield from self._fleet.record_rejection(attempt.runner_id, now, is_own=True)
         if attempt.pause_ms:
             model.pause(now.monotonic_ms + attempt.pause_ms)
             pause_fields: dict[str, LogValue] = {
@@ -457,9 +496,28 @@
             }
             yield LogEvent("runner_excluded", self.step, fields)
 
+    def _waits_for_pause(
+        self,
+        routed: RoutedCall,
+        runners: Mapping[RunnerId, PublishedRunner],
+        usable_ms: int,
+        now: Moment,
+    ) -> bool:
+        """Return whether a runner that asked for a pause may take a call in time.
+
+        A service that turns away what exceeds its slots may ask for a pause each time.
+        """
+        if usable_ms >= full_until_ms(routed, now.monotonic_ms):
+            return False
+        return self._fleet.has_paused(runners, now)
+
     def _hold_for_room(self, routed: RoutedCall, now: Moment) -> Iterable[Output]:
         """Hold a call until a request ends, or refuse it after the wait."""
-        yield from self._hold_or_refuse(routed, ErrorCode.QUEUE_FULL, None, True, now)
+        runner_ids = self._directory.runners(routed.pool)
+        wake_ms = self._fleet.full_until_ms(runner_ids, now)
+        yield from self._hold_or_refuse(
+            routed, ErrorCode.QUEUE_FULL, wake_ms, True, now
+        )
 
     def _hold_or_refuse(
         self,
@@ -593,14 +651,24 @@
 def _without_tried(
     routed: RoutedCall, runners: Mapping[RunnerId, PublishedRunner]
 ) -> dict[RunnerId, PublishedRunner]:
-    """Return the runners that a call has not been sent to."""
+    """Return the runners that a call has not been sent to, or that turned it away."""
     return {
         runner_id: runner
         for runner_id, runner in runners.items()
-        if runner_id not in routed.tried_runner_ids
+        if not routed.has_tried(runner_id)
     }
 
 
+def _prefer_untried(
+    routed: RoutedCall, runners: list[PublishedRunner]
+) -> list[PublishedRunner]:
+    """Return the runners that have not turned a call away, or all if each one has."""
+    untried_runners = [
+        runner for runner in runners if runner.runner_id not in routed.full_runner_ids
+    ]
+    return untried_runners or runners
+
+
 def _without_harmful(
     routed: RoutedCall,
     runners: list[PublishedRunner],
--- a/figshunt/dispatch/waiting/_held_calls.py
+++ b/figshunt/dispatch/waiting/_held_calls.py
@@ -1,9 +1,15 @@
-"""Calls that wait at this host for a runner."""
+"""Calls that wait at this host for a runner.
+
+One queue serves engines and plain services. It answers bursts beyond the places that
+all hosts know to be free, and keeps two invariants: a more urgent call never gives way
+to a less urgent one, and no team starves.
+"""
 
 from dataclasses import dataclass
 
 from figshunt.dispatch._call import RoutedCall
-from figshunt.types import ErrorCode, RequestId
+from figshunt.dispatch.waiting._team_turns import TeamTurns
+from figshunt.types import ErrorCode, Moment, RequestId
 
 # A call without a usable runner is held for this share of its latency target
 # and then refused. The share is small enough not to make an answer late.
@@ -41,6 +47,7 @@
 
     def __init__(self) -> None:
         self._by_id: dict[RequestId, HeldCall] = {}
+        self._team_turns = TeamTurns()
         self._tried_id: RequestId | None = None
         self._tried_ms = 0
 
@@ -92,10 +99,18 @@
         if self._by_id:
             self._tried_ms = now_ms
 
+    def record_start(self, routed: RoutedCall, now: Moment) -> None:
+        """Charge a team for a call that was sent to a runner, held before or not."""
+        self._team_turns.record(routed, now)
+
     def in_order(self, now_ms: int) -> list[HeldCall]:
         """Return all calls in the order in which they are placed."""
+        if len(self._by_id) < 2:
+            return list(self._by_id.values())
+        # The sort keeps the teams' turns within each place of the order.
         return sorted(
-            self._by_id.values(), key=lambda held_call: held_call.order(now_ms)
+            self._team_turns.in_turn(self._by_id.values(), now_ms),
+            key=lambda held_call: held_call.order(now_ms),
         )
 
 
@@ -104,12 +119,16 @@
     in_time_until_ms = min(now_ms + int(wait_ms), routed.deadline_ms)
     if reason is not ErrorCode.QUEUE_FULL:
         return HeldCall(routed, in_time_until_ms, in_time_until_ms)
+    return HeldCall(routed, in_time_until_ms, full_until_ms(routed, now_ms))
+
+
+def full_until_ms(routed: RoutedCall, now_ms: int) -> int:
+    """Return until when a call that arrives now is held while runners are full."""
     max_wait_ms = max(
-        wait_ms,
+        routed.route.target_ms * HOLD_TARGET_SHARE,
         min(
             routed.route.target_ms * FULL_HOLD_TARGETS,
             (routed.deadline_ms - now_ms) * FULL_HOLD_TIME_SHARE,
         ),
     )
-    until_ms = min(now_ms + int(max_wait_ms), routed.deadline_ms)
-    return HeldCall(routed, in_time_until_ms, until_ms)
+    return min(now_ms + int(max_wait_ms), routed.deadline_ms)
--- a/figshunt/gateway/_peer_link.py
+++ b/figshunt/gateway/_peer_link.py
@@ -16,6 +16,7 @@
     PeerStatusReceived,
     PlacementNotice,
     QueueNotice,
+    RejectionNotice,
     SilenceNotice,
     Suspect,
     SuspectReport,
@@ -75,6 +76,7 @@
         self._silences_by_runner: dict[RunnerId, SilenceNotice] = {}
         self._occupancies_by_runner: dict[tuple[RunnerId, int], OccupancyNotice] = {}
         self._limits_by_runner: dict[RunnerId, LimitNotice] = {}
+        self._rejections_by_runner: dict[RunnerId, RejectionNotice] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._flush_timer: asyncio.TimerHandle | None = None
         self._forward_timer: asyncio.TimerHandle | None = None
@@ -122,10 +124,13 @@
         self._limits_by_runner.update(
             (notice.runner_id, notice) for notice in effect.limits
         )
+        self._rejections_by_runner.update(
+            (notice.runner_id, notice) for notice in effect.rejections
+        )
         if effect.can_wait:
             return
-        has_other_notices = effect != BroadcastStatus(occupancies=effect.occupancies)
-        delay_ms = BATCH_DELAY_MS if has_other_notices else OCCUPANCY_DELAY_MS
+        is_urgent = effect != BroadcastStatus(occupancies=effect.occupancies)
+        delay_ms = BATCH_DELAY_MS if is_urgent else OCCUPANCY_DELAY_MS
         self._schedule_flush(delay_ms / 1000)
 
     def send_now(self) -> None:
@@ -214,6 +219,7 @@
             "silences": list(self._silences_by_runner.values()),
             "occupancies": list(self._occupancies_by_runner.values()),
             "limits": list(self._limits_by_runner.values()),
+            "rejections": list(self._rejections_by_runner.values()),
         }
         self._placements = []
         self._suspects_by_key = {}
@@ -221,6 +227,7 @@
         self._silences_by_runner = {}
         self._occupancies_by_runner = {}
         self._limits_by_runner = {}
+        self._rejections_by_runner = {}
         return pending
 
     def _schedule_forward(self) -> None:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -16,6 +16,7 @@
     PlacementNotice,
     PromptPart,
     QueueNotice,
+    RejectionNotice,
     RepeatNotice,
     SilenceNotice,
     Suspect,
@@ -85,6 +86,7 @@
             for notice in status.occupancies
         ],
         [_encode_limit(notice) for notice in status.limits],
+        [notice.runner_id for notice in status.rejections],
         [_encode_repeats(notice) for notice in status.repeats],
         status.suspects_digest,
         status.heard_digest,
@@ -95,7 +97,7 @@
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
-    repeats, suspects_digest, heard_digest = rest
+    rejections, repeats, suspects_digest, heard_digest = rest
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -125,6 +127,9 @@
             for runner_id, priority, requests, tokens in occupancies
         ),
         limits=tuple(_decode_limit(entry) for entry in limits),
+        rejections=tuple(
+            RejectionNotice(RunnerId(str(runner_id))) for runner_id in rejections
+        ),
         repeats=tuple(_decode_repeats(entry) for entry in repeats),
         suspects_digest=int(suspects_digest),
         heard_digest=int(heard_digest),
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -15,6 +15,7 @@
     CrashAge,
     LimitNotice,
     OccupancyNotice,
+    RejectionNotice,
     RepeatNotice,
     ReplyEvent,
     Suspect,
@@ -196,6 +197,7 @@
             suspects_digest=2**64 - 1,
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
+            rejections=(RejectionNotice(RunnerId("b1")),),
             repeats=(RepeatNotice(PoolName("llm"), 70, 3, True),),
             heard_digest=2**32 - 1,
         )
