--- a/figshunt/dispatch/_effects.py
+++ b/figshunt/dispatch/_effects.py
@@ -8,6 +8,7 @@
     OccupancyNotice,
     PlacementNotice,
     QueueNotice,
+    RejectionNotice,
     ReplyHead,
     SilenceNotice,
     SpeedNotice,
@@ -112,7 +113,8 @@
 class BroadcastStatus(Effect):
     """Send this host's status to its peers, together with these notices.
 
-    Notices that ``can_wait`` are sent with the next status that is due anyway.
+    Notices that ``can_wait`` are sent with the next status that is due anyway, those
+    that are ``urgent`` at once.
     """
 
     placements: tuple[PlacementNotice, ...] = ()
@@ -122,7 +124,9 @@
     occupancies: tuple[OccupancyNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     speeds: tuple[SpeedNotice, ...] = ()
+    rejections: tuple[RejectionNotice, ...] = ()
     can_wait: bool = False
+    is_urgent: bool = False
 
 
 AnswerEffect = (
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -334,9 +334,16 @@
     exclusion_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class RejectionNotice:
+    """A runner of a plain service turned a call away."""
+
+    runner_id: RunnerId
+
+
 @dataclass(frozen=True, slots=True)
 class OccupancyNotice:
-    """What a host has in flight at an engine at one priority, as a whole.
+    """What a host has in flight at a runner at one priority, as a whole.
 
     ``tokens`` is the size of the KV cache that the requests need.
     """
@@ -454,6 +461,7 @@
     occupancies: tuple[OccupancyNotice, ...] = ()
     limits: tuple[LimitNotice, ...] = ()
     speeds: tuple[SpeedNotice, ...] = ()
+    rejections: tuple[RejectionNotice, ...] = ()
     repeats: tuple[RepeatNotice, ...] = ()
     suspects_digest: int = 0
     heard_digest: int = 0
@@ -476,6 +484,7 @@
             + len(self.occupancies)
             + len(self.limits)
             + len(self.speeds)
+            + len(self.rejections)
             + len(self.repeats)
         )
 
@@ -492,6 +501,7 @@
             occupancies=(),
             limits=(),
             speeds=(),
+            rejections=(),
             repeats=(),
         )
 
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -16,6 +16,7 @@
     PlacementNotice,
     PromptPart,
     QueueNotice,
+    RejectionNotice,
     RepeatNotice,
     SilenceNotice,
     SpeedNotice,
@@ -99,6 +100,7 @@
         ],
         [_encode_limit(notice) for notice in status.limits],
         [_encode_speed(notice) for notice in status.speeds],
+        [notice.runner_id for notice in status.rejections],
         [_encode_repeats(notice) for notice in status.repeats],
         status.suspects_digest,
         status.era,
@@ -111,7 +113,7 @@
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
-    speeds, repeats, suspects_digest, era, era_start, heard_digest = rest
+    speeds, rejections, repeats, suspects_digest, era, era_start, heard_digest = rest
     store_version = Version.of(int(era), int(revision))
     era_start_version = Version.of(int(era), int(era_start))
     return HostStatus(
@@ -144,6 +146,9 @@
         ),
         limits=tuple(_decode_limit(entry) for entry in limits),
         speeds=tuple(_decode_speed(entry) for entry in speeds),
+        rejections=tuple(
+            RejectionNotice(RunnerId(str(runner_id))) for runner_id in rejections
+        ),
         repeats=tuple(_decode_repeats(entry) for entry in repeats),
         suspects_digest=int(suspects_digest),
         era=store_version.era,
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -14,6 +14,7 @@
     CrashAge,
     LimitNotice,
     OccupancyNotice,
+    RejectionNotice,
     RepeatNotice,
     ReplyEvent,
     SpeedNotice,
@@ -212,6 +213,7 @@
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
             speeds=(SpeedNotice(RunnerId("e1"), None, 1.62, 2.5, 0.4, 0.0),),
+            rejections=(RejectionNotice(RunnerId("b1")),),
             repeats=(RepeatNotice(PoolName("llm"), 70, 3, True),),
             heard_digest=2**32 - 1,
         )
