--- a/benchmarks/virtual_plain.py
+++ b/benchmarks/virtual_plain.py
@@ -38,6 +38,7 @@
     RequestId,
     RunnerId,
     TimerDue,
+    Version,
     WakeAt,
 )
 from tests.builders import (
@@ -119,10 +120,13 @@
         ]
         for number in range(hosts):
             self.handle(number, SourceStateChanged(True, "test"))
-            self.handle(number, ConfigurationPublished(1, build_configuration(*routes)))
+            self.handle(
+                number,
+                ConfigurationPublished(Version.of(0, 1), build_configuration(*routes)),
+            )
             for runner_id in self.runners:
                 runner = build_published_runner(runner_id, "bookings", slots=slots)
-                self.handle(number, RunnerListed(2, runner_id, runner))
+                self.handle(number, RunnerListed(Version.of(0, 2), runner_id, runner))
             self._repeat(TIMER_MS, lambda n=number: self.handle(n, TimerDue()))
             self._repeat(HEARTBEAT_MS, lambda n=number: self._flush(n))
 
