Don't prefer failed engines for free slots; spare a search of full pools

Cause: an excluded engine has no requests, so in a full pool it was the only free one and was chosen before those that could preempt. Change: the search for free engines skips excluded and paused ones. Where no engine is free and nothing less urgent is in flight, there is no second search.

--- a/figshunt/dispatch/placement/_candidates.py
+++ b/figshunt/dispatch/placement/_candidates.py
@@ -139,7 +139,7 @@
         runners: Mapping[RunnerId, PublishedRunner],
         now: Moment,
     ) -> Mapping[RunnerId, PublishedRunner]:
-        """Return some of the runners that need not preempt for the call.
+        """Return some of the available runners that need not preempt for the call.
 
         Holders of the prompt's prefix come first, and runners that are kept for other
         streams last.
@@ -148,6 +148,7 @@
             runner
             for runner in runners.values()
             if self._fleet.is_free(routed, pool, runner)
+            and self._fleet.is_available(runner.runner_id, now)
         ]
         prompt = routed.call.prompt
         holders = frozenset(self._fleet.holders(prompt.parts) if prompt else ())
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -370,12 +370,17 @@
             for runner in open_runners
             if self._fleet.is_free(routed, pool, runner)
         ]
+        sampled_runners: Mapping[RunnerId, PublishedRunner] = {}
         if not free_runners:
-            others = self._candidates.sample_free(routed, pool, runners, now)
-            _, free_runners = self._find_room(routed, pool, others, now)
+            sampled_runners = self._candidates.sample_free(routed, pool, runners, now)
+            _, free_runners = self._find_room(routed, pool, sampled_runners, now)
         if free_runners or open_runners:
             # A least urgent call is compared at those that it was meant for, too.
             return usable_runners or free_runners, free_runners or open_runners
+        is_least_urgent = self._fleet.is_least_urgent(routed, pool, usable_runners)
+        if usable_runners and not sampled_runners and is_least_urgent:
+            # No engine is free, and none has a request that the call could preempt.
+            return usable_runners, []
         return self._find_room(routed, pool, runners, now)
 
     def _find_room(
--- a/tests/dispatch/test_candidates.py
+++ b/tests/dispatch/test_candidates.py
@@ -10,6 +10,7 @@
     PeerStatusReceived,
     ReplyComplete,
     ReplyVerdict,
+    SilenceNotice,
     StartCallAttempt,
 )
 from figshunt.dispatch.placement import _placement_filter
@@ -41,9 +42,9 @@
     )
 
 
-def tell_full(driver: CoreDriver, runner_ids: list[str]) -> None:
+def tell_full(driver: CoreDriver, runner_ids: list[str], priority: int = 0) -> None:
     """Tell from a peer that it has taken all slots of the engines."""
-    notices = [OccupancyNotice(RunnerId(name), 0, 64, 64) for name in runner_ids]
+    notices = [OccupancyNotice(RunnerId(name), priority, 64, 64) for name in runner_ids]
     driver.handle(PeerStatusReceived(build_host_status(occupancies=tuple(notices))))
 
 
@@ -100,6 +101,16 @@
         driver.call(build_call(prompt=build_prompt()))
         self.assertEqual(f"e{LARGE_POOL - 1}", driver.last_attempt().runner_id)
 
+    def test_engine_that_fails_is_not_preferred_for_its_free_slots(self) -> None:
+        driver = build_driver(LARGE_POOL)
+        tell_full(driver, [f"e{number}" for number in range(LARGE_POOL - 1)], 9)
+        silence = SilenceNotice(RunnerId(f"e{LARGE_POOL - 1}"), 2_000)
+        for host in ("h2", "h3"):
+            status = build_host_status(host, silences=(silence,))
+            driver.handle(PeerStatusReceived(status))
+        driver.call(build_call(prompt=build_prompt()))
+        self.assertNotEqual(silence.runner_id, driver.last_attempt().runner_id)
+
     def test_holder_of_a_prefix_is_chosen_until_it_leaves(self) -> None:
         driver = build_driver(
             LARGE_POOL, build_published_route(target_ms=1_500, gap_target_ms=None)
