--- a/benchmarks/virtual_hosts.py
+++ b/benchmarks/virtual_hosts.py
@@ -421,6 +421,7 @@
         fields = {name: getattr(effect, name) for name in effect.__dataclass_fields__}
         del fields["can_wait"], fields["is_urgent"]
         fields["occupancies"] = tuple(self._waiting_notices[host])
+        fields["held"] = self._cores[host].placement.held_notices()
         self._waiting_notices[host] = []
         fields["speeds"] = tuple(self._waiting_speeds[host])
         self._waiting_speeds[host] = []
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -406,6 +406,15 @@
     is_over_equal_part: bool
 
 
+@dataclass(frozen=True, slots=True)
+class HeldNotice:
+    """How many calls of a pool and priority a host holds."""
+
+    pool: PoolName
+    priority: int
+    calls: int
+
+
 @dataclass(frozen=True, slots=True)
 class CrashAge:
     """A runner's process that crashed ``age_ms`` ago."""
@@ -462,6 +471,7 @@
     limits: tuple[LimitNotice, ...] = ()
     speeds: tuple[SpeedNotice, ...] = ()
     rejections: tuple[RejectionNotice, ...] = ()
+    held: tuple[HeldNotice, ...] = ()
     repeats: tuple[RepeatNotice, ...] = ()
     suspects_digest: int = 0
     heard_digest: int = 0
@@ -485,6 +495,7 @@
             + len(self.limits)
             + len(self.speeds)
             + len(self.rejections)
+            + len(self.held)
             + len(self.repeats)
         )
 
@@ -502,6 +513,7 @@
             limits=(),
             speeds=(),
             rejections=(),
+            held=(),
             repeats=(),
         )
 
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -9,6 +9,7 @@
 from figshunt.dispatch import (
     PRIORITY_LEVELS,
     CrashAge,
+    HeldNotice,
     HostStatus,
     LimitNotice,
     OccupancyNotice,
@@ -101,6 +102,7 @@
         [_encode_limit(notice) for notice in status.limits],
         [_encode_speed(notice) for notice in status.speeds],
         [notice.runner_id for notice in status.rejections],
+        [[notice.pool, notice.priority, notice.calls] for notice in status.held],
         [_encode_repeats(notice) for notice in status.repeats],
         status.suspects_digest,
         status.era,
@@ -113,7 +115,8 @@
     host, incarnation, address, version, revision, *rest = fields
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
-    speeds, rejections, repeats, suspects_digest, era, era_start, heard_digest = rest
+    speeds, rejections, held, repeats, *digests = rest
+    suspects_digest, era, era_start, heard_digest = digests
     store_version = Version.of(int(era), int(revision))
     era_start_version = Version.of(int(era), int(era_start))
     return HostStatus(
@@ -149,6 +152,7 @@
         rejections=tuple(
             RejectionNotice(RunnerId(str(runner_id))) for runner_id in rejections
         ),
+        held=tuple(_decode_held(entry) for entry in held),
         repeats=tuple(_decode_repeats(entry) for entry in repeats),
         suspects_digest=int(suspects_digest),
         era=store_version.era,
@@ -256,6 +260,14 @@
     )
 
 
+def _decode_held(fields: list[Any]) -> HeldNotice:
+    pool, priority, calls = fields
+    count = int(calls)
+    if count < 0:
+        raise ValueError(f"expected a number of calls from 0, got {count}")
+    return HeldNotice(PoolName(str(pool)), _decode_level(priority), count)
+
+
 def _encode_repeats(notice: RepeatNotice) -> list[Any]:
     return [
         notice.pool,
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -12,6 +12,7 @@
 from figshunt.dispatch import (
     CallArrived,
     CrashAge,
+    HeldNotice,
     LimitNotice,
     OccupancyNotice,
     RejectionNotice,
@@ -214,6 +215,7 @@
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
             speeds=(SpeedNotice(RunnerId("e1"), None, 1.62, 2.5, 0.4, 0.0),),
             rejections=(RejectionNotice(RunnerId("b1")),),
+            held=(HeldNotice(PoolName("llm"), 2, 5),),
             repeats=(RepeatNotice(PoolName("llm"), 70, 3, True),),
             heard_digest=2**32 - 1,
         )
