Compare calls at all runners of pools of up to ten

Change: MAX_UNSAMPLED_RUNNERS is 10 instead of 8, about as many as the candidates of a larger pool. How homes made requests late in a pool of nine or ten was not traced. Conclusion: kept; small pools are placed as before, also while runners return.

--- a/figshunt/dispatch/fleet/_pool_summary.py
+++ b/figshunt/dispatch/fleet/_pool_summary.py
@@ -9,8 +9,10 @@
 from figshunt.dispatch.fleet._runner_model import GAP_HEADROOM, RunnerModel
 from figshunt.types import DataCentreName, RunnerId
 
-# Calls are compared at all runners of a pool of at most this size.
-MAX_UNSAMPLED_RUNNERS = 8
+# Calls are compared at all runners of a pool of at most this size, about as many as
+# candidates are chosen of larger ones. A pool of eight lists more for a moment when
+# runners that crashed come back under new ids.
+MAX_UNSAMPLED_RUNNERS = 10
 
 # Longest age of a summary. Prefill shares are averages over four seconds, which
 # change little within it.
