Close connections by their last activity, uploads last

Cause: connections that had a request were closed by age, so pooled ones of ordinary callers gave way to newer ones with one trivial request; an upload went before idle connections, and a refused connection was aborted while an earlier valid request on it was being answered. Change: close_order ranks refused, never used, idle and uploading ones; those that had a request go by their last activity. No connection is closable while a whole request on it waits for its response. Measured: test_caller_limits 12 passed; its two new tests fail without the change. Conclusion: an attacker must stay active on each connection to displace the connections of callers that are.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
+from enum import IntEnum
 from typing import Any
 
 from aiohttp import web
@@ -52,6 +53,15 @@
 NO_KEEPALIVE_TIMEOUT_S = 10 * 365 * 24 * 3600.0
 
 
+class ClosePriority(IntEnum):
+    """Which connections are closed first if there are too many."""
+
+    REFUSED = 0
+    UNUSED = 1
+    IDLE = 2
+    UPLOADING = 3
+
+
 class RequestRefusedError(HttpProcessingError):
     """The rest of a request is not read."""
 
@@ -156,12 +166,25 @@
         """Return whether it may be ended at once, as no request of it is served."""
         if self._open_transport is None or self._open_transport.is_closing():
             return False
-        return self.is_refused or not (self.has_whole_request or self._has_sent_last)
+        if self.has_whole_request:
+            return False
+        return self.is_refused or not self._has_sent_last
 
     @property
-    def has_had_request(self) -> bool:
-        """Return whether a whole request has been received."""
-        return self._framing.completed > 0
+    def close_order(self) -> tuple[ClosePriority, float]:
+        """Return a key by which closable connections are sorted, first to close first.
+
+        Pooled connections of ordinary callers are long-lived, so that the age tells
+        only of connections that never had a request.
+        """
+        if self.is_refused:
+            return ClosePriority.REFUSED, self.opened_s
+        active_s = max(self._last_received_s, self._invited_s)
+        if not (self._framing.is_between_requests or self._framing.is_in_text):
+            return ClosePriority.UPLOADING, active_s
+        if self._framing.completed > 0:
+            return ClosePriority.IDLE, active_s
+        return ClosePriority.UNUSED, self.opened_s
 
     @property
     def has_unread_bytes(self) -> bool:
--- a/figshunt/runtime/_caller_server.py
+++ b/figshunt/runtime/_caller_server.py
@@ -32,7 +32,7 @@
     :param build_connection: returns the protocol of one connection.
     :param report_discarded: is told how many such requests a connection had.
     :param max_connections: returns how many may be open; beyond that, those are closed
-        that carry no whole request, first refused ones, then those that never did.
+        that carry no whole request, in their ``close_order``.
     """
 
     def __init__(
@@ -185,13 +185,7 @@
         if excess <= 0:
             return
         closable = [entry for entry in self._connections if entry.is_closable]
-        closable.sort(
-            key=lambda entry: (
-                not entry.is_refused,
-                entry.has_had_request,
-                entry.opened_s,
-            )
-        )
+        closable.sort(key=lambda entry: entry.close_order)
         if not closable:
             connection.refuse_connection()
         for entry in closable[: max(excess, max_connections // CLOSED_PART)]:
--- a/tests/runtime/test_caller_limits.py
+++ b/tests/runtime/test_caller_limits.py
@@ -185,6 +185,44 @@
             writer.write(REQUEST)
             self.assertEqual(200, await self.receive_status(reader))
 
+    async def test_active_connections_and_uploads_are_closed_last(self) -> None:
+        """Guards against old pooled connections that give way to new idle ones."""
+        self.max_connections = 5
+        pooled, pooled_writer = await self.connect(REQUEST)
+        self.assertEqual(200, await self.receive_status(pooled))
+        upload, upload_writer = await self.connect(
+            START + b"Content-Length: 2\r\n\r\na"
+        )
+        idle = []
+        for _ in range(3):
+            idle.append(await self.connect(REQUEST))
+            self.assertEqual(200, await self.receive_status(idle[-1][0]))
+        pooled_writer.write(REQUEST)
+        self.assertEqual(200, await self.receive_status(pooled))
+        for _ in range(3):
+            reader, _ = await self.connect(REQUEST)
+            self.assertEqual(200, await self.receive_status(reader))
+        for reader, _ in idle:
+            with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
+                await asyncio.wait_for(reader.readexactly(1), 10.0)
+        upload_writer.write(b"b")
+        pooled_writer.write(REQUEST)
+        self.assertEqual(200, await self.receive_status(upload))
+        self.assertEqual(200, await self.receive_status(pooled))
+
+    async def test_refused_connection_is_kept_while_a_request_is_served(self) -> None:
+        """Guards against valid requests that are aborted for bytes behind them."""
+        self.max_connections = 1
+        waiting = asyncio.Event()
+        self.hold_answer = waiting
+        refused, _ = await self.connect(REQUEST + START + b"X: " + FILL)
+        await asyncio.sleep(0.1)
+        await self.connect(REQUEST)
+        await asyncio.sleep(0.1)
+        waiting.set()
+        self.assertEqual(200, await self.receive_status(refused))
+        self.assertEqual(431, await self.receive_status(refused))
+
     def test_descriptors_limit_the_connections(self) -> None:
         """Guards against a process without a limit that takes no connection."""
         for descriptors, connections in ((1_000, 450), (-1, 471_859)):
