Make connections closable that go on sending behind a close

Cause: a caller that sent Connection: close and kept sending held its connection for ten seconds, in which it could not be closed for others. Change: LINGER_S after the last response, and with nothing unsent, such a connection is closable, and is the first to be closed. Conclusion: a caller has the usual time to read its last response, but can't extend it by sending while other callers need the connection.

--- a/figshunt/runtime/_caller_connection.py
+++ b/figshunt/runtime/_caller_connection.py
@@ -56,7 +56,7 @@
 class ClosePriority(IntEnum):
     """Which connections are closed first if there are too many."""
 
-    REFUSED = 0
+    ENDING = 0
     UNUSED = 1
     IDLE = 2
     UPLOADING = 3
@@ -129,6 +129,7 @@
         self._quiet_timer: asyncio.TimerHandle | None = None
         self._closes_when_idle = False
         self._has_sent_last = False
+        self._sent_last_s = 0.0
         self._is_broken_off = False
         self._open_transport: asyncio.Transport | None = None
         self._closing_task: asyncio.Task[None] | None = None
@@ -166,6 +167,10 @@
         """Return whether it may be ended at once, as no request of it is served."""
         if self._open_transport is None or self._open_transport.is_closing():
             return False
+        if self._has_sent_last and not self.unsent_bytes:
+            # Whole requests behind a close are never processed.
+            if self._now_s() - self._sent_last_s >= LINGER_S:
+                return True
         if self.has_whole_request:
             return False
         return self.is_refused or not self._has_sent_last
@@ -177,8 +182,8 @@
         Pooled connections of ordinary callers are long-lived, so that the age tells
         only of connections that never had a request.
         """
-        if self.is_refused:
-            return ClosePriority.REFUSED, self.opened_s
+        if self.is_refused or self._has_sent_last:
+            return ClosePriority.ENDING, self.opened_s
         active_s = max(self._last_received_s, self._invited_s)
         if not (self._framing.is_between_requests or self._framing.is_in_text):
             return ClosePriority.UPLOADING, active_s
@@ -499,6 +504,7 @@
     def _shut_down_sending(self) -> None:
         """Half-close the connection behind the bytes that are still to be sent."""
         self._has_sent_last = True
+        self._sent_last_s = self._now_s()
         if self.transport is None:
             return
         if self.transport.can_write_eof():
--- a/tests/runtime/test_caller_limits.py
+++ b/tests/runtime/test_caller_limits.py
@@ -223,6 +223,23 @@
         self.assertEqual(200, await self.receive_status(refused))
         self.assertEqual(431, await self.receive_status(refused))
 
+    async def test_senders_behind_a_close_are_closed_first(self) -> None:
+        """Guards against callers that keep sending so that no other is accepted."""
+        linger = "figshunt.runtime._caller_connection.LINGER_S"
+        mock.patch(linger, 0.2).start()
+        self.addCleanup(mock.patch.stopall)
+        self.max_connections = 1
+        closing, closing_writer = await self.connect(
+            START + b"Connection: close\r\n\r\n"
+        )
+        self.assertEqual(200, await self.receive_status(closing))
+        for _ in range(8):
+            closing_writer.write(REQUEST)
+            await asyncio.sleep(0.05)
+        reader, _ = await self.connect(REQUEST)
+        closing_writer.write(REQUEST)
+        self.assertEqual(200, await self.receive_status(reader))
+
     def test_descriptors_limit_the_connections(self) -> None:
         """Guards against a process without a limit that takes no connection."""
         for descriptors, connections in ((1_000, 450), (-1, 471_859)):
