Bound TLS handshakes in progress apart from other connections

Cause: the event loop doesn't tell a protocol that its handshake failed, so garbage handshakes counted as connections for six seconds and could not be closed; with the count full every new caller was refused. Change: a handshake's entry ends with the task that accepts it. Handshakes in progress take at most a quarter of the connections; beyond that the oldest is ended. Conclusion: neither failed nor stalled handshakes keep out other callers.

--- a/figshunt/runtime/_caller_server.py
+++ b/figshunt/runtime/_caller_server.py
@@ -22,6 +22,10 @@
 # A caller completes its TLS handshake within this time.
 HANDSHAKE_TIMEOUT_S = 5.0
 
+# TLS handshakes in progress take at most this part of the connections, so that callers
+# that never complete one leave room for others.
+HANDSHAKE_DIVISOR = 4
+
 
 class CallerServer:
     """Accepts caller connections, and stops without losing whole requests.
@@ -51,6 +55,8 @@
         self._server: asyncio.Server | None = None
         self._opening_tasks: set[asyncio.Task[None]] = set()
         self._connections: set[CallerConnection] = set()
+        # In the order in which they began.
+        self._handshakes: dict[CallerConnection, asyncio.Task[None]] = {}
         self._all_closed = asyncio.Event()
         self._all_closed.set()
 
@@ -168,17 +174,30 @@
     def _open_connection(self) -> CallerConnection:
         connection = self._build_connection()
         if self._max_connections is not None:
-            self._make_room(connection, self._max_connections())
+            max_connections = self._max_connections()
+            self._limit_handshakes(max_connections // HANDSHAKE_DIVISOR)
+            self._make_room(connection, max_connections)
         self._connections.add(connection)
         self._all_closed.clear()
         connection.on_close(lambda: self._end(connection))
         if self._tls_context is not None:
-            # The event loop doesn't tell the protocol that its handshake failed.
-            asyncio.get_running_loop().call_later(
-                HANDSHAKE_TIMEOUT_S + 1.0, self._forget_if_not_made, connection
-            )
+            # The event loop doesn't tell the protocol that its handshake failed. The
+            # task that accepts the connection ends with the handshake.
+            task = asyncio.current_task()
+            assert task is not None
+            self._handshakes[connection] = task
+            task.add_done_callback(lambda _: self._end_handshake(connection))
         return connection
 
+    def _limit_handshakes(self, max_handshakes: int) -> None:
+        """End the oldest handshakes, so that there is room for a new one."""
+        while self._handshakes and len(self._handshakes) >= max_handshakes:
+            connection, task = next(iter(self._handshakes.items()))
+            if not connection.is_made:
+                connection.refuse_connection()
+                task.cancel()
+            self._end_handshake(connection)
+
     def _make_room(self, connection: CallerConnection, max_connections: int) -> None:
         """Close connections beyond the limit, or else the new one."""
         excess = len(self._connections) + 1 - max_connections
@@ -198,7 +217,8 @@
                 self._report_discarded(connection.discarded_requests)
         self._forget(connection)
 
-    def _forget_if_not_made(self, connection: CallerConnection) -> None:
+    def _end_handshake(self, connection: CallerConnection) -> None:
+        self._handshakes.pop(connection, None)
         if not connection.is_made:
             self._forget(connection)
 
--- a/tests/runtime/test_caller_connection.py
+++ b/tests/runtime/test_caller_connection.py
@@ -271,6 +271,31 @@
                 self.assertEqual(0, self.server.discarded_requests)
                 self.connect_caller()
 
+    async def test_handshakes_that_fail_or_stall_leave_room(self) -> None:
+        """Guards against handshakes that keep out every other caller."""
+        server = CallerServer(
+            self.build_connection,
+            build_anonymous_tls(ssl.PROTOCOL_TLS_SERVER),
+            max_connections=lambda: 8,
+        )
+        await server.start(LOOPBACK, 0, backlog=16)
+        self.addAsyncCleanup(server.close)
+        for data in (b"", b"GET / HTTP/1.1\r\n\r\n"):
+            for _ in range(10):
+                _, writer = await asyncio.open_connection(LOOPBACK, server.port)
+                self.addCleanup(writer.transport.abort)
+                writer.write(data)
+            await asyncio.sleep(0.1)
+            self.assertLessEqual(server.open_connections, 2)
+        context = build_anonymous_tls(ssl.PROTOCOL_TLS_CLIENT)
+        reader, writer = await asyncio.open_connection(
+            LOOPBACK, server.port, ssl=context
+        )
+        self.addCleanup(writer.transport.abort)
+        writer.write(b"GET / HTTP/1.1\r\nHost: h.example\r\n\r\n")
+        head = await asyncio.wait_for(reader.readuntil(b"\r\n"), 10.0)
+        self.assertIn(b" 200 ", head)
+
     async def test_caller_with_tls_reads_the_refusal_of_its_body(self) -> None:
         """Guards against a reset where a connection can't be closed by halves."""
         context = build_anonymous_tls(ssl.PROTOCOL_TLS_SERVER)
