Ignore load headers when a plain answer's duration is judged

Cause: The requests ahead of a plain call included those that the runner's load header claims. A runner that always states 0,120,6 had its durations divided by up to 20 rounds and seemed fast.

Change: Only requests that the hosts know of count as ahead in the measurement. The claim used in estimates is bounded by the published slots, no longer by those in the header.

Conclusion: A false queue length in a header no longer makes a runner look faster. It still repels calls for a moment, as the estimate uses it.

--- a/figshunt/dispatch/fleet/_service_times.py
+++ b/figshunt/dispatch/fleet/_service_times.py
@@ -294,12 +294,15 @@
         """Return by which factor the runner's work takes longer now."""
         return exp(_clamp(self.lasting + self.deviation(now_ms), *SLOWNESS_LOGS))
 
-    def claimed_requests(self, now_ms: int) -> float:
-        """Return the requests at the runner by its header, fewer as that ages."""
+    def claimed_requests(self, slots: int, now_ms: int) -> float:
+        """Return the requests at the runner by its header, fewer as that ages.
+
+        :param slots: the published slots, which bound what the header may claim.
+        """
         if self.header is None:
             return 0.0
         load = self.header.load
-        requests = min(load.running + load.waiting, MAX_CLAIMED_ROUNDS * load.slots)
+        requests = min(load.running + load.waiting, MAX_CLAIMED_ROUNDS * slots)
         return requests * self.header.freshness(now_ms)
 
     def rounds(self, requests: float, slots: int) -> float:
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -537,7 +537,9 @@
                     if holder
                     else None
                 ),
-                estimate.streams,
+                # A load header must not explain a duration: a runner that claims a
+                # long queue would look fast.
+                max(len(model.running_attempts), model.load.requests),
                 model.slowness,
                 pool.engine is not None
                 and 2 * estimate.streams < runner.slots
--- a/figshunt/dispatch/placement/_runner_cost.py
+++ b/figshunt/dispatch/placement/_runner_cost.py
@@ -207,7 +207,7 @@
     requests = max(
         len(model.running_attempts),
         model.load.requests,
-        int(times.claimed_requests(now_ms)),
+        int(times.claimed_requests(runner.slots, now_ms)),
     )
     expected_time = times.slowness(now_ms) * times.rounds(requests, runner.slots)
     success_share = max(MIN_SUCCESS_SHARE, 1 - model.failure_share(now_ms) ** 2)
--- a/tests/dispatch/test_service_times.py
+++ b/tests/dispatch/test_service_times.py
@@ -14,15 +14,24 @@
     build_silent_head,
     slow_in_windows,
 )
-from figshunt.dispatch import ReplyHead, RunnerLoad, SpeedNotice
+from figshunt.dispatch import (
+    BroadcastStatus,
+    ReplyComplete,
+    ReplyHead,
+    RunnerLoad,
+    SpeedNotice,
+)
 from figshunt.dispatch.fleet._service_times import ServiceTimes
 from figshunt.types import HostName, RouteName, RunnerId
 from tests.builders import (
+    build_call,
     build_configuration,
     build_published_route,
     build_published_runner,
     build_reply_head,
+    build_run_once_route,
 )
+from tests.dispatch.driver import CoreDriver
 
 HOSTS = 30
 RUNNERS = 4
@@ -131,6 +140,25 @@
         self.assertLess(0.95, timely)
         self.assertGreater(1 / RUNNERS, share)
 
+    def test_runner_that_claims_a_long_queue_does_not_seem_fast(self) -> None:
+        driver = CoreDriver(
+            build_published_runner("b1", "bookings", slots=SLOTS),
+            configuration=build_configuration(build_run_once_route()),
+        )
+        for number in range(30):
+            driver.call(build_call(f"r{number}", "/book/1"))
+            driver.advance(100)
+            load = RunnerLoad(0, 120, SLOTS) if number >= 10 else None
+            attempt_id = driver.last_attempt().attempt_id
+            driver.handle(ReplyComplete(attempt_id, build_reply_head(load=load), b""))
+        driver.advance(2_000)
+        notices = [
+            notice
+            for status in driver.effects_of(BroadcastStatus)
+            for notice in status.speeds
+        ]
+        self.assertEqual([], [one for one in notices if one.lasting < 0.9])
+
     def test_slow_runner_is_found_though_most_notices_are_lost(self) -> None:
         timely, _ = replay(lambda now_ms: 2.5, 170, build_silent_head, loss=0.9)
         self.assertLess(0.9, timely)
@@ -141,13 +169,14 @@
             self.assertEqual(1.0, self.times.slowness(self.now_ms))
         self.times.record_load(RunnerLoad(999_999, 0, SLOTS, 10_000), self.now_ms)
         self.assertGreaterEqual(4.0, self.times.slowness(self.now_ms))
-        self.assertGreaterEqual(20 * SLOTS, self.times.claimed_requests(self.now_ms))
+        claimed_requests = self.times.claimed_requests(SLOTS, self.now_ms)
+        self.assertGreaterEqual(20 * SLOTS, claimed_requests)
 
     def test_header_counts_for_less_than_a_second(self) -> None:
         self.times.record_load(RunnerLoad(6, 6, SLOTS, 250), self.now_ms)
         self.assertLess(1.8, self.times.slowness(self.now_ms))
         self.assertAlmostEqual(1.0, self.times.slowness(self.now_ms + 1_500), 1)
-        self.assertGreater(1.0, self.times.claimed_requests(self.now_ms + 1_500))
+        self.assertGreater(1.0, self.times.claimed_requests(SLOTS, self.now_ms + 1_500))
 
     def test_lasting_speed_outlives_a_time_without_traffic(self) -> None:
         self.answer(200, 100)
