Draw plain runners among those with free slots

Cause: The draw of two plain runners took all of them, so that a call went to a full runner while others were free. The minimum share of the dearer one also sent calls to runners that mostly fail.

Change: The draw takes runners with fewer known requests than slots if there are any. The minimum share holds only up to a failure share of 0.3.

Measured: The new test failed before (a call went to full b2 while b3 was free) and passes. 14 tests of test_service_times and 8 of test_plain_room pass.

Conclusion: A full or failing plain runner is no longer used just to measure its speed while other runners have free slots.

--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -114,6 +114,10 @@
 # that was slow would seem so for good.
 MIN_DRAWN_SHARE = 0.05
 
+# A runner that fails more of its requests has no minimum share: those calls would fail
+# only to measure its speed.
+MAX_DRAWN_FAILURE_SHARE = 0.3
+
 FAILED_RESULTS = frozenset(
     {
         CallAttemptResult.RUNNER_ERROR,
@@ -366,7 +370,7 @@
         if routed.trial is not None:
             accepted_runners = _least_occupied(accepted_runners, estimates)
         if pool.engine is None:
-            accepted_runners = self._draw_plain(pool, accepted_runners, estimates)
+            accepted_runners = self._draw_plain(pool, accepted_runners, estimates, now)
         lowest_cost = min(
             estimates[runner.runner_id].cost for runner in accepted_runners
         )
@@ -394,24 +398,35 @@
         pool: PublishedPool,
         runners: list[PublishedRunner],
         estimates: Mapping[RunnerId, Estimate],
+        now: Moment,
     ) -> list[PublishedRunner]:
         """Return one of two runners drawn at random if the runners are known to differ.
 
         All hosts know nearly the same of the runners, and would otherwise send to the
         cheapest one at the same time. The cheaper one of the two is the more likely,
-        the more their costs differ.
+        the more their costs differ. A full runner is drawn only if all are full.
         """
         if len(runners) < 2 or not any(
             self._fleet.model(runner.runner_id, pool).service_times.is_distinct
             for runner in runners
         ):
             return runners
-        drawn_runners = self._random.sample(runners, 2)
+        free_runners = [
+            runner
+            for runner in runners
+            if estimates[runner.runner_id].streams < runner.slots
+        ] or runners
+        if len(free_runners) == 1:
+            return free_runners
+        drawn_runners = self._random.sample(free_runners, 2)
         cheaper, dearer = sorted(
             drawn_runners, key=lambda runner: estimates[runner.runner_id].cost
         )
         ratio = estimates[dearer.runner_id].cost / estimates[cheaper.runner_id].cost
-        dearer_share = max(MIN_DRAWN_SHARE, 1 / (1 + ratio**COST_SHARPNESS))
+        dearer_share = 1 / (1 + ratio**COST_SHARPNESS)
+        model = self._fleet.model(dearer.runner_id, pool)
+        if model.failure_share(now.monotonic_ms) <= MAX_DRAWN_FAILURE_SHARE:
+            dearer_share = max(MIN_DRAWN_SHARE, dearer_share)
         return [dearer if self._random.random() < dearer_share else cheaper]
 
     def _find_homes(
--- a/tests/dispatch/test_plain_room.py
+++ b/tests/dispatch/test_plain_room.py
@@ -13,6 +13,7 @@
     RejectionNotice,
     ReplyComplete,
     ReplyVerdict,
+    RunnerLoad,
     StartCallAttempt,
 )
 from figshunt.dispatch.attempt._shared_budget import SharedRetryBudget
@@ -96,6 +97,19 @@
         self.assertEqual(9, [self.send() for _ in range(9)][-1])
         self.assertEqual([], self.driver.effects_of(BroadcastStatus))
 
+    def test_full_runner_gets_no_call_while_another_is_free(self) -> None:
+        self.driver.list_runner(build_published_runner("b3", "bookings", slots=40))
+        self.send()
+        head = build_reply_head(load=RunnerLoad(1, 0, SLOTS))
+        self.driver.handle(
+            ReplyComplete(self.driver.last_attempt().attempt_id, head, b"")
+        )
+        self.tell("b1", SLOTS)
+        self.tell("b2", SLOTS)
+        for _ in range(30):
+            self.send()
+            self.assertEqual("b3", self.driver.last_attempt().runner_id)
+
     def test_slots_that_all_hosts_use_are_kept_once_a_call_is_turned_away(self) -> None:
         self.tell_rejection()
         self.tell("b1", SLOTS - 1)
