Share a pool's typical times with runners listed before it

Cause: A runner whose entry was read before the configuration got typical times of its own for good, and so was compared with nobody.

Change: The typical times are keyed by the pool name of the entry, as the pool's load is, and kept while a runner uses them.

Measured: The new test failed before (no notice of a runner three times as slow as the other) and passes. 15 tests of test_service_times pass.

Conclusion: The order in which a host reads entries and configuration no longer decides whether slow runners are found.

--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -674,7 +674,7 @@
         self, runner_id: RunnerId, pool: PublishedPool | None, name: PoolName | None
     ) -> RunnerModel:
         pool_load = None if name is None else self._pool_load(name)
-        times = self.speeds.times(runner_id, pool)
+        times = self.speeds.times(runner_id, name)
         model = RunnerModel(_kv_tokens(pool), pool_load, times)
         self._models_by_runner[runner_id] = model
         return model
--- a/figshunt/dispatch/fleet/_fleet_speeds.py
+++ b/figshunt/dispatch/fleet/_fleet_speeds.py
@@ -56,13 +56,16 @@
         self._logged_by_runner: dict[RunnerId, tuple[int, float]] = {}
         self._next_expiry_ms = 0
 
-    def times(self, runner_id: RunnerId, pool: PublishedPool | None) -> ServiceTimes:
-        """Return the service times of a runner, creating them if there are none."""
+    def times(self, runner_id: RunnerId, pool: PoolName | None) -> ServiceTimes:
+        """Return the service times of a runner, creating them if there are none.
+
+        The pool is known by name only if its runner is listed before it is published.
+        """
         times = self._times_by_runner.get(runner_id)
         if times is None:
             reference = ReferenceTimes()
             if pool is not None:
-                reference = self._references_by_pool.setdefault(pool.name, reference)
+                reference = self._references_by_pool.setdefault(pool, reference)
             times = self._times_by_runner[runner_id] = ServiceTimes(reference)
         return times
 
@@ -151,8 +154,10 @@
         for by_runner in (self._times_by_runner, self._logged_by_runner):
             for runner_id in by_runner.keys() - runner_ids:
                 del by_runner[runner_id]
+        used_references = {times.reference for times in self._times_by_runner.values()}
         for pool in self._references_by_pool.keys() - set(pools):
-            del self._references_by_pool[pool]
+            if self._references_by_pool[pool] not in used_references:
+                del self._references_by_pool[pool]
 
     def _current_times(
         self, runner_id: RunnerId, process: int | None
--- a/tests/dispatch/test_service_times.py
+++ b/tests/dispatch/test_service_times.py
@@ -159,6 +159,26 @@
         ]
         self.assertEqual([], [one for one in notices if one.lasting < 0.9])
 
+    def test_runner_listed_before_its_pool_is_compared_with_the_others(self) -> None:
+        route = build_run_once_route()
+        driver = CoreDriver(configuration=build_configuration(route, pools_by_name={}))
+        driver.list_runner(build_published_runner("b1", "bookings", slots=SLOTS))
+        driver.publish(build_configuration(route))
+        driver.list_runner(build_published_runner("b2", "bookings", slots=SLOTS))
+        for number in range(60):
+            driver.call(build_call(f"r{number}", "/book/1"))
+            attempt = driver.last_attempt()
+            driver.advance(300 if attempt.runner_id == "b1" else 100)
+            driver.handle(ReplyComplete(attempt.attempt_id, build_reply_head(), b""))
+        driver.advance(2_000)
+        slow_ids = {
+            notice.runner_id
+            for status in driver.effects_of(BroadcastStatus)
+            for notice in status.speeds
+            if notice.lasting > 1.2
+        }
+        self.assertEqual({"b1"}, slow_ids)
+
     def test_slow_runner_is_found_though_most_notices_are_lost(self) -> None:
         timely, _ = replay(lambda now_ms: 2.5, 170, build_silent_head, loss=0.9)
         self.assertLess(0.9, timely)
