Let light held calls pass one that lacks memory

Cause: a held call without room marked its whole pool as full for the rest of the try, although room at an engine depends on the tokens of the call. Calls that were held as too harmful, or trials, marked it too. Change: the smallest demand that found no room is recorded per pool; only calls of at least that demand are skipped. A call that is held although runners are open, and a trial, no longer mark the pool. Conclusion: heavy held calls no longer block lighter ones behind them. Demand counts all tokens of a prompt, cached or not, so that a heavier call whose prefix is cached may still be skipped.

--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -141,7 +141,7 @@
             return False
         free_tokens = pool.engine.kv_tokens - model.load.tokens
         return (
-            _max_tokens(routed) <= free_tokens
+            count_max_tokens(routed) <= free_tokens
             or estimate_demand(routed, model).tokens <= free_tokens
         )
 
@@ -320,7 +320,7 @@
         engine = pool.engine
         if engine is None:
             return self._find_open_plain(pool, runners, now)
-        max_tokens = _max_tokens(routed)
+        max_tokens = count_max_tokens(routed)
         open_runners = []
         for runner in runners:
             if self._plain_bounds.is_full(runner.runner_id, now.monotonic_ms):
@@ -734,10 +734,10 @@
     if prompt is None:
         return Demand(requests=1)
     cached_tokens = model.prefix_cache.cached_tokens(prompt.parts)
-    return Demand(1, _max_tokens(routed) - min(prompt.input_tokens, cached_tokens))
+    return Demand(1, count_max_tokens(routed) - min(prompt.input_tokens, cached_tokens))
 
 
-def _max_tokens(routed: RoutedCall) -> int:
+def count_max_tokens(routed: RoutedCall) -> int:
     """Return the KV cache tokens of a call, none of which are cached."""
     prompt = routed.call.prompt
     if prompt is None:
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -36,7 +36,11 @@
 from figshunt.dispatch.admission._refusal import refuse_call
 from figshunt.dispatch.attempt._shared_budget import SharedRetryBudget
 from figshunt.dispatch.fleet._cold_limit import SharedBounds
-from figshunt.dispatch.fleet._fleet_model import FleetModel, estimate_demand
+from figshunt.dispatch.fleet._fleet_model import (
+    FleetModel,
+    count_max_tokens,
+    estimate_demand,
+)
 from figshunt.dispatch.fleet._peer_filter import PeersView
 from figshunt.dispatch.fleet._pool_summary import MAX_UNSAMPLED_RUNNERS
 from figshunt.dispatch.fleet._runner_model import (
@@ -58,6 +62,7 @@
     estimate_plain,
 )
 from figshunt.dispatch.waiting._drain_estimate import DrainEstimate
+from figshunt.dispatch.waiting._full_pools import FullPools
 from figshunt.dispatch.waiting._held_calls import HeldCalls, full_until_ms
 from figshunt.dispatch.waiting._return_schedule import ReturnSchedule
 from figshunt.pipeline import Feedback, Output
@@ -71,7 +76,6 @@
     LogValue,
     Message,
     Moment,
-    PoolName,
     RequestId,
     RunnerId,
     RunOutcome,
@@ -189,6 +193,7 @@
         )
         self._return_schedule = ReturnSchedule(random_source)
         self._held_calls = HeldCalls()
+        self._full_pools = FullPools()
         self._drain_estimate = DrainEstimate()
         self._retry_budget = retry_budget
         self._attempt_count = 0
@@ -310,12 +315,16 @@
                 pool, untried_runners, now
             ) or self._waits_for_pause(routed, untried_runners, wake_ms, now)
             reason = ErrorCode.QUEUE_FULL if is_busy else ErrorCode.NO_RUNNER
+            if not routed.tried_runner_ids:
+                self._full_pools.record(routed.pool, 0)
             yield from self._hold_or_refuse(
                 routed, reason, wake_ms, bool(untried_runners), now
             )
             return
         open_runners = _prefer_untried(routed, open_runners)
         if not open_runners:
+            if routed.trial is None and not routed.tried_runner_ids:
+                self._full_pools.record(routed.pool, count_max_tokens(routed))
             if self._waits_too_long(routed, now):
                 yield from self._refuse(routed, ErrorCode.QUEUE_FULL, True, now)
             else:
@@ -821,10 +830,10 @@
     def _place_held_calls(self, now: Moment) -> Iterable[Output]:
         """Place the held calls by priority, and refuse those that waited too long.
 
-        A pool without room for a call has none for less urgent ones.
+        A pool without room for a call has none for less urgent ones of its size.
         """
         self._held_calls.record_try(now.monotonic_ms)
-        full_pools: set[PoolName] = set()
+        self._full_pools.clear()
         for held_call in self._held_calls.in_order(now.monotonic_ms):
             routed = held_call.routed
             has_time = now.monotonic_ms < held_call.until_ms
@@ -832,13 +841,13 @@
                 self._held_calls.release(routed.call_id)
                 yield Feedback(CallAdmitted(routed))
                 continue
-            if routed.pool in full_pools and has_time:
+            if has_time and self._full_pools.has_no_room(
+                routed.pool, count_max_tokens(routed)
+            ):
                 continue
             self._held_calls.begin_try(routed.call_id)
             yield from self._place(routed, now)
             self._held_calls.end_try()
-            if routed.call_id in self._held_calls and not routed.tried_runner_ids:
-                full_pools.add(routed.pool)
 
 
 def _classify_choice(
--- a/tests/dispatch/test_engine_overload.py
+++ b/tests/dispatch/test_engine_overload.py
@@ -106,13 +106,18 @@
         status = build_host_status(occupancies=(notice,), incarnation=incarnation)
         self.driver.handle(PeerStatusReceived(status))
 
-    def send(self, shape: CallShape) -> bool:
+    def report_tokens(self, requests: int, tokens: int) -> None:
+        """Report the KV cache tokens that a peer's requests take at the engine."""
+        notice = OccupancyNotice(RunnerId("e1"), 0, requests, tokens)
+        self.driver.handle(PeerStatusReceived(build_host_status(occupancies=(notice,))))
+
+    def send(self, shape: CallShape, tokens: int = 100) -> bool:
         """Send a call and return whether it was passed on at once."""
         self.call_count += 1
         call = build_call(
             f"r{self.call_count}",
             f"{shape.route.path_prefix}1",
-            prompt=build_prompt(100),
+            prompt=build_prompt(tokens),
         )
         effects = self.driver.call(call)
         return bool(select_effects(effects, StartCallAttempt))
@@ -182,6 +187,17 @@
         self.assertFalse(notice.can_wait)
         self.assertEqual(0, notice.occupancies[0].requests)
 
+    def test_heavy_held_request_does_not_block_lighter_ones(self) -> None:
+        """Guards against held requests that wait behind one without free memory."""
+        self.report_tokens(self.SLOTS, 255_000)
+        self.send(CHAT, 9_190)
+        self.send(CHAT, 9_190)
+        self.send(CHAT, 700)
+        self.report_tokens(1, 255_000)
+        self.driver.advance(HELD_CALLS_INTERVAL_MS)
+        (started,) = self.driver.effects_of(StartCallAttempt)
+        self.assertEqual("r3", started.call.call_id)
+
     def test_late_request_gives_way_to_one_that_can_be_in_time(self) -> None:
         self.tell(0, self.SLOTS)
         self.send(CHAT)
