Count a runner as tried once it gets a rejected call again

Cause: a runner that rejected a call as full stayed in full_runner_ids when the call was sent there again, so that a runner which may have run the call still counted as untried and could run it a second time. Change: with_attempt removes the runner; a further rejection adds it again. without_run needs no change, as a runner that was not reached counted as tried before too. Measured: the new test in test_call_attempt_filter fails without the change (3 attempts instead of 2) and passes with it; 33 of 33 tests of that module and 7 of 7 of test_plain_room pass. Conclusion: a retry after a possible run goes to another runner only.

--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -129,6 +129,7 @@
             self,
             possible_runs=self.possible_runs + 1,
             tried_runner_ids=(*self.tried_runner_ids, runner_id),
+            full_runner_ids=self.full_runner_ids - {runner_id},
         )
 
     def may_follow(self, event_id: int) -> bool:
--- a/tests/dispatch/test_call_attempt_filter.py
+++ b/tests/dispatch/test_call_attempt_filter.py
@@ -202,6 +202,26 @@
         self.assertEqual(2, len(driver.effects_of(StartCallAttempt)))
         self.assertEqual(500, driver.effects_of(AnswerComplete)[0].head.status)
 
+    def test_runner_that_rejected_a_request_runs_it_once(self) -> None:
+        """Guards against a second run where a rejection preceded the first one."""
+        driver = CoreDriver(
+            build_published_runner("b1", "bookings"),
+            configuration=build_configuration(
+                build_run_once_route(
+                    repeatability=Repeatability.REPEATABLE, max_runners=2
+                )
+            ),
+        )
+        driver.call(BOOKING)
+        head = build_reply_head(503, verdict=ReplyVerdict.REFUSED, has_receipt=False)
+        driver.handle(ReplyComplete(driver.last_attempt().attempt_id, head, b""))
+        driver.advance(100)
+        self.assertEqual(2, len(driver.effects_of(StartCallAttempt)))
+        attempt_id = driver.last_attempt().attempt_id
+        driver.handle(ReplyComplete(attempt_id, build_reply_head(500), b""))
+        driver.advance(100)
+        self.assertEqual(2, len(driver.effects_of(StartCallAttempt)))
+
     def test_request_at_silent_runner_goes_to_another(self) -> None:
         driver = build_booking_driver(
             repeatability=Repeatability.REPEATABLE, max_runners=2
