Hold a call that a runner rejected instead of refusing it

Change: the check of the expected wait skips calls that wait for the retry budget (is_repeat); they are held within their limits. Measured: the new test in test_refusal_in_time fails without the change (one 503) and passes with it; 6 of 6 tests of that module pass. Conclusion: a rejection by a runner no longer ends a call that has time left; the end of its hold or of its refusals does.

--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -687,8 +687,11 @@
             yield LogEvent("runner_excluded", self.step, fields)
 
     def _waits_too_long(self, routed: RoutedCall, now: Moment) -> bool:
-        """Return whether a new call without room would wait in vain."""
-        if routed.call_id in self._held_calls:
+        """Return whether a new call without room would wait in vain.
+
+        A call that a runner rejected as full is not new, and is held on.
+        """
+        if routed.is_repeat or routed.call_id in self._held_calls:
             return False
         wait_ms = self._drain_ms(routed, now)
         return now.monotonic_ms + wait_ms > full_until_ms(routed, now.monotonic_ms)
--- a/tests/dispatch/test_refusal_in_time.py
+++ b/tests/dispatch/test_refusal_in_time.py
@@ -10,6 +10,7 @@
     PeerStatusReceived,
     RejectionNotice,
     ReplyComplete,
+    ReplyVerdict,
     StartCallAttempt,
 )
 from figshunt.types import PoolName, RunnerId
@@ -83,6 +84,16 @@
         self.assertEqual(503, error.status)
         self.assertGreater(error.retry_after_ms, 30 * WORK_MS / SLOTS * 0.8)
 
+    def test_call_that_a_runner_rejected_is_held_on(self) -> None:
+        """Guards against a 503 soon after a rejection, with time left."""
+        self.assertIsNone(self.refusal_of_next_call())
+        self.tell(SLOTS, 30)
+        head = build_reply_head(503, verdict=ReplyVerdict.REFUSED, has_receipt=False)
+        attempt_id = self.driver.last_attempt().attempt_id
+        self.driver.handle(ReplyComplete(attempt_id, head, b""))
+        self.driver.advance(100)
+        self.assertEqual([], self.driver.effects_of(AnswerError))
+
     def test_call_that_gets_a_place_in_time_is_held(self) -> None:
         self.tell(SLOTS, 5)
         self.assertIsNone(self.refusal_of_next_call())
