Honour published limits for bodies and idle connections

Cause: limits.maxBodyBytes above 8 MiB and limits.idleTimeoutMs above 60 s were ignored, so callers inside the published limits got 413 or lost a connection that they were about to reuse. Change: both are decoded; the larger of the default and the published figure with its margin holds. Conclusion: no caller inside the published limits is refused for the size of its body or an allowed pause, except for the memory that all bodies share.

--- a/figshunt/directory/_model.py
+++ b/figshunt/directory/_model.py
@@ -92,10 +92,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishedLimits:
-    """What callers may send of a request's head, where it is published."""
+    """What callers may send, and how long they may take, where it is published."""
 
     header_bytes: int | None = None
     header_timeout_ms: int | None = None
+    body_bytes: int | None = None
+    idle_timeout_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/gateway/_front_listener.py
+++ b/figshunt/gateway/_front_listener.py
@@ -61,6 +61,7 @@
 # Callers reuse a connection that was idle for less than the published limit, which
 # is 15 s on known deployments, so idle connections are closed well after that.
 IDLE_TIMEOUT_S = 60.0
+IDLE_MARGIN_S = 15.0
 
 LISTEN_BACKLOG = 1024
 
@@ -93,13 +94,12 @@
         """Read the body whole.
 
         :raises BodyRefusedError: if all bodies together would exceed their limit.
-        :raises web.HTTPRequestEntityTooLarge: if it exceeds ``MAX_BODY_BYTES``.
+        :raises web.HTTPRequestEntityTooLarge: if it exceeds ``client_max_size``.
         """
+        max_bytes = request.client_max_size
         if request.content_length is not None:
-            if request.content_length > MAX_BODY_BYTES:
-                raise web.HTTPRequestEntityTooLarge(
-                    MAX_BODY_BYTES, request.content_length
-                )
+            if request.content_length > max_bytes:
+                raise web.HTTPRequestEntityTooLarge(max_bytes, request.content_length)
             self._reserve(request.content_length)
             await _invite_body(request)
             return await request.read()
@@ -107,8 +107,8 @@
         body = bytearray()
         async for data in request.content.iter_any():
             body += data
-            if len(body) > MAX_BODY_BYTES:
-                raise web.HTTPRequestEntityTooLarge(MAX_BODY_BYTES, len(body))
+            if len(body) > max_bytes:
+                raise web.HTTPRequestEntityTooLarge(max_bytes, len(body))
             self._reserve(len(body))
         return bytes(body)
 
@@ -147,6 +147,7 @@
         self._log = log
         self._queues_by_call: dict[RequestId, tuple[AnswerQueue, web.BaseRequest]] = {}
         self._count = count
+        self._read_limits = read_limits
         self._bounds = CallerBounds(
             Step.FRONT_LISTENER,
             clock,
@@ -262,7 +263,7 @@
         max_head_bytes = options["limits"].head_bytes
         return CallerConnection(
             self._http_server,
-            idle_timeout_s=IDLE_TIMEOUT_S,
+            idle_timeout_s=compute_idle_timeout_s(self._read_limits()),
             access_log=None,
             auto_decompress=False,
             max_line_size=max_head_bytes,
@@ -280,7 +281,7 @@
             writer,
             task,
             asyncio.get_running_loop(),
-            client_max_size=MAX_BODY_BYTES,
+            client_max_size=compute_max_body_bytes(self._read_limits()),
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -434,6 +435,17 @@
     return CallerLimits(max(MAX_HEAD_BYTES, head_bytes), head_timeout_s)
 
 
+def compute_idle_timeout_s(published: PublishedLimits) -> float:
+    """Return the time after which idle connections are closed."""
+    published_s = (published.idle_timeout_ms or 0) / 1000
+    return max(IDLE_TIMEOUT_S, published_s + IDLE_MARGIN_S)
+
+
+def compute_max_body_bytes(published: PublishedLimits) -> int:
+    """Return the size of a body from which on the library refuses it."""
+    return max(MAX_BODY_BYTES, (published.body_bytes or 0) + 1)
+
+
 async def _invite_body(request: web.BaseRequest) -> None:
     """Tell a caller that waits with the body that the host reads it now.
 
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -114,7 +114,12 @@
             return int(value)
         return None
 
-    return PublishedLimits(decode("maxHeaderBytes"), decode("headerTimeoutMs"))
+    return PublishedLimits(
+        header_bytes=decode("maxHeaderBytes"),
+        header_timeout_ms=decode("headerTimeoutMs"),
+        body_bytes=decode("maxBodyBytes"),
+        idle_timeout_ms=decode("idleTimeoutMs"),
+    )
 
 
 def _decode_route(fields: Mapping[str, Any]) -> PublishedRoute:
--- a/tests/gateway/test_caller_bounds.py
+++ b/tests/gateway/test_caller_bounds.py
@@ -4,7 +4,13 @@
 import unittest
 
 from figshunt.directory import ConfigurationPublished, PublishedItem
-from figshunt.gateway._front_listener import build_caller_limits
+from figshunt.gateway._front_listener import (
+    IDLE_TIMEOUT_S,
+    MAX_BODY_BYTES,
+    build_caller_limits,
+    compute_idle_timeout_s,
+    compute_max_body_bytes,
+)
 from figshunt.gateway._memory_bounds import compute_caller_memory
 from figshunt.platform import PlatformItemCodec
 from figshunt.runtime import HEAD_TIMEOUT_S, MAX_HEAD_BYTES
@@ -42,6 +48,23 @@
                 self.assertEqual(head_bytes, limits.head_bytes)
                 self.assertEqual(head_timeout_s, limits.head_timeout_s)
 
+    def test_published_body_and_idle_time_extend_the_defaults(self) -> None:
+        """Guards against larger bodies and longer pauses that are refused."""
+        for published, body_bytes, idle_s in (
+            ({"maxBodyBytes": 1_000, "idleTimeoutMs": 15_000}, MAX_BODY_BYTES, 60.0),
+            ({"maxBodyBytes": 9_000_000}, 9_000_001, IDLE_TIMEOUT_S),
+            ({"idleTimeoutMs": 90_000}, MAX_BODY_BYTES, 105.0),
+            ({"maxBodyBytes": None, "idleTimeoutMs": "x"}, MAX_BODY_BYTES, 60.0),
+        ):
+            with self.subTest(published):
+                value = json.dumps(build_document(limits=published)).encode()
+                item = PublishedItem("op/config", 1, value)
+                (message,) = PlatformItemCodec().decode([item], after_outage=False)
+                assert isinstance(message, ConfigurationPublished)
+                limits = message.configuration.limits
+                self.assertEqual(body_bytes, compute_max_body_bytes(limits))
+                self.assertEqual(idle_s, compute_idle_timeout_s(limits))
+
     def test_smaller_hosts_hold_less(self) -> None:
         """Guards against callers that take the memory of a small host."""
         for memory_mb in (40, 85, 136, 552):
