Guard home scores, event sizes and pool maps against extremes

Cause: The fraction of a home's score could round to 1, whose logarithm is 0. Engines published with 0 tokens per event divided by zero. Summaries and loads of pools that had left the configuration were kept for good.

Change: The score uses 52 bits, the event size counts as at least 1, and removing unlisted runners also removes such summaries and idle loads.

Conclusion: None of the three extremes can stop a host or grow its state.

--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -663,6 +663,12 @@
                 self._prefix_index.remove(runner_id, model.prefix_cache.part_ids())
                 del self._models_by_runner[runner_id]
                 self._starts_by_runner.pop(runner_id, None)
+        for name in self._summaries_by_pool.keys() - set(configuration.pools_by_name):
+            del self._summaries_by_pool[name]
+        for name in self._loads_by_pool.keys() - set(configuration.pools_by_name):
+            # Runners that leave still count their last requests here.
+            if not any(self._loads_by_pool[name].requests_by_level):
+                del self._loads_by_pool[name]
         self._cold_limit.retain(listed_ids)
         self._plain_bounds.retain(listed_ids)
         self._named_limits.retain(listed_ids)
--- a/figshunt/dispatch/fleet/_fleet_speeds.py
+++ b/figshunt/dispatch/fleet/_fleet_speeds.py
@@ -112,7 +112,7 @@
             gap_ms = stream_ms / (ended.events - 1)
             prefill_ms = model.prefill_ms(PREFILL_CHUNK_TOKENS) / model.slowness
             share = min(1.0, model.prefill_share(now_ms))
-            expected_ms = pool.engine.event_tokens * (
+            expected_ms = max(1, pool.engine.event_tokens) * (
                 PRIOR_STEP_MS + share * prefill_ms
             )
             times.observe_gaps(route, gap_ms / expected_ms, now_ms)
--- a/figshunt/dispatch/placement/_prefix_homes.py
+++ b/figshunt/dispatch/placement/_prefix_homes.py
@@ -122,6 +122,6 @@
 
 def _score(prefix: PartId, runner: PublishedRunner) -> float:
     digest = xxhash.xxh64_intdigest(f"{prefix}/{runner.runner_id}".encode())
-    # The digest lies strictly between 0 and 1 as a fraction of 2 ** 53.
-    fraction = ((digest >> 11) + 0.5) / 2**53
+    # With 52 bits, the half is exact, so that the fraction never rounds to 1.
+    fraction = ((digest >> 12) + 0.5) / 2**52
     return -max(1, runner.slots) / log(fraction)
