Estimate waits at plain services from at least their slots

Cause: right after a pool becomes bounded, peers' requests aren't known and the estimated wait divided by this host's own few, which refused calls although many slots drain. Change: for plain services the divisor is at least the slots of the usable runners, and there is no estimate while a runner with a free slot counts as full after a rejection. No new test covers this change.

--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -351,16 +351,33 @@
         )
 
     def count_in_flight(
-        self, pool: PublishedPool, runners: Iterable[RunnerId], priority: int
-    ) -> int:
+        self,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        priority: int,
+        now: Moment,
+    ) -> int | None:
         """Return how many requests of all hosts have to end to make room for a call.
 
-        An engine admits a call before less urgent ones.
+        An engine admits a call before less urgent ones. At a plain service the number
+        is at least that of the slots, as peers' requests are reported late, and not
+        known while a runner with a free slot counts as full after a rejection.
         """
-        loads = [self.model(runner_id, pool).load for runner_id in runners]
-        if pool.engine is None:
-            return sum(load.requests for load in loads)
-        return sum(load.requests_ahead(priority) for load in loads)
+        if pool.engine is not None:
+            return sum(
+                self.model(runner_id, pool).load.requests_ahead(priority)
+                for runner_id in runners
+            )
+        in_flight = slots = 0
+        for runner in self.usable_runners(pool, runners, now):
+            requests = self.model(runner.runner_id, pool).load.requests
+            if requests < runner.slots and self._plain_bounds.is_full(
+                runner.runner_id, now.monotonic_ms
+            ):
+                return None
+            in_flight += requests
+            slots += max(1, runner.slots)
+        return max(in_flight, slots)
 
     def has_paused(self, runner_ids: Iterable[RunnerId], now: Moment) -> bool:
         """Return whether one of these runners has asked for a pause."""
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -702,8 +702,10 @@
         if pool is None:
             return 0
         in_flight = self._fleet.count_in_flight(
-            pool, self._directory.runners(routed.pool), routed.priority
+            pool, self._directory.runners(routed.pool), routed.priority, now
         )
+        if in_flight is None:
+            return 0
         own_ahead = self._held_calls.count_ahead(routed, now.monotonic_ms)
         wait_ms = self._drain_estimate.wait_ms(
             routed.pool, routed.priority, own_ahead, in_flight, now.monotonic_ms
