Count the hold of a rejected call from its first one

Cause: the limit of a hold restarted with each rejection by a runner, so that a call could be held for several times the bound. Change: the call carries when it was first held, and the limits of later holds count from there. Conclusion: the holds of a call end within one bound from the first. No new test covers this, and a call that was placed at once begins its bound only with its first hold.

--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -80,6 +80,7 @@
     ``trial`` is the suspect of runner crashes that this call tries.
     ``full_runner_ids`` are the runners that turned it away; they may get it again.
     ``is_repeat`` is set while it waits for the retry budget.
+    ``held_since_ms`` is when it was first held; a rejection does not reset it.
     """
 
     call: Call
@@ -99,6 +100,7 @@
     trial: Suspect | None = None
     full_runner_ids: frozenset[RunnerId] = frozenset()
     is_repeat: bool = False
+    held_since_ms: int | None = None
 
     @property
     def call_id(self) -> RequestId:
--- a/figshunt/dispatch/waiting/_held_calls.py
+++ b/figshunt/dispatch/waiting/_held_calls.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from figshunt.dispatch._call import RoutedCall
 from figshunt.dispatch._messages import HeldNotice
@@ -136,6 +136,10 @@
 
 
 def _build_held_call(routed: RoutedCall, reason: ErrorCode, now_ms: int) -> HeldCall:
+    if routed.held_since_ms is None:
+        routed = replace(routed, held_since_ms=now_ms)
+    else:
+        now_ms = routed.held_since_ms
     wait_ms = routed.route.target_ms * HOLD_TARGET_SHARE
     in_time_until_ms = min(now_ms + int(wait_ms), routed.deadline_ms)
     if reason is not ErrorCode.QUEUE_FULL:
