Count a restarted engine as slower for some seconds

Cause: with measured speeds a restarted engine has the speed of its pool at once, while others look slower by the queues of requests that hosts don't see, so that it attracted work, also the requests that crashed it. Change: the slowness of an engine starts 1.6 times higher and decays within some 15 s after its start.

--- a/figshunt/dispatch/fleet/_runner_model.py
+++ b/figshunt/dispatch/fleet/_runner_model.py
@@ -33,6 +33,12 @@
 # runner that is avoided gets work again.
 HALF_LIFE_MS = 3_000
 
+# A runner that has just started is slow for some seconds. A restarted engine would
+# attract work otherwise, also the requests that crashed it: with a shorter decay, up to
+# six of them reached engines later than allowed.
+START_SLOWNESS = 0.6
+START_DECAY_MS = 15_000
+
 # Time constant of the average share of time spent on prefill.
 PREFILL_WINDOW_MS = 4_000
 
@@ -122,6 +128,7 @@
         self.streams_by_gap_ms: dict[int, RunningStreams] = {}
         self.service_times = service_times or ServiceTimes()
         self.slowness = self.service_times.slowness(0)
+        self._first_used_ms: int | None = None
         self._slowness_ms = 0
         self.cold_until_ms = 0
         self.paused_until_ms = 0
@@ -202,11 +209,16 @@
         return self.prefill_queue.add(prefill_ms, now_ms, attempt_id)
 
     def update_slowness(self, now_ms: int) -> None:
-        """Set the slowness to what the service times show now."""
+        """Set the slowness to what the service times and the start show now."""
         # Several estimates of the same time need it once.
-        if now_ms != self._slowness_ms:
-            self._slowness_ms = now_ms
-            self.slowness = self.service_times.slowness(now_ms)
+        if now_ms == self._slowness_ms:
+            return
+        self._slowness_ms = now_ms
+        if self._first_used_ms is None:
+            self._first_used_ms = now_ms
+        age_ms = max(0, now_ms - self._first_used_ms)
+        start = 1 + START_SLOWNESS * exp(-age_ms / START_DECAY_MS)
+        self.slowness = self.service_times.slowness(now_ms) * start
 
     def record_response(self, now_ms: int) -> None:
         """Record that the runner answered; reset its silence and exclusion counts."""
@@ -283,6 +295,7 @@
         self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
         self.paused_until_ms = 0
         self.service_times.reset()
+        self._first_used_ms = None
         self.slowness = self.service_times.slowness(0)
         self.prefill_queue = PrefillQueue()
         self.load.forget_all()
