Prefer free engines that are meant for a call to holders kept for others

Cause: in a search of a full pool, free holders of a prompt's prefix replaced all other free engines. If the only free holder was an engine kept for streams with a tight gap target, a long prompt was held although other engines were free; found in review. Change: free engines meant for the call come first, holders among them before the others.

--- a/figshunt/dispatch/placement/_candidates.py
+++ b/figshunt/dispatch/placement/_candidates.py
@@ -141,8 +141,8 @@
     ) -> Mapping[RunnerId, PublishedRunner]:
         """Return some of the available runners that need not preempt for the call.
 
-        Holders of the prompt's prefix come first, and runners that are kept for other
-        streams last.
+        Runners that are meant for such calls come first, holders of the prompt's prefix
+        before the others.
         """
         free_runners = [
             runner
@@ -154,11 +154,13 @@
         holders = frozenset(self._fleet.holders(prompt.parts) if prompt else ())
         summary = self._fleet.summary(pool, self._directory.runners(pool.name), now)
         group_ids = frozenset(summary.group(routed.route.gap_target_ms))
-        free_runners = (
-            [runner for runner in free_runners if runner.runner_id in holders]
-            or [runner for runner in free_runners if runner.runner_id in group_ids]
-            or free_runners
-        )
+        for preferred_ids in (holders & group_ids, group_ids, holders):
+            preferred_runners = [
+                runner for runner in free_runners if runner.runner_id in preferred_ids
+            ]
+            if preferred_runners:
+                free_runners = preferred_runners
+                break
         if len(free_runners) > MAX_FOUND:
             free_runners = self._random.sample(free_runners, MAX_FOUND)
         return {runner.runner_id: runner for runner in free_runners}
