Split the placement of a call into comparison and selection

Change: _compare estimates and drops runners that a call would harm, _select_runner chooses among the cheapest. Rename as_requeued, may_requeue, costlier and CLOSE_DIVISOR, and shorten comments. Measured: test_placement_filter (13), test_plain_room (8), test_candidates (6), test_call_attempt_filter (33) and test_engine_overload (14) pass. Conclusion: no decision changes.

--- a/figshunt/dispatch/_call.py
+++ b/figshunt/dispatch/_call.py
@@ -119,7 +119,7 @@
             self, possible_runs=self.possible_runs - 1, refusals=self.refusals + 1
         )
 
-    def as_kept(self, runner_id: RunnerId) -> "RoutedCall":
+    def as_requeued(self, runner_id: RunnerId) -> "RoutedCall":
         """Return a copy that waits after this runner turned the call away."""
         return replace(
             self, full_runner_ids=self.full_runner_ids | {runner_id}, is_repeat=True
--- a/figshunt/dispatch/attempt/_call_attempt_filter.py
+++ b/figshunt/dispatch/attempt/_call_attempt_filter.py
@@ -337,8 +337,8 @@
         )
         # A request that may have run already is not kept waiting.
         if not is_wrong_runner and not routed.possible_runs:
-            if self._retry_policy.may_keep(routed, now):
-                kept = routed.as_kept(attempt.runner.runner_id)
+            if self._retry_policy.may_requeue(routed, now):
+                kept = routed.as_requeued(attempt.runner.runner_id)
                 yield Feedback(CallAdmitted(kept))
                 return
         elif self._retry_policy.may_reassign(routed, now):
--- a/figshunt/dispatch/attempt/_retry_policy.py
+++ b/figshunt/dispatch/attempt/_retry_policy.py
@@ -26,7 +26,7 @@
         """Count the first attempt of a request."""
         self._budget.record_request(pool, now)
 
-    def may_keep(self, routed: RoutedCall, now: Moment) -> bool:
+    def may_requeue(self, routed: RoutedCall, now: Moment) -> bool:
         """Return whether a request that a runner turned away waits for another one.
 
         The budget is used only once it is sent there.
@@ -38,7 +38,7 @@
 
     def may_reassign(self, routed: RoutedCall, now: Moment) -> bool:
         """Return whether a request that did not run may go to another runner."""
-        return self.may_keep(routed, now) and self._budget.take(routed.pool, now)
+        return self.may_requeue(routed, now) and self._budget.take(routed.pool, now)
 
     def may_retry(self, routed: RoutedCall, now: Moment) -> bool:
         """Return whether a request that may have run may be sent again."""
--- a/figshunt/dispatch/fleet/_service_times.py
+++ b/figshunt/dispatch/fleet/_service_times.py
@@ -21,7 +21,7 @@
 
 # Evidence of the momentary speed decays with this time constant, a little more than
 # a slow phase. Answers are late by the queues of other hosts' requests too, so that a
-# prior of several answers keeps the load from swinging between the runners.
+# prior of several answers keeps the load from oscillating between runners.
 RECENT_DECAY_MS = 700
 RECENT_PRIOR_WEIGHT = 6.0
 
@@ -43,7 +43,7 @@
 # The usual figure of a runner is the mean of about this many headers.
 USUAL_FIGURE_WEIGHT = 64.0
 
-# Weight of an observation in the errors that show whether headers foretell durations,
+# Weight of an observation in the errors that show whether headers predict durations,
 # and the error, in squared logarithms, that is within the spread of the durations.
 ERROR_WEIGHT = 0.1
 ERROR_TOLERANCE = 0.05
@@ -194,7 +194,7 @@
 
 @dataclass(slots=True)
 class HeaderRecord:
-    """The last load header of a runner, and whether its headers prove right."""
+    """The last load header of a runner, and how well its headers predict durations."""
 
     load: RunnerLoad
     seen_ms: int
@@ -334,7 +334,7 @@
     def observe_gaps(self, route: RouteName, factor: float, now_ms: int) -> None:
         """Learn from the time between events relative to the prior estimate."""
         relative = self.reference.compare(route, max(1e-3, factor) * 1_000)
-        # A stream takes longer than a slow phase, and shows nothing of the moment.
+        # A stream outlasts a slow phase, so its gaps don't show the current one.
         self._observe_lasting(self.reference.level + relative, GAP_WEIGHT, now_ms)
 
     def record_load(self, load: RunnerLoad, now_ms: int) -> None:
@@ -347,7 +347,7 @@
             self._untold.add(self.header.claim() * self.header.trust())
 
     def record_notice(self, host: HostName, notice: SpeedNotice, now_ms: int) -> None:
-        """Replace what a host knows of the lasting speed, and add its recent news."""
+        """Replace what a host knows of the lasting speed, and add recent evidence."""
         self._drop_told(host)
         level = self.reference.level
         value = log(notice.lasting)
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Iterable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from figshunt.directory import (
     DirectoryView,
@@ -108,10 +108,8 @@
 # and would otherwise all choose the same runner.
 COST_TIE_MARGIN = 0.02
 
-# Of two plain runners, one that costs twice as much gets one call in 17. Always taking
-# the cheaper one lets the load of runners that are alike swing between them: with 30
-# hosts and four runners at four fifths of their capacity, 1 to 5% of the calls were
-# late, and none with this exponent.
+# Of two plain runners, one that costs twice as much gets one call in 17. If the cheaper
+# one always got the call, hosts with the same news would overload it in turns.
 COST_SHARPNESS = 4
 
 # A runner gets at least this share of the calls for which it is drawn: without any, one
@@ -143,6 +141,20 @@
 DEFAULT_OUTPUT_TOKENS = 100
 
 
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """The estimates of a call at some runners, and those of them that may get it.
+
+    ``holder`` has the longest cached prefix of its prompt. ``home_ids`` are the homes
+    of that prefix, or ``None`` in a small or plain pool.
+    """
+
+    estimates_by_id: Mapping[RunnerId, Estimate]
+    accepted_runners: list[PublishedRunner]
+    holder: PublishedRunner | None
+    home_ids: tuple[RunnerId, ...] | None
+
+
 class PlacementFilter:
     """Sends each call to the runner with the lowest expected cost.
 
@@ -334,6 +346,43 @@
             else:
                 yield from self._hold_for_room(routed, now)
             return
+        comparison = self._compare(
+            routed, pool, runners, usable_runners, open_runners, candidates, now
+        )
+        if not comparison.accepted_runners:
+            yield from self._hold_for_room(routed, now)
+            return
+        if routed.is_repeat:
+            if not self._retry_budget.take(routed.pool, now):
+                wake_ms = now.monotonic_ms + BUDGET_INTERVAL_MS
+                yield from self._hold_or_refuse(
+                    routed, ErrorCode.QUEUE_FULL, wake_ms, True, now
+                )
+                return
+            yield CountEvent("repeats", {"route": routed.route.name})
+            routed = replace(routed, is_repeat=False)
+        self._held_calls.release(routed.call_id)
+        runner = self._select_runner(routed, pool, comparison, now)
+        estimate = comparison.estimates_by_id[runner.runner_id]
+        fetch_source = comparison.holder if estimate.fetched_tokens else None
+        yield from self._start_attempt(
+            routed, runner, pool, estimate, fetch_source, comparison.home_ids, now
+        )
+
+    def _compare(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool,
+        runners: Mapping[RunnerId, PublishedRunner],
+        usable_runners: list[PublishedRunner],
+        open_runners: list[PublishedRunner],
+        candidates: Mapping[RunnerId, PublishedRunner],
+        now: Moment,
+    ) -> Comparison:
+        """Estimate a call at the runners with room, and drop those it would harm.
+
+        :param runners: all runners of the pool, as the directory lists them.
+        """
         open_runners = self._candidates.limit(pool, open_runners, candidates)
         mean_prefill_share = self._fleet.mean_prefill_share(pool, runners, now)
         holder, holder_tokens = self._fleet.find_holder(routed, pool, runners, now)
@@ -345,7 +394,7 @@
         if is_least_urgent:
             usable_runners = self._candidates.limit(pool, usable_runners, candidates)
             compared_runners = list(dict.fromkeys((*usable_runners, *open_runners)))
-        estimates = {
+        estimates_by_id = {
             runner.runner_id: self._estimate(
                 routed,
                 runner,
@@ -361,46 +410,38 @@
         accepted_runners = open_runners
         if is_least_urgent:
             accepted_runners = _without_harmful(
-                routed, usable_runners, open_runners, estimates
+                routed, usable_runners, open_runners, estimates_by_id
             )
-        if not accepted_runners:
-            yield from self._hold_for_room(routed, now)
-            return
-        if routed.is_repeat:
-            if not self._retry_budget.take(routed.pool, now):
-                wake_ms = now.monotonic_ms + BUDGET_INTERVAL_MS
-                yield from self._hold_or_refuse(
-                    routed, ErrorCode.QUEUE_FULL, wake_ms, True, now
-                )
-                return
-            yield CountEvent("repeats", {"route": routed.route.name})
-            routed = replace(routed, is_repeat=False)
-        self._held_calls.release(routed.call_id)
+        return Comparison(estimates_by_id, accepted_runners, holder, home_ids)
+
+    def _select_runner(
+        self,
+        routed: RoutedCall,
+        pool: PublishedPool,
+        comparison: Comparison,
+        now: Moment,
+    ) -> PublishedRunner:
+        """Return one of the cheapest accepted runners."""
+        estimates_by_id = comparison.estimates_by_id
+        runners = comparison.accepted_runners
         if routed.trial is not None:
-            accepted_runners = _least_occupied(accepted_runners, estimates)
+            runners = _least_occupied(runners, estimates_by_id)
         if pool.engine is None:
-            accepted_runners = self._draw_plain(pool, accepted_runners, estimates, now)
-        lowest_cost = min(
-            estimates[runner.runner_id].cost for runner in accepted_runners
-        )
+            runners = self._draw_plain(pool, runners, estimates_by_id, now)
+        lowest_cost = min(estimates_by_id[runner.runner_id].cost for runner in runners)
         cheapest_runners = [
             runner
-            for runner in accepted_runners
-            if estimates[runner.runner_id].cost <= lowest_cost + COST_TIE_MARGIN
+            for runner in runners
+            if estimates_by_id[runner.runner_id].cost <= lowest_cost + COST_TIE_MARGIN
         ]
-        if home_ids is not None:
+        if comparison.home_ids is not None:
             # A data centre spills to others only where its own engines cost more.
             cheapest_runners = [
                 runner
                 for runner in cheapest_runners
                 if runner.data_centre == self._data_centre
             ] or cheapest_runners
-        selected_runner = self._random.choice(cheapest_runners)
-        estimate = estimates[selected_runner.runner_id]
-        fetch_source = holder if estimate.fetched_tokens else None
-        yield from self._start_attempt(
-            routed, selected_runner, pool, estimate, fetch_source, home_ids, now
-        )
+        return self._random.choice(cheapest_runners)
 
     def _draw_plain(
         self,
@@ -428,15 +469,15 @@
         if len(free_runners) == 1:
             return free_runners
         drawn_runners = self._random.sample(free_runners, 2)
-        cheaper, dearer = sorted(
+        cheaper, costlier = sorted(
             drawn_runners, key=lambda runner: estimates[runner.runner_id].cost
         )
-        ratio = estimates[dearer.runner_id].cost / estimates[cheaper.runner_id].cost
-        dearer_share = 1 / (1 + ratio**COST_SHARPNESS)
-        model = self._fleet.model(dearer.runner_id, pool)
+        ratio = estimates[costlier.runner_id].cost / estimates[cheaper.runner_id].cost
+        costlier_share = 1 / (1 + ratio**COST_SHARPNESS)
+        model = self._fleet.model(costlier.runner_id, pool)
         if model.failure_share(now.monotonic_ms) <= MAX_DRAWN_FAILURE_SHARE:
-            dearer_share = max(MIN_DRAWN_SHARE, dearer_share)
-        return [dearer if self._random.random() < dearer_share else cheaper]
+            costlier_share = max(MIN_DRAWN_SHARE, costlier_share)
+        return [costlier if self._random.random() < costlier_share else cheaper]
 
     def _find_homes(
         self,
--- a/figshunt/gateway/_memory_bounds.py
+++ b/figshunt/gateway/_memory_bounds.py
@@ -25,8 +25,8 @@
 MIN_RECEIVED_BYTES = 1024 * 1024
 MIN_HEADS_BYTES = 512 * 1024
 
-# A connection of a caller without a request takes 8 to 9 KiB, measured with 400; the
-# rest is for what the system holds of it.
+# A connection of a caller without a request takes 8 to 9 KiB in the process, and the
+# system holds some of its data.
 IDLE_CONNECTION_BYTES = 16 * 1024
 MIN_CALLER_CONNECTIONS = 128
 
--- a/figshunt/runtime/_caller_server.py
+++ b/figshunt/runtime/_caller_server.py
@@ -17,7 +17,7 @@
 
 # When there are too many, this part of them is closed together, as choosing takes time
 # in proportion to all of them.
-CLOSED_PART = 16
+CLOSE_DIVISOR = 16
 
 # A caller completes its TLS handshake within this time.
 HANDSHAKE_TIMEOUT_S = 5.0
@@ -207,7 +207,7 @@
         closable.sort(key=lambda entry: entry.close_order)
         if not closable:
             connection.refuse_connection()
-        for entry in closable[: max(excess, max_connections // CLOSED_PART)]:
+        for entry in closable[: max(excess, max_connections // CLOSE_DIVISOR)]:
             entry.refuse_connection()
 
     def _end(self, connection: CallerConnection) -> None:
