Keep the moving average of slowness in pools of up to ten engines

Change: pools of up to ten engines use the moving average as before, larger ones the measured speeds; the penalty after a start is removed. The test of lasting speeds has twelve engines and twice the calls instead of six.

--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -65,6 +65,11 @@
 FAILED_FETCH_MARGIN_MS = 120
 FAILED_FETCH_PAUSE_MS = 1_000
 
+# If a first event was expected later than this, its delay depends more on the
+# error of the queue estimate than on the speed of the runner, so it is not used
+# for the average slowness.
+MAX_SLOWNESS_SAMPLE_MS = 400
+
 # Looking for outdated occupancies at all runners takes a while.
 EXPIRY_INTERVAL_MS = 500
 
@@ -625,6 +630,8 @@
         running_attempt = model.running_attempts.get(event.attempt_id)
         fetch = running_attempt.fetch if running_attempt else None
         if fetch is None:
+            if event.expected_ms <= MAX_SLOWNESS_SAMPLE_MS:
+                model.average_slowness(event.waited_ms, event.expected_ms)
             if running_attempt is not None:
                 self.speeds.observe_first_event(
                     event, running_attempt, now.monotonic_ms
--- a/figshunt/dispatch/fleet/_runner_model.py
+++ b/figshunt/dispatch/fleet/_runner_model.py
@@ -30,14 +30,13 @@
 FAILURE_WEIGHT = 0.1
 
 # Half-life of the failure share. It decays without new observations so that a
-# runner that is avoided gets work again.
+# runner that is avoided gets work again; the average slowness decays at a quarter of
+# the rate.
 HALF_LIFE_MS = 3_000
 
-# A runner that has just started is slow for some seconds. A restarted engine would
-# attract work otherwise, also the requests that crashed it: with a shorter decay, up to
-# six of them reached engines later than allowed.
-START_SLOWNESS = 0.6
-START_DECAY_MS = 15_000
+# Weight of a new observation in the moving average of slowness, and its bounds.
+OBSERVATION_WEIGHT = 0.15
+SLOWNESS_BOUNDS = (0.5, 12.0)
 
 # Time constant of the average share of time spent on prefill.
 PREFILL_WINDOW_MS = 4_000
@@ -112,7 +111,8 @@
 class RunnerModel:
     """The state of one runner as estimated by this host.
 
-    ``slowness`` is the factor by which its work takes longer than the priors say.
+    ``slowness`` is the factor by which its work takes longer than the priors say. In a
+    small pool it is a moving average of first events, which decays towards 1.
     """
 
     def __init__(
@@ -127,8 +127,9 @@
         self.running_attempts: dict[AttemptId, RunningAttempt] = {}
         self.streams_by_gap_ms: dict[int, RunningStreams] = {}
         self.service_times = service_times or ServiceTimes()
-        self.slowness = self.service_times.slowness(0)
-        self._first_used_ms: int | None = None
+        self.slowness = 1.0
+        self.is_in_large_pool = False
+        self._average_slowness = 1.0
         self._slowness_ms = 0
         self.cold_until_ms = 0
         self.paused_until_ms = 0
@@ -208,17 +209,22 @@
             streams.add(now_ms + expected_ms)
         return self.prefill_queue.add(prefill_ms, now_ms, attempt_id)
 
+    def average_slowness(self, waited_ms: int, expected_ms: float) -> None:
+        """Add the time to the first event of an attempt to the moving average."""
+        observed = self.slowness * waited_ms / max(expected_ms, 1.0)
+        low, high = SLOWNESS_BOUNDS
+        average = self._average_slowness
+        average += OBSERVATION_WEIGHT * (observed - average)
+        self._average_slowness = min(high, max(low, average))
+
     def update_slowness(self, now_ms: int) -> None:
-        """Set the slowness to what the service times and the start show now."""
-        # Several estimates of the same time need it once.
-        if now_ms == self._slowness_ms:
-            return
-        self._slowness_ms = now_ms
-        if self._first_used_ms is None:
-            self._first_used_ms = now_ms
-        age_ms = max(0, now_ms - self._first_used_ms)
-        start = 1 + START_SLOWNESS * exp(-age_ms / START_DECAY_MS)
-        self.slowness = self.service_times.slowness(now_ms) * start
+        """Set the slowness to what the service times or the moving average show now."""
+        if not self.is_in_large_pool:
+            self.slowness = self._average_slowness
+        elif now_ms != self._slowness_ms:
+            # Several estimates of the same time need it once.
+            self._slowness_ms = now_ms
+            self.slowness = self.service_times.slowness(now_ms)
 
     def record_response(self, now_ms: int) -> None:
         """Record that the runner answered; reset its silence and exclusion counts."""
@@ -295,8 +301,8 @@
         self.cold_until_ms = max(self.cold_until_ms, cold_until_ms)
         self.paused_until_ms = 0
         self.service_times.reset()
-        self._first_used_ms = None
-        self.slowness = self.service_times.slowness(0)
+        self._average_slowness = 1.0
+        self.slowness = 1.0
         self.prefill_queue = PrefillQueue()
         self.load.forget_all()
         self._failure_share = 0.0
@@ -308,6 +314,8 @@
         self._last_decay_ms = now_ms
         decay_factor = 0.5 ** (elapsed_ms / HALF_LIFE_MS)
         self._failure_share *= decay_factor
+        average = 1.0 + (self._average_slowness - 1.0) * decay_factor**0.25
+        self._average_slowness = average
         self.update_slowness(now_ms)
         window_decay = exp(-elapsed_ms / PREFILL_WINDOW_MS)
         self._prefill_share *= window_decay
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -564,6 +564,11 @@
             return estimate_plain(
                 routed, runner, model, self._data_centre, now.monotonic_ms
             )
+        # In small pools, measured speeds change where requests that crash engines go,
+        # so that more of them reach engines than allowed.
+        model.is_in_large_pool = len(self._directory.runners(pool.name)) > (
+            MAX_UNSAMPLED_RUNNERS
+        )
         return estimate_engine(
             routed,
             runner,
--- a/tests/dispatch/test_service_times.py
+++ b/tests/dispatch/test_service_times.py
@@ -104,11 +104,11 @@
     ) -> None:
         route = build_published_route("letter", target_ms=2_000, gap_target_ms=800)
         shape = CallShape(route, 9_190, 6_300, 52, 6_000)
-        runners = [build_published_runner(f"e{number}") for number in range(6)]
+        runners = [build_published_runner(f"e{number}") for number in range(12)]
         fleet = VirtualHosts(12, runners, build_configuration(route))
         for number, engine in enumerate(fleet.engines_by_id.values()):
             engine.slowness = (0.6, 1.6)[number % 2]
-        fleet.schedule_calls(shape, 20, 0, 6_000)
+        fleet.schedule_calls(shape, 40, 0, 6_000)
         fleet.run(6_000)
         fast: list[float] = []
         slow: list[float] = []
