Keep engines for tight streams only where engines have few slots

Cause: the number of engines kept for streams with a tight gap target follows their slots, so that 4 of 45 engines with 96 slots were to get all chats of 90 hosts. Change: engines are kept only if they have at most 16 slots on average. Conclusion: pools of engines with many slots place streams by cost alone.

--- a/figshunt/dispatch/fleet/_pool_summary.py
+++ b/figshunt/dispatch/fleet/_pool_summary.py
@@ -23,6 +23,10 @@
 QUIET_FACTOR = 2.0
 MAX_QUIET_SHARE = 0.5
 
+# Engines with more slots slow down long before all are taken. Counted by slots, 4 of 45
+# engines with 96 slots would get all chats, and turned many of them away.
+MAX_QUIET_ENGINE_SLOTS = 16
+
 
 @dataclass(frozen=True, slots=True)
 class PoolSummary:
@@ -81,10 +85,12 @@
         if _is_tight(gap_ms, max_stall_ms)
     )
     mean_slots = sum(runner.slots for runner in runners.values()) / count
-    quiet_count = min(
-        ceil(QUIET_FACTOR * tight_streams / max(1.0, mean_slots)),
-        int(MAX_QUIET_SHARE * count),
-    )
+    quiet_count = 0
+    if mean_slots <= MAX_QUIET_ENGINE_SLOTS:
+        quiet_count = min(
+            ceil(QUIET_FACTOR * tight_streams / max(1.0, mean_slots)),
+            int(MAX_QUIET_SHARE * count),
+        )
     ordered_ids = sorted(runners, key=role_rank)
     quiet_ids = tuple(ordered_ids[:quiet_count])
     common_ids = tuple(ordered_ids[quiet_count:])
