review: let the hosts of case 7 know each other

Hosts of a deployment have the same ports between them and the same seeds; before this, each of the two hosts was alone.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -94,7 +94,12 @@
         runner.register(store)
 
     with lab.work_folder() as folder:
-        hosts = [lab.Host(folder, store.port, number) for number in range(1, HOSTS + 1)]
+        ports = lab.PeerPorts()
+        numbers = range(1, HOSTS + 1)
+        hosts = [
+            lab.Host(folder, store.port, number, ports=ports, seeds=numbers)
+            for number in numbers
+        ]
         try:
             for host in hosts:
                 await host.start()
--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -195,10 +195,23 @@
     return entry | {"born": born or int(time.time() * 1000)} | more
 
 
+class PeerPorts:
+    """The ports between hosts, which are the same on all of them."""
+
+    def __init__(self):
+        self.control = free_port("127.0.1.1")
+        self.datagrams = free_port("127.0.1.1", socket.SOCK_DGRAM)
+
+
 class Host:
-    """One entry host, started with the command of the deploy file."""
+    """One entry host, started with the command of the deploy file.
+
+    :param seeds: the numbers of the hosts through which it finds the others.
+    """
 
-    def __init__(self, folder, store_port, number=1, memory_mb=150, seeds=()):
+    def __init__(
+        self, folder, store_port, number=1, memory_mb=150, ports=None, seeds=()
+    ):
         self.name = f"front-{number}"
         self.ip = f"127.0.{number}.1"
         self.memory_mb = memory_mb
@@ -207,7 +220,8 @@
         self._folder = Path(folder) / self.name
         self._folder.mkdir()
         self._settings = self._folder / "boot.toml"
-        control = free_port(self.ip)
+        ports = ports or PeerPorts()
+        addresses = [f"127.0.{seed}.1:{ports.control}" for seed in seeds]
         self.process = None
         self.log = self._folder / "log.txt"
         self._settings.write_text(f"""
@@ -218,8 +232,8 @@
 ip = "{self.ip}"
 zone = "a"
 region = "r"
-portRange = [{free_port(self.ip, socket.SOCK_DGRAM)}, 65535]
-seeds = {json.dumps(list(seeds))}
+portRange = [{ports.datagrams}, 65535]
+seeds = {json.dumps(addresses)}
 bootstrap = true
 heartbeatMs = 1200
 metricsPort = {free_port(self.ip)}
@@ -228,7 +242,7 @@
 [listen]
 front = "{self.ip}:{self.front_port}"
 ready = "{self.ip}:{self.ready_port}"
-control = "{self.ip}:{control}"
+control = "{self.ip}:{ports.control}"
 [limits]
 cpuShare = 0.537
 cores = 2
