Compare restored items with what was known of their keys

Cause: an item of the new era counted as one of the copy if its revision was at most the lower of two bounds over all keys: the first listing of any host, and the highest revision of earlier eras. A write between the store's return and the first listing is below both, as its revision was issued before. It was then held until written again, which nobody owes. Evidence: with one host that has read every change, and no trouble of the network, the mark is listed and logged as copied_item_not_applied. Ruled out: a missed watch, and hosts that disagree.

Change: ItemReplica compares each item of an era's first listing with what it knew of the same key. Only a revision at which an earlier era may have written that key can come from the copy. What remains in doubt is held for 3 s, or 5 s for entries of runners whose removal was seen, and then counts. An entry of a later process, or one that says that its process is leaving, is applied at once. The bounds are gone, and with them a field of the datagrams (format 8) and of the mirror (format 3). It works because a host has read each change of a key since it first listed it, and because what the copy lacks is written again within 2 s.

The tests of the removed bounds are replaced by those of the comparison, which also cover several eras.

--- a/figshunt/directory/__init__.py
+++ b/figshunt/directory/__init__.py
@@ -2,6 +2,7 @@
 
 from figshunt.directory._directory_filter import (
     RELIST_GRACE_MS,
+    REMOVED_ENTRY_HOLD_MS,
     RESTORE_GRACE_MS,
     DirectoryFilter,
     DirectoryView,
@@ -32,6 +33,7 @@
 
 __all__ = [
     "RELIST_GRACE_MS",
+    "REMOVED_ENTRY_HOLD_MS",
     "RESTORE_GRACE_MS",
     "Configuration",
     "ConfigurationPublished",
--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from typing import Protocol
 
+from figshunt.directory._held_items import HeldItems, HoldableMessage
 from figshunt.directory._messages import (
     ConfigurationPublished,
     ConfigurationUnreadable,
@@ -22,7 +23,6 @@
 )
 from figshunt.pipeline import Output
 from figshunt.types import (
-    NO_VERSION,
     CountEvent,
     DataCentreName,
     LogEvent,
@@ -47,6 +47,10 @@
 # large fleets a host reads them up to 0.5 s later.
 RESTORE_GRACE_MS = 3_000
 
+# A runner that is gone lets its entry in a restored store expire after three heartbeat
+# intervals, 1.2 s each.
+REMOVED_ENTRY_HOLD_MS = 5_000
+
 # Entries that runners can't renew in a restored store, because it doesn't know their
 # leases, expire within this time. They count as lapsed, as after an outage.
 RESTORE_WINDOW_MS = 2_500
@@ -87,9 +91,11 @@
     restore of the store for a runner whose entry said so before, and for
     ``KEPT_START_MS`` after its entry lapsed.
 
-    After a restore, what is in force stays so until it is written again: an item
-    that may come from the copy isn't applied, except a configuration of a higher
-    version, and a runner whose entry the copy lacks has a grace period.
+    After a restore, what is in force stays so until it is written again, for a limited
+    time: an item that may come from the copy is held for ``RESTORE_GRACE_MS``, or for
+    ``REMOVED_ENTRY_HOLD_MS`` if it is the entry of a runner that was removed before. A
+    configuration is ordered by its own version, and an entry that is certainly newer
+    by its process. A runner whose entry the copy lacks has a grace period.
     """
 
     step = Step.DIRECTORY
@@ -117,7 +123,7 @@
         self._removal_due_ms_by_id: dict[RunnerId, int] = {}
         self._leaving_starts_by_id: dict[RunnerId, int | None] = {}
         self._start_kept_until_ms_by_id: dict[RunnerId, int] = {}
-        self._copied_until = NO_VERSION
+        self._held_items = HeldItems()
         self._restore_window_end_ms = 0
 
     def match(self, host: str, path: str) -> PublishedRoute | None:
@@ -148,12 +154,11 @@
                     self.step,
                     _version_fields(version) | {"detail": detail},
                 )
-            case EvacuationPublished(version) | RunnerListed(version) if (
-                version <= self._copied_until
-            ):
-                yield from self._keep_in_force(message)
+            case EvacuationPublished() | RunnerListed() if self._may_be_older(message):
+                yield from self._hold_item(message, now)
                 return
             case EvacuationPublished(version, data_centre, is_evacuated):
+                self._held_items.discard(message)
                 (
                     self._evacuated_data_centres.add
                     if is_evacuated
@@ -167,11 +172,13 @@
             case RunnerLeaving():
                 yield from self._record_leaving(message)
             case RunnerListed():
+                self._held_items.discard(message)
                 yield from self._list_runner(message)
-            case RunnerUnlisted(version, runner_id, after_outage):
+            case RunnerUnlisted(_, runner_id, after_outage, may_be_copied):
+                self._held_items.discard(message)
                 has_lapsed = (
                     after_outage
-                    or version <= self._copied_until
+                    or may_be_copied
                     or (
                         self._is_in_restore_window(now)
                         and runner_id not in self._leaving_starts_by_id
@@ -179,8 +186,8 @@
                 )
                 message = replace(message, after_outage=has_lapsed)
                 yield from self._unlist_runner(message, now)
-            case StoreRestored(copied_until):
-                yield from self._record_restore(copied_until, now)
+            case StoreRestored(version):
+                yield from self._record_restore(version, now)
             case SourceStateChanged(is_current, detail):
                 self.is_current = is_current
                 yield LogEvent(
@@ -190,6 +197,8 @@
                 )
             case TimerDue():
                 yield from self._remove_expired(now)
+                for due_message in self._held_items.take_due(now.monotonic_ms):
+                    yield from self.process(due_message, now)
                 yield message
                 return
         self._rebuild_usable_runners()
@@ -200,10 +209,9 @@
         candidate = message.configuration
         fields = _version_fields(message.store_version)
         fields["version"] = candidate.version
-        is_copied = message.store_version <= self._copied_until
         if previous is not None and (
             candidate.version < previous.version
-            or (is_copied and candidate.version == previous.version)
+            or (message.may_be_copied and candidate.version == previous.version)
         ):
             fields["in_force"] = previous.version
             yield LogEvent("configuration_older", self.step, fields)
@@ -218,16 +226,12 @@
         fields["keys"] = len(candidate.teams_by_key_sha256)
         yield LogEvent("configuration_in_force", self.step, fields)
 
-    def _record_restore(self, copied_until: Version, now: Moment) -> Iterable[Output]:
-        """Begin a new era, or apply a lower bound of what may come from the copy.
+    def _record_restore(self, version: Version, now: Moment) -> Iterable[Output]:
+        """Begin a new era of the store.
 
         A process that was leaving stays excluded, as the copy or a late write may
         still say that it is ready.
         """
-        is_new_era = copied_until.era > self._copied_until.era
-        self._copied_until = copied_until
-        if not is_new_era:
-            return
         self._restore_window_end_ms = now.monotonic_ms + RESTORE_WINDOW_MS
         if self._removal_due_ms_by_id:
             # A listing that lacks these entries as well isn't another change of them.
@@ -236,19 +240,37 @@
                 self._removal_due_ms_by_id, due_ms
             )
             yield WakeAt(due_ms)
+        yield from map(WakeAt, self._held_items.restart(now.monotonic_ms))
         for runner_id, runner in self._runners_by_id.items():
             if runner.is_leaving and runner.started_wall_ms is not None:
                 self._leaving_starts_by_id[runner_id] = runner.started_wall_ms
-        yield LogEvent("store_restored", self.step, _version_fields(copied_until))
+        yield LogEvent("store_restored", self.step, _version_fields(version))
         yield CountEvent("store_restores", {})
 
-    def _keep_in_force(
-        self, message: EvacuationPublished | RunnerListed
-    ) -> Iterable[Output]:
-        """Log an item from the copy that contradicts what is in force.
+    def _may_be_older(self, message: HoldableMessage) -> bool:
+        """Return whether an item may be older than what is in force.
 
-        A runner of the copy that isn't known was removed before the restore.
+        An entry of a later process is newer, and so is one that says that the process
+        is leaving, as that isn't withdrawn.
         """
+        if not message.may_be_copied:
+            return False
+        if isinstance(message, EvacuationPublished):
+            return True
+        previous, runner = self._runners_by_id.get(message.runner_id), message.runner
+        if previous is None or runner is None:
+            return True
+        start, previous_start = runner.started_wall_ms, previous.started_wall_ms
+        if start is None or previous_start is None:
+            return True
+        return start < previous_start or (
+            start == previous_start and not runner.is_leaving
+        )
+
+    def _hold_item(self, message: HoldableMessage, now: Moment) -> Iterable[Output]:
+        """Keep what is in force, and hold an item that differs from it."""
+        self._held_items.discard(message)
+        hold_ms = RESTORE_GRACE_MS
         fields = _version_fields(message.store_version)
         match message:
             case EvacuationPublished(_, data_centre, is_evacuated):
@@ -258,9 +280,16 @@
                 )
             case RunnerListed(_, runner_id, runner):
                 fields["runner"] = runner_id
-                is_in_force = runner == self._runners_by_id.get(runner_id)
-        if not is_in_force:
-            yield LogEvent("copied_item_not_applied", self.step, fields)
+                is_in_force = (
+                    runner == self._runners_by_id.get(runner_id)
+                    and runner_id not in self._removal_due_ms_by_id
+                )
+                if runner_id not in self._runners_by_id:
+                    hold_ms = REMOVED_ENTRY_HOLD_MS
+        if is_in_force:
+            return
+        yield WakeAt(self._held_items.hold(message, hold_ms, now.monotonic_ms))
+        yield LogEvent("copied_item_held", self.step, fields)
 
     def _list_runner(self, message: RunnerListed) -> Iterable[Output]:
         runner_id, runner = message.runner_id, message.runner
@@ -322,8 +351,7 @@
         fields = _version_fields(message.store_version)
         fields["runner"] = message.runner_id
         if message.after_outage:
-            is_uncopied = message.store_version <= self._copied_until
-            grace_ms = RESTORE_GRACE_MS if is_uncopied else RELIST_GRACE_MS
+            grace_ms = RESTORE_GRACE_MS if message.may_be_copied else RELIST_GRACE_MS
             due_ms = now.monotonic_ms + grace_ms
             self._removal_due_ms_by_id.setdefault(message.runner_id, due_ms)
             yield LogEvent("runner_lapsed", self.step, fields)
--- a/figshunt/directory/_messages.py
+++ b/figshunt/directory/_messages.py
@@ -1,4 +1,8 @@
-"""Messages that carry published items into the pipeline."""
+"""Messages that carry published items into the pipeline.
+
+``may_be_copied`` is set if the store was restored from a copy, and the item may be as
+old as the copy.
+"""
 
 from dataclasses import dataclass
 
@@ -12,6 +16,7 @@
 
     store_version: Version
     configuration: Configuration
+    may_be_copied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +34,7 @@
     store_version: Version
     data_centre: DataCentreName
     is_evacuated: bool
+    may_be_copied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +44,7 @@
     store_version: Version
     runner_id: RunnerId
     runner: PublishedRunner | None
+    may_be_copied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +58,7 @@
     store_version: Version
     runner_id: RunnerId
     after_outage: bool
+    may_be_copied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,12 +75,9 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreRestored(Message):
-    """The store was restored from a copy, or more is known of such a restore.
-
-    An item of at most ``copied_until`` may be older than what was read before.
-    """
+    """The store was restored from a copy; ``store_version`` is that of its listing."""
 
-    copied_until: Version
+    store_version: Version
 
 
 @dataclass(frozen=True, slots=True)
--- a/figshunt/directory/_replica.py
+++ b/figshunt/directory/_replica.py
@@ -1,29 +1,25 @@
 """A local copy of the published items, ordered by era and revision."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
-from figshunt.types import NO_VERSION, StoreEra, StoreRevision, Version
+from figshunt.types import NO_VERSION, StoreRevision, Version
 
 
 @dataclass(frozen=True, slots=True)
 class PublishedItem:
     """One published item; ``value`` is ``None`` if it was deleted.
 
-    ``is_uncopied`` is set if it is missing from the first listing of an era, and the
-    copy from which the store was restored may lack it. ``version`` is then that of
-    the listing, which orders it among other reads.
+    ``may_be_copied`` is set if the store was restored from a copy, and the item may
+    be as old as the copy: its value may have been superseded before the restore, or
+    the copy may lack it. ``version`` of a missing item is that of the listing, which
+    orders it among other reads.
     """
 
     key: str
     version: Version
     value: bytes | None = field(repr=False)
-    is_uncopied: bool = False
-
-    @property
-    def write_version(self) -> Version:
-        """Return the version of its write, or revision 0 of the era if unknown."""
-        return Version.of(self.version.era, 0) if self.is_uncopied else self.version
+    may_be_copied: bool = False
 
 
 class ItemReplica:
@@ -36,25 +32,22 @@
     deleted items are kept as tombstones; those with the lowest versions are dropped
     first.
 
-    Only a full listing begins a new era of the store. In it, an item of at most
-    ``copied_until`` may be as old as the copy from which the store was restored: it
-    may have been superseded before the restore. A later item was either written in
-    this era, or it is newer than everything that was known of the eras before.
-    ``era_start`` is the lowest revision at which any known host listed this era.
+    Only a full listing begins a new era of the store, which issues the revisions
+    after its copy a second time. An item in it may come from the copy only if its key
+    was written at that revision in an earlier era. The host has read each change of
+    the key since it first listed it, so that a higher revision than the last one of
+    the key is a write of the new era, or of an older one that the host hadn't read.
     """
 
     def __init__(self, max_deleted: int = 4096) -> None:
         self._items_by_key: dict[str, PublishedItem] = {}
         self._max_deleted = max_deleted
-        self._earlier_revision = NO_VERSION.revision
+        self._listed_revision = NO_VERSION.revision
+        # What was known of earlier eras: the last revision of each key, and the last
+        # full listing, before which other keys may have been written and deleted.
+        self._earlier_revisions_by_key: dict[str, StoreRevision] = {}
+        self._earlier_listed_revision = NO_VERSION.revision
         self.version = NO_VERSION
-        self.era_start = NO_VERSION.revision
-
-    @property
-    def copied_until(self) -> Version:
-        """Return the newest version that may be older than what it replaced."""
-        revision = min(self.era_start, self._earlier_revision)
-        return Version(self.version.era, revision)
 
     def items(self) -> Mapping[str, PublishedItem]:
         """Return the items by key, including deleted ones."""
@@ -72,16 +65,15 @@
         """
         if version.era != self.version.era:
             return []
-        changed_items = [item for item in items if self._apply(item)]
+        changed_items = [
+            applied for item in items if (applied := self._apply(item)) is not None
+        ]
         self.version = max(self.version, version)
         self._drop_old_tombstones()
         return changed_items
 
     def replace(
-        self,
-        items: Iterable[PublishedItem],
-        first_version: Version,
-        era_start: StoreRevision | None = None,
+        self, items: Iterable[PublishedItem], first_version: Version
     ) -> list[PublishedItem]:
         """Apply a full listing and delete the items that it does not contain.
 
@@ -90,7 +82,6 @@
 
         :param first_version: the store version at the start of the listing. An
             item with a newer version is kept even if it is not listed.
-        :param era_start: the ``era_start`` of the peer that sent the listing.
         """
         era = first_version.era
         if era < self.version.era:
@@ -99,7 +90,7 @@
         keys = {item.key for item in listed_items}
         missing_items = [
             PublishedItem(
-                item.key, first_version, None, is_uncopied=item.version.era != era
+                item.key, first_version, None, may_be_copied=item.version.era != era
             )
             for item in self._items_by_key.values()
             if item.value is not None
@@ -107,40 +98,59 @@
             and item.version <= first_version
         ]
         if era > self.version.era:
-            # Later pages of a listing may hold items that are newer than its start.
-            self._earlier_revision = max(
-                self._earlier_revision,
-                self.version.revision,
-                *(item.version.revision for item in self._items_by_key.values()),
-            )
-            self.era_start = first_version.revision if era_start is None else era_start
-            self.version = Version.of(era, 0)
+            self._begin_era(Version.of(era, 0))
+            listed_items = [
+                self._compare_with_earlier_eras(item, first_version)
+                for item in listed_items
+            ]
+        self._listed_revision = max(self._listed_revision, first_version.revision)
         return self.merge([*listed_items, *missing_items], first_version)
 
-    def lower_era_start(
-        self, era: StoreEra, era_start: StoreRevision
-    ) -> list[PublishedItem]:
-        """Record an earlier start of this era; return the items written since it."""
-        if era != self.version.era or era_start >= self.era_start:
-            return []
-        copied_until = self.copied_until
-        self.era_start = era_start
-        return [
-            item
-            for item in self._items_by_key.values()
-            if self.copied_until < item.write_version <= copied_until
-        ]
-
-    def _apply(self, item: PublishedItem) -> bool:
+    def _begin_era(self, version: Version) -> None:
+        """Record what is known of the eras before, as a copy may be of any of them."""
+        self._earlier_revisions_by_key = {
+            key: max(
+                item.version.revision,
+                self._earlier_revisions_by_key.get(key, NO_VERSION.revision),
+            )
+            for key, item in self._items_by_key.items()
+        }
+        self._earlier_listed_revision = max(
+            self._earlier_listed_revision, self._listed_revision
+        )
+        self._listed_revision = NO_VERSION.revision
+        self.version = version
+
+    def _compare_with_earlier_eras(
+        self, item: PublishedItem, first_version: Version
+    ) -> PublishedItem:
+        """Return an item of the first listing of an era with ``may_be_copied`` set."""
+        if item.value is None or item.version > first_version:
+            return item
+        earlier_revision = self._earlier_revisions_by_key.get(
+            item.key, self._earlier_listed_revision
+        )
+        is_known = item.version.revision <= earlier_revision
+        return replace(item, may_be_copied=is_known)
+
+    def _apply(self, item: PublishedItem) -> PublishedItem | None:
+        """Return the item as applied, or ``None`` if it isn't newer."""
         previous = self._items_by_key.get(item.key)
         if previous is not None and previous.version >= item.version:
             is_deletion = item.value is None and previous.value is not None
             if not (is_deletion and previous.version == item.version):
-                return False
+                return None
         if previous is None and (item.value is None or item.version <= self.version):
-            return False
+            return None
+        if (
+            item.may_be_copied
+            and previous is not None
+            and previous.version.era == item.version.era
+        ):
+            # The copy had it: this host has read it in this era.
+            item = replace(item, may_be_copied=False)
         self._items_by_key[item.key] = item
-        return True
+        return item
 
     def _drop_old_tombstones(self) -> None:
         tombstones = [
--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -450,8 +450,7 @@
     is the version of the configuration in force, ``revision`` the store revision up
     to which the host has all published items. ``can_read_store`` is set if the host
     can read the store itself. ``known_hosts`` is how many hosts it knows to live.
-    ``era`` is the era of ``revision``, ``era_start`` the lowest revision at which any
-    host that it knows of listed the items of this era.
+    ``era`` is the era of ``revision``.
     ``heard_digest`` is equal at hosts that hear the same hosts.
     """
 
@@ -476,7 +475,6 @@
     suspects_digest: int = 0
     heard_digest: int = 0
     era: StoreEra = NO_VERSION.era
-    era_start: StoreRevision = NO_VERSION.revision
 
     @property
     def store_version(self) -> Version:
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -311,7 +311,6 @@
             version=configuration.version if configuration else 0,
             revision=self.items.version.revision,
             era=self.items.version.era,
-            era_start=self.items.era_start,
             can_read_store=self.items.is_available(ItemOrigin.STORE),
             data_centre=self._settings.data_centre,
             held=self.core.placement.held_notices(),
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -17,7 +17,7 @@
 from figshunt.gateway._published_items import ItemOrigin, PublishedItems
 from figshunt.gateway._settings import Address
 from figshunt.runtime import EventLog
-from figshunt.types import NO_VERSION, Clock, Step
+from figshunt.types import Clock, Step
 
 # A published value has at most 1 MB, but a copy of all items may have several.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -103,12 +103,7 @@
             sent_items.update((item.key, item) for item in changed_items)
             can_read_store = self._items.is_available(ItemOrigin.STORE)
             await connection.send(
-                encode_items(
-                    changed_items,
-                    self._items.version,
-                    self._items.era_start,
-                    can_read_store,
-                )
+                encode_items(changed_items, self._items.version, can_read_store)
             )
             try:
                 async with asyncio.timeout(HEARTBEAT_S):
@@ -153,12 +148,10 @@
     async def _run(self) -> None:
         while True:
             await self._measure_turn()
-            statuses = self._statuses()
-            self._learn_era_start(statuses)
             peer = self._choice.choose(
                 self._items.version,
                 self._items.is_available(ItemOrigin.STORE),
-                statuses,
+                self._statuses(),
                 self._now_ms(),
             )
             if peer is None:
@@ -238,21 +231,9 @@
     def _apply(self, message: MirrorMessage, is_first: bool, has_lapsed: bool) -> None:
         """Apply one message; the first one on a connection is a complete copy."""
         if is_first:
-            self._items.replace(
-                message.items, message.version, has_lapsed, message.era_start
-            )
+            self._items.replace(message.items, message.version, has_lapsed)
         else:
             self._items.merge(message.items, message.version, has_lapsed)
-        self._items.lower_era_start(message.version.era, message.era_start)
-
-    def _learn_era_start(self, statuses: Sequence[HostStatus]) -> None:
-        """Learn from the peers how early this era of the store was listed."""
-        era = self._items.version.era
-        if era == NO_VERSION.era:
-            return
-        starts = [status.era_start for status in statuses if status.era == era]
-        if starts:
-            self._items.lower_era_start(era, min(starts))
 
 
 def connect_timeout_s(turn_s: float) -> float:
--- a/figshunt/gateway/_mirror_codec.py
+++ b/figshunt/gateway/_mirror_codec.py
@@ -6,35 +6,34 @@
 import cbor2
 
 from figshunt.directory import PublishedItem
-from figshunt.types import StoreRevision, Version
+from figshunt.types import Version
 
-MIRROR_FORMAT = 2
+MIRROR_FORMAT = 3
 
 
 @dataclass(frozen=True, slots=True)
 class MirrorMessage:
     """Items, the version to which they are complete, and the sender's store access.
 
-    ``era_start`` is the lowest revision known to have been listed in this era.
+    Whether the value of an item may be copied depends on what its reader knew before,
+    so that only a missing item says so.
     """
 
     items: tuple[PublishedItem, ...]
     version: Version
-    era_start: StoreRevision
     can_read_store: bool
 
 
 def encode_items(
     items: Sequence[PublishedItem],
     version: Version,
-    era_start: StoreRevision,
     can_read_store: bool,
 ) -> bytes:
     """Return the bytes of a :class:`MirrorMessage`."""
     data: bytes = cbor2.dumps(
         [
             MIRROR_FORMAT,
-            [version.era, version.revision, era_start],
+            [version.era, version.revision],
             can_read_store,
             [
                 [
@@ -42,7 +41,7 @@
                     item.version.era,
                     item.version.revision,
                     item.value,
-                    item.is_uncopied,
+                    item.value is None and item.may_be_copied,
                 ]
                 for item in items
             ],
@@ -65,16 +64,11 @@
                 str(key),
                 Version.of(int(item_era), int(item_revision)),
                 None if value is None else bytes(value),
-                bool(is_uncopied),
+                bool(may_be_copied),
             )
-            for key, item_era, item_revision, value, is_uncopied in rows
-        )
-        era, revision, era_start = map(int, version)
-        return MirrorMessage(
-            items,
-            Version.of(era, revision),
-            Version.of(era, era_start).revision,
-            bool(can_read_store),
+            for key, item_era, item_revision, value, may_be_copied in rows
         )
+        era, revision = map(int, version)
+        return MirrorMessage(items, Version.of(era, revision), bool(can_read_store))
     except (cbor2.CBORDecodeError, TypeError, EOFError) as error:
         raise ValueError(f"malformed mirror message: {error}") from error
--- a/figshunt/gateway/_published_items.py
+++ b/figshunt/gateway/_published_items.py
@@ -12,7 +12,7 @@
 )
 from figshunt.gateway._codecs import ItemCodec
 from figshunt.runtime import EventLog, MessageSink
-from figshunt.types import NO_VERSION, Step, StoreEra, StoreRevision, Version
+from figshunt.types import NO_VERSION, Step, Version
 
 
 class ItemOrigin(Enum):
@@ -45,11 +45,6 @@
         """Return the version up to which the copy is complete."""
         return self._replica.version
 
-    @property
-    def era_start(self) -> StoreRevision:
-        """Return the lowest revision known to have been listed in this era."""
-        return self._replica.era_start
-
     def all_items(self) -> Sequence[PublishedItem]:
         """Return all known items, including deleted ones."""
         return tuple(self._replica.items().values())
@@ -68,26 +63,14 @@
         items: Sequence[PublishedItem],
         version: Version,
         after_outage: bool = False,
-        era_start: StoreRevision | None = None,
     ) -> None:
         """Replace the copy by a complete listing, which may begin a new era."""
         previous = self._replica.version
-        changed_items = self._replica.replace(items, version, era_start)
+        changed_items = self._replica.replace(items, version)
         if previous.era < self._replica.version.era and previous != NO_VERSION:
-            self._message_sink.submit(StoreRestored(self._replica.copied_until))
+            self._message_sink.submit(StoreRestored(version))
         self._publish(changed_items, after_outage)
 
-    def lower_era_start(self, era: StoreEra, era_start: StoreRevision) -> None:
-        """Apply the items that a peer shows to have been written in this era.
-
-        It listed the era earlier than any host known so far.
-        """
-        copied_until = self._replica.copied_until
-        items = self._replica.lower_era_start(era, era_start)
-        if self._replica.copied_until != copied_until:
-            self._message_sink.submit(StoreRestored(self._replica.copied_until))
-            self._publish(items, False)
-
     def set_available(
         self, origin: ItemOrigin, is_available: bool, detail: str
     ) -> None:
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -35,7 +35,7 @@
     Version,
 )
 
-STATUS_FORMAT = 7
+STATUS_FORMAT = 8
 
 # Speeds are sent as whole numbers, which take fewer bytes: factors in percent within
 # these bounds, weights in tenths up to the maximum.
@@ -106,7 +106,6 @@
         [_encode_repeats(notice) for notice in status.repeats],
         status.suspects_digest,
         status.era,
-        status.era_start,
         status.heard_digest,
     ]
 
@@ -116,9 +115,8 @@
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
     speeds, rejections, held, repeats, *digests = rest
-    suspects_digest, era, era_start, heard_digest = digests
+    suspects_digest, era, heard_digest = digests
     store_version = Version.of(int(era), int(revision))
-    era_start_version = Version.of(int(era), int(era_start))
     return HostStatus(
         host=HostName(str(host)),
         incarnation=int(incarnation),
@@ -156,7 +154,6 @@
         repeats=tuple(_decode_repeats(entry) for entry in repeats),
         suspects_digest=int(suspects_digest),
         era=store_version.era,
-        era_start=era_start_version.revision,
         heard_digest=int(heard_digest),
     )
 
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -33,7 +33,6 @@
     RouteName,
     RunnerId,
     TeamName,
-    Version,
 )
 
 CONFIGURATION_KEY = "op/config"
@@ -68,22 +67,28 @@
         """Yield a message for each change, starting with the configuration."""
         for item in sorted(items, key=lambda item: item.key != CONFIGURATION_KEY):
             if item.key == CONFIGURATION_KEY and item.value is not None:
-                yield _decode_configuration(item.version, item.value)
+                yield _decode_configuration(item, item.value)
             elif item.key.startswith(EVACUATION_PREFIX):
                 data_centre = DataCentreName(item.key.removeprefix(EVACUATION_PREFIX))
                 is_evacuated = item.value is not None
-                yield EvacuationPublished(item.write_version, data_centre, is_evacuated)
+                yield EvacuationPublished(
+                    item.version, data_centre, is_evacuated, item.may_be_copied
+                )
             elif item.key.startswith(RUNNER_PREFIX):
                 runner_id = RunnerId(item.key.removeprefix(RUNNER_PREFIX))
                 if item.value is None:
-                    yield RunnerUnlisted(item.write_version, runner_id, after_outage)
+                    yield RunnerUnlisted(
+                        item.version, runner_id, after_outage, item.may_be_copied
+                    )
                 else:
                     runner = _decode_runner(runner_id, item.value)
-                    yield RunnerListed(item.version, runner_id, runner)
+                    yield RunnerListed(
+                        item.version, runner_id, runner, item.may_be_copied
+                    )
 
 
 def _decode_configuration(
-    store_version: Version, value: bytes
+    item: PublishedItem, value: bytes
 ) -> ConfigurationPublished | ConfigurationUnreadable:
     try:
         document = json.loads(value)
@@ -99,8 +104,8 @@
         )
     except _MALFORMED_ERRORS as error:
         detail = f"{type(error).__name__}: {error}"
-        return ConfigurationUnreadable(store_version, detail)
-    return ConfigurationPublished(store_version, configuration)
+        return ConfigurationUnreadable(item.version, detail)
+    return ConfigurationPublished(item.version, configuration, item.may_be_copied)
 
 
 def _decode_limits(fields: Any) -> PublishedLimits:
--- a/tests/directory/test_replica.py
+++ b/tests/directory/test_replica.py
@@ -4,7 +4,7 @@
 import unittest
 
 from figshunt.directory import ItemReplica
-from figshunt.types import StoreEra, StoreRevision, Version
+from figshunt.types import Version
 from tests.builders import build_item
 
 
@@ -66,7 +66,7 @@
         replica.replace([build_item("a", 5), build_item("b", 6)], Version.of(0, 9))
         replica.replace([build_item("a", 3, era=1)], Version.of(1, 4))
         items = dict(replica.items())
-        self.assertEqual(Version.of(1, 0), items["b"].write_version)
+        self.assertTrue(items["b"].may_be_copied)
         replica.replace([build_item("c", 20)], Version.of(0, 20))
         replica.merge([build_item("b", 21)], Version.of(0, 21))
         self.assertEqual((items, Version.of(1, 4)), (replica.items(), replica.version))
@@ -88,15 +88,43 @@
         peer.replace([], Version.of(2, 1_000))
         replica.merge(list(peer.items().values()), peer.version)
         self.assertIsNone(replica.items()["b"].value)
+        self.assertFalse(replica.items()["b"].may_be_copied)
 
     def test_writes_before_a_late_listing_are_told_from_the_copy(self) -> None:
-        """Guards against hosts that differ as they listed at different moments."""
+        """Guards against writes of a new era that are taken for those of the copy.
+
+        They come before this host's first listing of the era, and their revisions
+        were issued in the era before as well.
+        """
+        for key, revision, may_be_copied in (
+            ("a", 60, True),
+            ("a", 61, False),
+            ("deleted", 70, True),
+            ("deleted", 71, False),
+            ("unknown", 50, True),
+            ("unknown", 51, False),
+            ("unknown", 95, False),
+        ):
+            with self.subTest(key=key, revision=revision):
+                replica = ItemReplica()
+                replica.replace(
+                    [build_item("a", 40), build_item("deleted", 41)], Version.of(0, 50)
+                )
+                changes = [build_item("a", 60), build_item("deleted", 70, None)]
+                replica.merge(changes, Version.of(0, 99))
+                listed = [build_item(key, revision, era=1)]
+                replica.replace(listed, Version.of(1, 80))
+                self.assertIs(may_be_copied, replica.items()[key].may_be_copied)
+
+    def test_copy_may_be_of_any_earlier_era(self) -> None:
         replica = ItemReplica()
-        replica.replace([build_item("a", 5)], Version.of(0, 90))
-        replica.replace([build_item("a", 8, era=1)], Version.of(1, 9))
-        self.assertEqual(Version.of(1, 9), replica.copied_until)
-        (item,) = replica.lower_era_start(StoreEra(1), StoreRevision(7))
-        self.assertEqual(("a", Version.of(1, 7)), (item.key, replica.copied_until))
+        replica.replace([build_item("a", 60)], Version.of(0, 70))
+        replica.replace([build_item("a", 40, era=1)], Version.of(1, 45))
+        replica.replace(
+            [build_item("a", 50, era=2), build_item("b", 55, era=2)], Version.of(2, 56)
+        )
+        self.assertTrue(replica.items()["a"].may_be_copied)
+        self.assertTrue(replica.items()["b"].may_be_copied)
 
     def test_number_of_deleted_items_is_limited(self) -> None:
         replica = ItemReplica(max_deleted=3)
--- a/tests/directory/test_restore.py
+++ b/tests/directory/test_restore.py
@@ -1,9 +1,11 @@
 """What is in force after the store was restored from a copy."""
 
 import unittest
+from typing import Any
 
 from figshunt.directory import (
     RELIST_GRACE_MS,
+    REMOVED_ENTRY_HOLD_MS,
     RESTORE_GRACE_MS,
     ConfigurationPublished,
     EvacuationPublished,
@@ -17,9 +19,7 @@
 from tests.builders import build_configuration, build_published_runner
 from tests.dispatch.driver import CoreDriver
 
-COPIED_UNTIL = Version.of(1, 400)
-COPIED = Version.of(1, 390)
-WRITTEN = Version.of(1, 401)
+LISTING = Version.of(1, 400)
 TEAMS = {"key": PublishedTeam(TeamName("t"))}
 
 
@@ -29,34 +29,40 @@
     def setUp(self) -> None:
         self.driver = CoreDriver(build_published_runner())
 
-    def restore(self, copied_until: Version = COPIED_UNTIL) -> None:
-        self.driver.handle(StoreRestored(copied_until))
+    def restore(self, version: Version = LISTING) -> None:
+        self.driver.handle(StoreRestored(version))
 
-    def unlist(self, version: Version, after_outage: bool = False) -> None:
-        message = RunnerUnlisted(version, RunnerId("e1"), after_outage)
-        self.driver.handle(message)
+    def unlist(self, may_be_copied: bool, after_outage: bool = False) -> None:
+        runner_id = RunnerId("e1")
+        self.driver.handle(
+            RunnerUnlisted(LISTING, runner_id, after_outage, may_be_copied)
+        )
 
-    def list_runner(self, version: Version, start: int = 1_000) -> None:
-        entry = build_published_runner(started_wall_ms=start)
-        self.driver.handle(RunnerListed(version, RunnerId("e1"), entry))
+    def list_runner(
+        self, may_be_copied: bool, start: int = 1_000, **changes: Any
+    ) -> None:
+        entry = build_published_runner(started_wall_ms=start, **changes)
+        self.driver.handle(RunnerListed(LISTING, RunnerId("e1"), entry, may_be_copied))
 
-    def evacuate(self, version: Version, is_evacuated: bool) -> None:
-        message = EvacuationPublished(version, DataCentreName("a"), is_evacuated)
-        self.driver.handle(message)
+    def evacuate(self, is_evacuated: bool, may_be_copied: bool) -> None:
+        data_centre = DataCentreName("a")
+        self.driver.handle(
+            EvacuationPublished(LISTING, data_centre, is_evacuated, may_be_copied)
+        )
 
     def is_used(self) -> bool:
         return "e1" in self.driver.core.directory.runners(PoolName("engines"))
 
     def test_runner_that_the_copy_lacks_or_lets_expire_has_a_grace_period(self) -> None:
         """The restored store doesn't know the lease with which a runner renews."""
-        for version, grace_ms in (
-            (Version.of(1, 0), RESTORE_GRACE_MS),
-            (WRITTEN, RELIST_GRACE_MS),
+        for may_be_copied, grace_ms in (
+            (True, RESTORE_GRACE_MS),
+            (False, RELIST_GRACE_MS),
         ):
-            with self.subTest(version=version):
+            with self.subTest(may_be_copied=may_be_copied):
                 self.setUp()
                 self.restore()
-                self.unlist(version)
+                self.unlist(may_be_copied)
                 self.driver.advance(grace_ms - 1)
                 self.assertTrue(self.is_used())
                 self.driver.advance(1)
@@ -69,7 +75,7 @@
                 self.setUp()
                 if not after_outage:
                     self.restore()
-                self.unlist(Version.of(1, 0), after_outage)
+                self.unlist(not after_outage, after_outage)
                 self.driver.advance(1_500)
                 self.restore(Version.of(2, 300))
                 self.driver.advance(RESTORE_GRACE_MS - 1)
@@ -78,43 +84,123 @@
     def test_draining_process_stays_excluded_until_its_successor(self) -> None:
         self.driver.list_runner(build_published_runner(is_leaving=True))
         self.restore()
-        for version in (COPIED, WRITTEN):
-            self.list_runner(version)
+        for may_be_copied in (True, False):
+            self.list_runner(may_be_copied)
+            self.driver.advance(RESTORE_GRACE_MS)
             self.assertFalse(self.is_used())
-        self.list_runner(WRITTEN, 2_000)
+        self.list_runner(False, 2_000)
         self.assertTrue(self.is_used())
 
     def test_draining_process_stays_excluded_after_its_entry_was_missing(self) -> None:
         """Guards against a write of "ready" that is read after the removal."""
-        for version in (Version.of(1, 0), WRITTEN):
-            with self.subTest(version=version):
+        for may_be_copied in (True, False):
+            with self.subTest(may_be_copied=may_be_copied):
                 self.setUp()
                 self.driver.list_runner(build_published_runner(is_leaving=True))
                 self.restore()
-                self.unlist(version)
+                self.unlist(may_be_copied)
                 self.driver.advance(RESTORE_GRACE_MS)
-                self.list_runner(WRITTEN)
+                self.list_runner(False)
                 self.driver.advance(KEPT_START_MS)
                 self.assertFalse(self.is_used())
-                self.list_runner(WRITTEN, 2_000)
+                self.list_runner(False, 2_000)
                 self.assertTrue(self.is_used())
 
     def test_data_centre_stays_in_or_out_until_the_operator_writes(self) -> None:
         for is_out in (True, False):
-            self.evacuate(Version.of(0, 900), is_out)
+            self.evacuate(is_out, may_be_copied=False)
             self.restore()
-            self.evacuate(COPIED, not is_out)
+            self.evacuate(not is_out, may_be_copied=True)
             self.assertEqual(not is_out, self.is_used())
-            self.evacuate(WRITTEN, not is_out)
+            self.evacuate(not is_out, may_be_copied=False)
             self.assertEqual(is_out, self.is_used())
             self.setUp()
 
+    def test_mark_that_may_be_copied_is_applied_after_a_limited_time(self) -> None:
+        """Guards against a data centre that is held in or out without end.
+
+        The operator may have written the mark or deleted it since the restore.
+        """
+        for is_out in (True, False):
+            with self.subTest(is_out=is_out):
+                self.setUp()
+                self.evacuate(is_out, may_be_copied=False)
+                self.restore()
+                self.evacuate(not is_out, may_be_copied=True)
+                self.driver.advance(RESTORE_GRACE_MS - 1)
+                self.assertEqual(not is_out, self.is_used())
+                self.driver.advance(1)
+                self.assertEqual(is_out, self.is_used())
+
+    def test_later_write_replaces_a_held_mark(self) -> None:
+        self.restore()
+        self.evacuate(True, may_be_copied=True)
+        self.evacuate(False, may_be_copied=False)
+        self.driver.advance(RESTORE_GRACE_MS)
+        self.assertTrue(self.is_used())
+
+    def test_later_restore_begins_the_time_of_a_held_mark_again(self) -> None:
+        self.restore()
+        self.evacuate(True, may_be_copied=True)
+        self.driver.advance(1_500)
+        self.restore(Version.of(2, 300))
+        self.driver.advance(RESTORE_GRACE_MS - 1)
+        self.assertTrue(self.is_used())
+        self.driver.advance(1)
+        self.assertFalse(self.is_used())
+
+    def test_entry_of_a_removed_runner_is_used_once_the_copy_would_have_expired(
+        self,
+    ) -> None:
+        """Guards against requests to a runner that is gone, and a running one unused.
+
+        The runner may have registered again just before the first listing.
+        """
+        self.driver.unlist_runner("e1")
+        self.restore()
+        self.list_runner(may_be_copied=True)
+        self.driver.advance(REMOVED_ENTRY_HOLD_MS - 1)
+        self.assertFalse(self.is_used())
+        self.driver.advance(1)
+        self.assertTrue(self.is_used())
+
+    def test_expired_entry_of_a_removed_runner_is_never_used(self) -> None:
+        self.driver.unlist_runner("e1")
+        self.restore()
+        self.list_runner(may_be_copied=True)
+        self.unlist(may_be_copied=False)
+        self.driver.advance(REMOVED_ENTRY_HOLD_MS)
+        self.assertFalse(self.is_used())
+
+    def test_held_entry_keeps_a_lapsed_runner_in_the_end(self) -> None:
+        """Guards against a running runner without requests, as its entry is the same.
+
+        It was read before the entry lapsed, and again in the first listing.
+        """
+        self.driver.unlist_runner("e1", after_outage=True)
+        self.restore()
+        self.list_runner(may_be_copied=True)
+        self.driver.advance(RESTORE_GRACE_MS)
+        self.assertTrue(self.is_used())
+
+    def test_entry_that_says_that_a_runner_is_leaving_is_applied_at_once(self) -> None:
+        """A process doesn't return from leaving, whenever it wrote the entry."""
+        self.restore()
+        self.list_runner(may_be_copied=True, is_leaving=True)
+        self.assertFalse(self.is_used())
+
+    def test_entry_of_a_later_process_is_applied_at_once(self) -> None:
+        self.driver.list_runner(build_published_runner(is_leaving=True))
+        self.restore()
+        self.list_runner(may_be_copied=True, start=2_000)
+        self.assertTrue(self.is_used())
+
     def test_withdrawn_key_stays_withdrawn(self) -> None:
         """The copy may have the key under the version that is in force."""
         self.driver.publish(build_configuration(version=7))
         self.restore()
         copied = build_configuration(version=7, teams_by_key_sha256=TEAMS)
-        self.driver.handle(ConfigurationPublished(COPIED, copied))
+        self.driver.handle(ConfigurationPublished(LISTING, copied, True))
         self.assertIsNot(copied, self.driver.core.directory.configuration)
 
 
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -84,7 +84,6 @@
                     address=LOOPBACK,
                     revision=self.peer_items.version.revision,
                     era=self.peer_items.version.era,
-                    era_start=self.peer_items.era_start,
                     can_read_store=self.peer_items.is_available(ItemOrigin.STORE),
                 )
             ],
@@ -130,7 +129,6 @@
         for era in (1, 2):
             self.peer_items.replace([], Version.of(era, 3))
             await wait_until(lambda: self.own_items.version == Version.of(era, 3))
-            self.assertEqual(3, self.own_items.era_start)
             self.assertEqual(self.peer_items.all_items(), self.own_items.all_items())
 
     async def test_overloaded_host_reads_from_a_peer(self) -> None:
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -6,6 +6,7 @@
 from tests.gateway.fixture import GatewayFixture, build_document, wait_until
 
 REVISIONS_SINCE_COPY = 900
+DATA_CENTRE_MARK = "op/evacuate/a"
 
 
 class StoreRestoreTest(unittest.IsolatedAsyncioTestCase):
@@ -41,6 +42,35 @@
             self.assertEqual(200, response.status)
         self.assertEqual([], removed.arrivals)
 
+    async def test_operator_writes_before_any_host_has_listed_the_new_era(self) -> None:
+        """Guards against a data centre that stays as it was before the restore.
+
+        The revisions of these writes were issued before, and are below that of the
+        first listing.
+        """
+        for is_out in (True, False):
+            with self.subTest(is_out=is_out):
+                host = await self.enterAsyncContext(GatewayFixture())
+                store, directory = host.store, host.daemon.core.directory
+
+                def has_runners(expected: bool) -> bool:
+                    return bool(directory.runners(PoolName("bookings"))) is expected
+
+                if not is_out:
+                    store.put(DATA_CENTRE_MARK, {})
+                    await wait_until(lambda: has_runners(False))
+                copy = store.copy()
+                for version in (5, 6, 7):
+                    store.put("op/config", build_document(version=version))
+                await wait_until(lambda: directory.configuration.version == 7)
+                store.restore(copy)
+                store.put("op/config", build_document(version=7))
+                if is_out:
+                    store.put(DATA_CENTRE_MARK, {})
+                else:
+                    store.delete(DATA_CENTRE_MARK)
+                await wait_until(lambda: has_runners(not is_out))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -191,7 +191,6 @@
     def test_negative_store_versions_are_rejected(self) -> None:
         for status in (
             build_host_status(era=-1),
-            build_host_status(era_start=-1),
             build_host_status(revision=-1),
         ):
             bundle = Bundle(
@@ -210,7 +209,6 @@
             ),
             suspects_digest=2**64 - 1,
             era=2,
-            era_start=70,
             occupancies=(OccupancyNotice(RunnerId("e1"), 3, 12, 9_000),),
             limits=(LimitNotice(RunnerId("e1"), 7, 1.5, 20, 900, 3, True),),
             speeds=(SpeedNotice(RunnerId("e1"), None, 1.62, 2.5, 0.4, 0.0),),
