Require keys as soon as a configuration names teams

After the last key of all tenants was withdrawn, every request was accepted, with a withdrawn key and with one that was never issued (CONFIG, ROUTE). Runners got them without a team.

Cause: TeamFilter asked for a key only if the table of keys wasn't empty, and the item codec kept the keys, not whether there are tenants. Evidence: after the first of two withdrawals callers get 401, after the second everything runs; a key that was never issued rules out an older configuration.

Change: Configuration.requires_caller_key, set if tenants are published at all. Odd values that counted as absent or were read as something else make the configuration unreadable, so that the one before stays in force: tenants that are an empty object, text or false, keys that are one text, and a route's "public" that isn't true or false. It works because the table of keys now only says whom a key belongs to.

--- a/figshunt/directory/_model.py
+++ b/figshunt/directory/_model.py
@@ -102,11 +102,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the routes, pools and teams that operators publish."""
+    """One version of the routes, pools and teams that operators publish.
+
+    ``requires_caller_key`` is set if it names teams, even if none of them has a key:
+    then only public routes are served.
+    """
 
     version: int
     routes: tuple[PublishedRoute, ...]
     pools_by_name: Mapping[PoolName, PublishedPool]
+    requires_caller_key: bool
     teams_by_key_sha256: Mapping[str, PublishedTeam] = field(repr=False)
     limits: PublishedLimits = PublishedLimits()
 
--- a/figshunt/dispatch/admission/_team_filter.py
+++ b/figshunt/dispatch/admission/_team_filter.py
@@ -49,7 +49,7 @@
         team = self._find_team(call)
         configuration = self._directory.configuration
         assert configuration is not None
-        needs_key = bool(configuration.teams_by_key_sha256) and not route.is_public
+        needs_key = configuration.requires_caller_key and not route.is_public
         if needs_key and team is None:
             is_current = self._directory.is_current
             yield from refuse_call(
--- a/figshunt/platform/_items.py
+++ b/figshunt/platform/_items.py
@@ -92,6 +92,7 @@
 ) -> ConfigurationPublished | ConfigurationUnreadable:
     try:
         document = json.loads(value)
+        tenants = document.get("tenants")
         configuration = Configuration(
             version=int(document["version"]),
             routes=tuple(_decode_route(route) for route in document["routes"]),
@@ -99,7 +100,8 @@
                 PoolName(pool["name"]): _decode_pool(pool)
                 for pool in document["services"]
             },
-            teams_by_key_sha256=_decode_teams(document.get("tenants") or ()),
+            requires_caller_key=tenants is not None,
+            teams_by_key_sha256=_decode_teams([] if tenants is None else tenants),
             limits=_decode_limits(document.get("limits")),
         )
     except _MALFORMED_ERRORS as error:
@@ -137,7 +139,7 @@
         host=fields["host"],
         path_prefix=fields["prefix"],
         repeatability=_decode_repeatability(fields),
-        is_public=bool(fields.get("public", False)),
+        is_public=_decode_flag(fields.get("public", False)),
         pool_shares=tuple(
             PoolShare(PoolName(share["service"]), float(share["weight"]))
             for share in split
@@ -182,18 +184,32 @@
     return float(engine.get("linkMbps", 0)) * 1_000 / token_bits if token_bits else 0.0
 
 
-def _decode_teams(tenants: Iterable[Mapping[str, Any]]) -> dict[str, PublishedTeam]:
+def _decode_flag(value: object) -> bool:
+    """Return a flag; text such as ``"false"`` must not open a route to everybody."""
+    if not isinstance(value, bool):
+        raise TypeError(f"expected true or false, got {value!r}")
+    return value
+
+
+def _decode_teams(tenants: object) -> dict[str, PublishedTeam]:
     teams_by_key_sha256 = {}
-    for fields in tenants:
+    for fields in _decode_list(tenants):
         priority = fields.get("priority")
         team = PublishedTeam(
             TeamName(fields["name"]), None if priority is None else int(priority)
         )
-        for key in fields.get("apiKeys", ()):
+        for key in _decode_list(fields.get("apiKeys", [])):
             teams_by_key_sha256[hashlib.sha256(key.encode()).hexdigest()] = team
     return teams_by_key_sha256
 
 
+def _decode_list(value: object) -> list[Any]:
+    """Return a list; a text or an object would be read as other items."""
+    if not isinstance(value, list):
+        raise TypeError(f"expected a list, got {type(value).__name__}")
+    return value
+
+
 def _decode_runner(runner_id: RunnerId, value: bytes) -> PublishedRunner | None:
     """Return the runner, or ``None`` if the entry is malformed."""
     try:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -310,6 +310,7 @@
             ),
             PoolName("bookings"): PublishedPool(PoolName("bookings"), 0, 0.0),
         },
+        "requires_caller_key": bool(overrides.get("teams_by_key_sha256")),
         "teams_by_key_sha256": {},
     }
     return Configuration(**(fields | overrides))
--- a/tests/dispatch/test_directory_filter.py
+++ b/tests/dispatch/test_directory_filter.py
@@ -88,6 +88,23 @@
         self.assertEqual([503], error_statuses(driver.call(unknown_route)))
         self.assertEqual([503], error_statuses(driver.call(unknown_key)))
 
+    def test_withdrawal_of_the_last_key_closes_all_but_public_routes(self) -> None:
+        """Guards against a service that is open to everybody once no key is left."""
+        driver = CoreDriver(
+            build_published_runner(),
+            configuration=build_configuration(
+                build_published_route(is_public=False),
+                build_published_route("public", path_prefix="/public/"),
+                requires_caller_key=True,
+            ),
+        )
+        for caller_key in ("key-1", "never-issued", None):
+            with self.subTest(caller_key=caller_key):
+                effects = driver.call(build_call(caller_key=caller_key))
+                self.assertEqual([401], error_statuses(effects))
+        effects = driver.call(build_call(path="/public/1", caller_key=None))
+        self.assertEqual(1, len(select_effects(effects, StartCallAttempt)))
+
 
 class RunnerListTest(unittest.TestCase):
     """Guards against calls to stopped runners and the loss of running ones.
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -85,6 +85,18 @@
             self.assertEqual(404, response.status)
         self.assertEqual([], self.received_targets())
 
+    async def test_withdrawal_of_the_last_key_refuses_all_keys(self) -> None:
+        """Guards against a service that is open to everybody once no key is left."""
+        tenants = [{"name": "team-a", "apiKeys": []}]
+        self.fixture.store.put("op/config", build_document(5, tenants=tenants))
+        directory = self.fixture.daemon.core.directory
+        await wait_until(lambda: directory.configuration.version == 5)
+        for key in (CALLER_API_KEY, "never-issued"):
+            authorization = {"Authorization": f"Token {key}"}
+            async with self.fixture.request("GET", "/look/1", **authorization) as reply:
+                self.assertEqual(401, reply.status)
+        self.assertEqual([], self.received_targets())
+
     async def test_refusal_has_a_retry_after_header(self) -> None:
         self.set_behaviour(RunnerBehaviour.REFUSE)
         async with self.fixture.request("POST", "/book/1") as response:
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -179,6 +179,38 @@
         (decoded,) = message.configuration.routes
         self.assertEqual([90, 10], [share.weight for share in decoded.pool_shares])
 
+    def test_keys_are_required_as_soon_as_teams_are_published(self) -> None:
+        """Guards against a configuration without keys that opens all routes."""
+        team = {"name": "a", "apiKeys": []}
+        without_teams = {name: CONFIGURATION[name] for name in CONFIGURATION}
+        del without_teams["tenants"]
+        for document, is_required in (
+            (CONFIGURATION | {"tenants": [team]}, True),
+            (CONFIGURATION | {"tenants": [{"name": "a"}]}, True),
+            (CONFIGURATION | {"tenants": []}, True),
+            (CONFIGURATION | {"tenants": None}, False),
+            (without_teams, False),
+        ):
+            with self.subTest(tenants=document.get("tenants")):
+                message = decode("op/config", document)
+                assert isinstance(message, ConfigurationPublished)
+                self.assertIs(is_required, message.configuration.requires_caller_key)
+
+    def test_odd_access_rules_are_malformed(self) -> None:
+        """Guards against routes that are open to callers who may not use them."""
+        for changes in (
+            {"tenants": {}},
+            {"tenants": ""},
+            {"tenants": False},
+            {"tenants": [{"name": "a", "apiKeys": "key"}]},
+            {"tenants": [{"name": "a", "apiKeys": None}]},
+            {"routes": [ROUTE | {"public": "false"}]},
+            {"routes": [ROUTE | {"public": 1}]},
+        ):
+            with self.subTest(**changes):
+                message = decode("op/config", CONFIGURATION | changes)
+                self.assertIsInstance(message, ConfigurationUnreadable)
+
     def test_malformed_configuration_is_reported(self) -> None:
         for value in ([], {"version": 1}, CONFIGURATION | {"routes": [{}]}):
             self.assertIsInstance(decode("op/config", value), ConfigurationUnreadable)
