Remember leaving processes beyond the removal of their entries

A runner that had said in its answers that it was leaving got requests again, later than drainMs after the hosts had passed that on (DRAIN): its entry had been removed, and a heartbeat that the store carried out late listed the same process once more.

Cause: the removal of an entry also deleted what the process had said of itself, except right after a restore of the store. Evidence: the same order of messages without a store or a network sends a call to the runner; the entry that comes back has the same start; the announcement had been recorded.

Change: LeavingProcesses remembers the start of a leaving process until its runner has another one, and for 16 s after its entry was removed (a write may be 6 s late, a watch may last 10 s). It counts what answers and entries say, so that a late "ready" doesn't undo "draining", and what an answer says after the removal. The rule for restored stores is covered by it and gone. It works because a process doesn't return from leaving.

Pauses that a runner asked for were lost with its entry as well, and in an evacuated data centre with that of any other runner; models of paused runners are kept now.

--- a/figshunt/directory/_directory_filter.py
+++ b/figshunt/directory/_directory_filter.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from figshunt.directory._held_items import HeldItems, HoldableMessage
+from figshunt.directory._leaving_processes import LeavingProcesses
 from figshunt.directory._messages import (
     ConfigurationPublished,
     ConfigurationUnreadable,
@@ -55,10 +56,6 @@
 # leases, expire within this time. They count as lapsed, as after an outage.
 RESTORE_WINDOW_MS = 2_500
 
-# A watch may last this long, so that an entry written before a removal may be read
-# this long after it.
-KEPT_START_MS = 10_000
-
 
 class DirectoryView(Protocol):
     """Read access to the published configuration and runners."""
@@ -85,11 +82,8 @@
     """Applies published items; an older configuration never replaces a newer one.
 
     A runner that is leaving or in an evacuated data centre is kept, so that its
-    requests can finish, but is not returned for new requests. If it announced its
-    leaving in an answer, that holds until its entry is removed or describes a new
-    process, since the entry may be written or read later. The same holds after a
-    restore of the store for a runner whose entry said so before, and for
-    ``KEPT_START_MS`` after its entry lapsed.
+    requests can finish, but is not returned for new requests. A process that has said
+    that it is leaving, in an answer or in its entry, doesn't return.
 
     After a restore, what is in force stays so until it is written again, for a limited
     time: an item that may come from the copy is held for ``RESTORE_GRACE_MS``, or for
@@ -121,8 +115,7 @@
         ] = {}
         self._evacuated_data_centres: set[DataCentreName] = set()
         self._removal_due_ms_by_id: dict[RunnerId, int] = {}
-        self._leaving_starts_by_id: dict[RunnerId, int | None] = {}
-        self._start_kept_until_ms_by_id: dict[RunnerId, int] = {}
+        self._leaving = LeavingProcesses()
         self._held_items = HeldItems()
         self._restore_window_end_ms = 0
 
@@ -170,7 +163,7 @@
                     _version_fields(version) | {"data_centre": data_centre},
                 )
             case RunnerLeaving():
-                yield from self._record_leaving(message)
+                yield from self._record_leaving(message, now)
             case RunnerListed():
                 self._held_items.discard(message)
                 yield from self._list_runner(message)
@@ -181,7 +174,7 @@
                     or may_be_copied
                     or (
                         self._is_in_restore_window(now)
-                        and runner_id not in self._leaving_starts_by_id
+                        and runner_id not in self._leaving
                     )
                 )
                 message = replace(message, after_outage=has_lapsed)
@@ -227,11 +220,7 @@
         yield LogEvent("configuration_in_force", self.step, fields)
 
     def _record_restore(self, version: Version, now: Moment) -> Iterable[Output]:
-        """Begin a new era of the store.
-
-        A process that was leaving stays excluded, as the copy or a late write may
-        still say that it is ready.
-        """
+        """Begin a new era of the store."""
         self._restore_window_end_ms = now.monotonic_ms + RESTORE_WINDOW_MS
         if self._removal_due_ms_by_id:
             # A listing that lacks these entries as well isn't another change of them.
@@ -241,9 +230,6 @@
             )
             yield WakeAt(due_ms)
         yield from map(WakeAt, self._held_items.restart(now.monotonic_ms))
-        for runner_id, runner in self._runners_by_id.items():
-            if runner.is_leaving and runner.started_wall_ms is not None:
-                self._leaving_starts_by_id[runner_id] = runner.started_wall_ms
         yield LogEvent("store_restored", self.step, _version_fields(version))
         yield CountEvent("store_restores", {})
 
@@ -305,9 +291,7 @@
             return
         previous = self._runners_by_id.get(runner_id)
         self._runners_by_id[runner_id] = runner
-        start = runner.started_wall_ms
-        if self._leaving_starts_by_id.get(runner_id, start) != start:
-            del self._leaving_starts_by_id[runner_id]
+        self._leaving.record_entry(runner)
         if previous is None or previous != runner:
             fields = version_fields | {
                 "runner": runner_id,
@@ -319,34 +303,35 @@
             }
             yield LogEvent("runner_listed", self.step, fields)
 
-    def _record_leaving(self, message: RunnerLeaving) -> Iterable[Output]:
+    def _record_leaving(self, message: RunnerLeaving, now: Moment) -> Iterable[Output]:
+        """Record what a process said in an answer, even if its entry was removed."""
         runner_id, start = message.runner_id, message.started_wall_ms
         runner = self._runners_by_id.get(runner_id)
-        is_known = runner_id in self._leaving_starts_by_id
-        if runner is None or runner.started_wall_ms != start or is_known:
+        if runner is not None and runner.started_wall_ms != start:
+            return
+        if not self._leaving.record(runner_id, start):
             return
-        self._leaving_starts_by_id[runner_id] = start
+        if runner is None:
+            yield from self._record_removal(runner_id, now)
         yield LogEvent("runner_announced_leaving", self.step, {"runner": runner_id})
 
     def _is_in_restore_window(self, now: Moment) -> bool:
         return now.monotonic_ms < self._restore_window_end_ms
 
-    def _forget(self, runner_id: RunnerId) -> None:
+    def _remove_runner(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
+        """Remove a runner; its process may still write its entry again."""
         self._runners_by_id.pop(runner_id, None)
-        self._leaving_starts_by_id.pop(runner_id, None)
-        self._start_kept_until_ms_by_id.pop(runner_id, None)
+        self._removal_due_ms_by_id.pop(runner_id, None)
+        yield from self._record_removal(runner_id, now)
 
-    def _forget_lapsed(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
-        """Remove a runner whose process may still write its entry again."""
-        self._runners_by_id.pop(runner_id, None)
-        if runner_id in self._leaving_starts_by_id:
-            until_ms = now.monotonic_ms + KEPT_START_MS
-            self._start_kept_until_ms_by_id[runner_id] = until_ms
+    def _record_removal(self, runner_id: RunnerId, now: Moment) -> Iterable[Output]:
+        until_ms = self._leaving.record_removal(runner_id, now.monotonic_ms)
+        if until_ms is not None:
             yield WakeAt(until_ms)
 
     def _unlist_runner(self, message: RunnerUnlisted, now: Moment) -> Iterable[Output]:
         if message.runner_id not in self._runners_by_id:
-            self._forget(message.runner_id)
+            yield from self._remove_runner(message.runner_id, now)
             return
         fields = _version_fields(message.store_version)
         fields["runner"] = message.runner_id
@@ -357,11 +342,7 @@
             yield LogEvent("runner_lapsed", self.step, fields)
             yield WakeAt(due_ms)
             return
-        self._removal_due_ms_by_id.pop(message.runner_id, None)
-        if self._is_in_restore_window(now):
-            yield from self._forget_lapsed(message.runner_id, now)
-        else:
-            self._forget(message.runner_id)
+        yield from self._remove_runner(message.runner_id, now)
         yield LogEvent("runner_unlisted", self.step, fields)
 
     def _remove_expired(self, now: Moment) -> Iterable[Output]:
@@ -371,23 +352,18 @@
             if due_ms <= now.monotonic_ms
         ]
         for runner_id in expired_ids:
-            del self._removal_due_ms_by_id[runner_id]
-            yield from self._forget_lapsed(runner_id, now)
+            yield from self._remove_runner(runner_id, now)
             yield LogEvent("runner_gone", self.step, {"runner": runner_id})
         if expired_ids:
             self._rebuild_usable_runners()
-        for runner_id, until_ms in tuple(self._start_kept_until_ms_by_id.items()):
-            if until_ms <= now.monotonic_ms:
-                del self._start_kept_until_ms_by_id[runner_id]
-                if runner_id not in self._runners_by_id:
-                    self._leaving_starts_by_id.pop(runner_id, None)
+        self._leaving.expire(now.monotonic_ms)
 
     def _rebuild_usable_runners(self) -> None:
         usable_runners_by_pool: dict[PoolName, dict[RunnerId, PublishedRunner]] = {}
         for runner_id, runner in self._runners_by_id.items():
             if (
                 not runner.is_leaving
-                and runner_id not in self._leaving_starts_by_id
+                and runner_id not in self._leaving
                 and runner.data_centre not in self._evacuated_data_centres
             ):
                 usable_runners_by_pool.setdefault(runner.pool, {})[runner_id] = runner
--- a/figshunt/dispatch/fleet/_fleet_model.py
+++ b/figshunt/dispatch/fleet/_fleet_model.py
@@ -670,8 +670,11 @@
             self._cold_limit.mark_cold(runner.runner_id, now.monotonic_ms)
         self._starts_by_runner[runner.runner_id] = runner.started_wall_ms
 
-    def remove_unlisted(self) -> None:
-        """Remove the models of runners that are no longer listed."""
+    def remove_unlisted(self, now: Moment) -> None:
+        """Remove the models of runners that are no longer listed.
+
+        A runner that asked for a pause may be listed again before that is over.
+        """
         configuration = self._directory.configuration
         if configuration is None:
             return
@@ -682,7 +685,8 @@
         }
         for runner_id in self._models_by_runner.keys() - listed_ids:
             model = self._models_by_runner[runner_id]
-            if not model.running_attempts:
+            is_paused = model.paused_until_ms > now.monotonic_ms
+            if not model.running_attempts and not is_paused:
                 model.load.forget_all()
                 self._prefix_index.remove(runner_id, model.prefix_cache.part_ids())
                 del self._models_by_runner[runner_id]
--- a/figshunt/dispatch/placement/_placement_filter.py
+++ b/figshunt/dispatch/placement/_placement_filter.py
@@ -254,7 +254,7 @@
                     self._fleet.update_from_entry(runner, now)
                 yield from self._place_held_calls(now)
             case RunnerUnlisted():
-                self._fleet.remove_unlisted()
+                self._fleet.remove_unlisted(now)
             case PeerStatusReceived(status):
                 for notice in status.placements:
                     self._fleet.record_placement(notice, now)
--- a/tests/dispatch/test_pauses.py
+++ b/tests/dispatch/test_pauses.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from figshunt.directory import EvacuationPublished
 from figshunt.dispatch import (
     AnswerError,
     CallAttemptFailed,
@@ -9,7 +10,14 @@
     ReplyVerdict,
     StartCallAttempt,
 )
-from figshunt.types import AttemptFailure, LogEvent, RunnerId, SendState
+from figshunt.types import (
+    AttemptFailure,
+    DataCentreName,
+    LogEvent,
+    RunnerId,
+    SendState,
+    Version,
+)
 from tests.builders import (
     build_call,
     build_configuration,
@@ -136,6 +144,27 @@
         )
         self.assertIn(paused_id, self.call_repeatedly(1_000))
 
+    def test_pause_outlasts_the_entry_of_its_runner(self) -> None:
+        """Guards against calls to a runner whose entry lapsed or was written late."""
+        paused_id = self.pause_first_runner()
+        self.driver.unlist_runner(paused_id)
+        self.driver.list_runner(build_published_runner(paused_id, "bookings"))
+        self.assertNotIn(paused_id, self.call_repeatedly(PAUSE_MS - 100))
+        self.assertIn(paused_id, self.call_repeatedly(1_000))
+
+    def test_pause_outlasts_an_evacuation(self) -> None:
+        """Another runner's removal clears what isn't in use."""
+        self.driver.list_runner(build_published_runner("b3", "bookings"))
+        paused_id = self.pause_first_runner()
+        other_id, *_ = sorted({"b1", "b2", "b3"} - {paused_id})
+        for is_out in (True, False):
+            self.driver.handle(
+                EvacuationPublished(Version.of(0, 90), DataCentreName("a"), is_out)
+            )
+            if is_out:
+                self.driver.unlist_runner(other_id)
+        self.assertNotIn(paused_id, self.call_repeatedly(PAUSE_MS - 100))
+
 
 if __name__ == "__main__":
     unittest.main()
