Let a runner's streams speak for that runner alone

Cause: StreamNumberings counted streams of any runners. Three deviating ones in a row deleted the numbering of the whole pool, and a complete stream of any runner replaced it.

Change: PoolNumbering keeps what each runner has shown in the last minute. The numbering of most runners holds for the pool. It is unknown only once more runners deviate three times in a row than show it.

--- a/figshunt/dispatch/attempt/_call_attempt_filter.py
+++ b/figshunt/dispatch/attempt/_call_attempt_filter.py
@@ -420,7 +420,9 @@
         What the caller has so far is in order, so the stream can go on after that.
         """
         routed = attempt.routed
-        self._numberings.record_deviation(routed.pool)
+        self._numberings.record_deviation(
+            routed.pool, attempt.runner.runner_id, now.monotonic_ms
+        )
         held_event = attempt.held_event
         detail = (
             f"got event id {event.event_id} after {routed.last_event_id}"
@@ -486,20 +488,22 @@
             detail = "connection ended before the first event"
             yield from self._retry_or_fail(attempt, CallAttemptResult.LOST, detail, now)
             return
-        self._learn_numbering(attempt)
+        self._learn_numbering(attempt, now)
         yield AnswerEnd(attempt.routed.call_id)
         yield from self._complete(
             attempt, CallAttemptResult.SERVED, "stream ended", now
         )
 
-    def _learn_numbering(self, attempt: CallAttempt) -> None:
+    def _learn_numbering(self, attempt: CallAttempt, now: Moment) -> None:
         """Learn how a pool's runners number their events from a complete stream."""
         routed = attempt.routed
         first_id = attempt.first_event_id
         is_whole_run = routed.possible_runs == 1 and routed.call.resume_after is None
         is_regular = attempt.has_regular_events and routed.has_consecutive_ids
         if is_whole_run and is_regular and first_id is not None:
-            self._numberings.record_complete(routed.pool, first_id)
+            self._numberings.record_complete(
+                routed.pool, attempt.runner.runner_id, first_id, now.monotonic_ms
+            )
 
     def _handle_failure(
         self, failure: CallAttemptFailed, now: Moment
