Bound what all streams together take of the event loop

Callers of other services got no answer for seconds while one engine sent short events without end (CONFIG).

Cause: each stream was bounded to 32 events in a turn of the event loop, and nothing bounded their number. A request of another service needs some ten turns. Comments had no bound at all, and reading a body in chunks of one byte takes the HTTP library up to 10 us for each. Evidence: 25 streams of short events brought 800 events in one turn, comments 273,075. Ruled out: that events alone take the time, and that the check of ids suffices, which needs a known numbering.

Change: StreamTurns lets streams read and pass on in steps, in turn with each other, 64 of them or 4 ms in a turn of the event loop. What a stream has beyond 200 steps a second shares a fifth of the time with others of its kind. The reader of cells does the same. An answer that exceeds its limit is reported as such also to a reader that comes after the end of its connection. It works because the bound is on the sum, and a stream of an engine has one or two steps at a time.

--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -125,7 +125,11 @@
             self._read_limits,
         )
         self.runners = RunnerCaller(
-            call_codec, self, self._log, build_receive_budget(settings.memory_bytes)
+            call_codec,
+            self,
+            self._log,
+            clock,
+            build_receive_budget(settings.memory_bytes),
         )
         self.peers = PeerLink(
             settings.front.ip,
--- a/figshunt/gateway/_runner_caller.py
+++ b/figshunt/gateway/_runner_caller.py
@@ -1,6 +1,7 @@
 """Sends calls to runners over HTTP and passes the responses to the core."""
 
 import asyncio
+from collections.abc import Iterator
 from typing import Any
 
 import aiohttp
@@ -20,18 +21,23 @@
 from figshunt.gateway._codecs import CallCodec
 from figshunt.gateway._runner_channels import Channel, ChannelPool
 from figshunt.runtime import (
+    BODY_PIECE_BYTES,
     MAX_EVENT_BYTES,
+    STREAM_PIECE_BYTES,
     BoundedResponse,
     EventLog,
     EventStreamReader,
     MessageSink,
     OversizedResponseError,
     ReceiveBudget,
+    ServerSentEvent,
+    StreamTurns,
     allow_body,
     attach_comments,
     drop_tracebacks,
+    iterate_received,
 )
-from figshunt.types import AttemptFailure, AttemptId, SendState, Step
+from figshunt.types import AttemptFailure, AttemptId, Clock, SendState, Step
 
 # Headers that the HTTP library must not add to the caller's own.
 SUPPRESSED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
@@ -41,10 +47,6 @@
 # As large as the largest request body that the front listener accepts.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
-# After so many events of one stream other calls are served, and the stream ends if the
-# core has cancelled it. One read may contain tens of thousands of short events.
-EVENTS_PER_TURN = 32
-
 
 class RunnerCaller(Service):
     """Applies the effects :class:`StartCallAttempt` and :class:`CancelCallAttempt`."""
@@ -54,6 +56,7 @@
         codec: CallCodec,
         message_sink: MessageSink,
         log: EventLog,
+        clock: Clock,
         budget: ReceiveBudget | None = None,
     ) -> None:
         super().__init__()
@@ -61,6 +64,7 @@
         self._message_sink = message_sink
         self._log = log
         self._channels = ChannelPool(budget or ReceiveBudget())
+        self._turns = StreamTurns(clock)
         self._tasks_by_attempt: dict[AttemptId, asyncio.Task[None]] = {}
         self._expiry_task: asyncio.Task[None] | None = None
 
@@ -166,9 +170,20 @@
         return head
 
     async def _read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        turn = self._turns.open_stream()
+        pieces: list[bytes] = []
+
+        def read_pieces(first_piece: bytes) -> Iterator[None]:
+            for piece in iterate_received(
+                response.content, first_piece, BODY_PIECE_BYTES
+            ):
+                pieces.append(piece)
+                yield
+
         allow_body(response, MAX_ANSWER_BYTES)
-        chunks = [data async for data in response.content.iter_any()]
-        return b"".join(chunks)
+        async for first_piece in response.content.iter_chunked(BODY_PIECE_BYTES):
+            await turn.run(read_pieces(first_piece))
+        return b"".join(pieces)
 
     async def _read_events(
         self,
@@ -178,25 +193,30 @@
     ) -> None:
         self._message_sink.submit(ReplyStarted(attempt.attempt_id, head))
         reader = EventStreamReader()
+        turn = self._turns.open_stream()
         passed_bytes = 0
+
+        def pass_events(first_piece: bytes) -> Iterator[None]:
+            nonlocal passed_bytes
+            for piece in iterate_received(
+                response.content, first_piece, STREAM_PIECE_BYTES
+            ):
+                steps = 0
+                for event in attach_comments(reader.feed(piece)):
+                    if event is not None:
+                        passed_bytes += len(event.raw)
+                        if event.data:
+                            allow_body(response, MAX_EVENT_BYTES, passed_bytes)
+                        self._message_sink.submit(_build_event(attempt, event))
+                    steps += 1
+                    yield
+                if not steps:
+                    # Reading a piece without an event takes time as well.
+                    yield
+
         allow_body(response, MAX_EVENT_BYTES)
-        async for data in response.content.iter_any():
-            events = attach_comments(reader.feed(data))
-            for number, event in enumerate(events, 1):
-                passed_bytes += len(event.raw)
-                if event.data:
-                    allow_body(response, MAX_EVENT_BYTES, passed_bytes)
-                self._message_sink.submit(
-                    ReplyEvent(
-                        attempt.attempt_id,
-                        event.event_id,
-                        event.raw,
-                        event.is_comment,
-                        bool(event.data),
-                    )
-                )
-                if number % EVENTS_PER_TURN == 0:
-                    await asyncio.sleep(0)
+        async for first_piece in response.content.iter_chunked(STREAM_PIECE_BYTES):
+            await turn.run(pass_events(first_piece))
         response.check_complete()
         if reader.pending_bytes:
             raise aiohttp.ClientPayloadError("stream ended within an event")
@@ -216,6 +236,16 @@
         drop_tracebacks(error)
 
 
+def _build_event(attempt: StartCallAttempt, event: ServerSentEvent) -> ReplyEvent:
+    return ReplyEvent(
+        attempt.attempt_id,
+        event.event_id,
+        event.raw,
+        event.is_comment,
+        bool(event.data),
+    )
+
+
 def _list_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
     headers: Any = response.headers
     return list(headers.items())
--- a/figshunt/runtime/__init__.py
+++ b/figshunt/runtime/__init__.py
@@ -1,5 +1,10 @@
 """Logging, metrics, event streams, connections and timers of all daemons."""
 
+from figshunt.runtime._body_pieces import (
+    BODY_PIECE_BYTES,
+    STREAM_PIECE_BYTES,
+    iterate_received,
+)
 from figshunt.runtime._bounded_connector import (
     BoundedConnector,
     BoundedResponse,
@@ -45,11 +50,18 @@
     ReceiveShare,
 )
 from figshunt.runtime._request_framing import RequestFraming
+from figshunt.runtime._stream_turns import (
+    STEPS_PER_SLICE,
+    STEPS_PER_TURN,
+    StreamTurn,
+    StreamTurns,
+)
 from figshunt.runtime._tracebacks import drop_tracebacks
 from figshunt.runtime._unexpected_error_log import UnexpectedErrorLog
 from figshunt.runtime._wake_timer import WakeTimer
 
 __all__ = [
+    "BODY_PIECE_BYTES",
     "BoundedConnector",
     "BoundedResponse",
     "BoundedResponseHandler",
@@ -79,7 +91,12 @@
     "ReceiveShare",
     "RequestFraming",
     "RequestRefusedError",
+    "STEPS_PER_SLICE",
+    "STREAM_PIECE_BYTES",
+    "STEPS_PER_TURN",
     "ServerSentEvent",
+    "StreamTurn",
+    "StreamTurns",
     "UnexpectedErrorLog",
     "WakeTimer",
     "allow_body",
@@ -88,6 +105,7 @@
     "drop_tracebacks",
     "forbid_resending",
     "format_value",
+    "iterate_received",
     "join_events",
     "open_log",
 ]
--- a/figshunt/runtime/_bounded_connector.py
+++ b/figshunt/runtime/_bounded_connector.py
@@ -25,6 +25,8 @@
 
 VALID_STATUSES = range(200, 600)
 
+OVERSIZED_DETAIL = "server sent more than is allowed"
+
 
 class InvalidStatusError(ValueError):
     """A server sent a status that no final response has."""
@@ -52,6 +54,7 @@
         self._share = share
         self._allowed_bytes = MAX_HEAD_BYTES
         self._ended_within_request = False
+        self._oversized_body: aiohttp.StreamReader | None = None
         self.is_truncated = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -75,6 +78,9 @@
         is_cut = exc is not None or self._ended_within_request
         self.is_truncated = ends_body and is_cut
         super().connection_lost(exc)
+        if self._oversized_body is not None:
+            # The library reports the end of the connection to a reader that comes late.
+            self._oversized_body.set_exception(OversizedResponseError(OVERSIZED_DETAIL))
 
     def allow(self, max_bytes: int, kept_bytes: int = 0) -> None:
         """Allow ``max_bytes`` more, instead of what was still allowed before.
@@ -96,10 +102,10 @@
         if self._allowed_bytes >= 0 and has_room:
             super().data_received(data)
             return
-        detail = "server sent more than is allowed"
         if self._payload is not None:
-            self._payload.set_exception(OversizedResponseError(detail))
-        self.set_exception(HttpProcessingError(code=502, message=detail))
+            self._oversized_body = self._payload
+            self._payload.set_exception(OversizedResponseError(OVERSIZED_DETAIL))
+        self.set_exception(HttpProcessingError(code=502, message=OVERSIZED_DETAIL))
         if self.transport is not None:
             self.transport.abort()
 
--- a/figshunt/runtime/_event_stream.py
+++ b/figshunt/runtime/_event_stream.py
@@ -60,16 +60,20 @@
             yield _parse_event(event + EVENT_TERMINATOR)
 
 
-def attach_comments(events: Iterable[ServerSentEvent]) -> Iterator[ServerSentEvent]:
+def attach_comments(
+    events: Iterable[ServerSentEvent],
+) -> Iterator[ServerSentEvent | None]:
     """Join the bytes of events without id and data with those of the next event.
 
     An endless series of comments thus costs little. Those at the end are yielded
-    as one event.
+    as one event. ``None`` stands for a comment that was kept, so that the series can be
+    read in steps.
     """
     comments: list[bytes] = []
     for event in events:
         if event.is_comment:
             comments.append(event.raw)
+            yield None
             continue
         raw = b"".join([*comments, event.raw])
         comments.clear()
--- a/figshunt/services/_daemon.py
+++ b/figshunt/services/_daemon.py
@@ -87,7 +87,7 @@
             self._log,
             random_source,
         )
-        self._runner_client = RunnerClient(self)
+        self._runner_client = RunnerClient(self, clock)
         self._load_watcher = LoadWatcher(self, random_source)
         self._table_watcher = TableWatcher(
             settings.configuration_url, self, decoder, random_source
--- a/figshunt/services/_runner_client.py
+++ b/figshunt/services/_runner_client.py
@@ -1,22 +1,28 @@
 """HTTP client that sends attempts to runners and passes the results to the core."""
 
 import asyncio
+from collections.abc import Iterator
 
 import aiohttp
 from mode import Service
 from yarl import URL
 
 from figshunt.runtime import (
+    BODY_PIECE_BYTES,
     MAX_EVENT_BYTES,
+    STREAM_PIECE_BYTES,
     BoundedConnector,
     BoundedResponse,
+    EventBatch,
     EventStreamReader,
     MessageSink,
     ReceiveBudget,
     ReceiveShare,
+    StreamTurns,
     allow_body,
     drop_tracebacks,
     forbid_resending,
+    iterate_received,
     join_events,
 )
 from figshunt.types import (
@@ -27,6 +33,7 @@
     AttemptFinished,
     AttemptId,
     CancelAttempt,
+    Clock,
     ColdEvidence,
     RunnerUnreachable,
     SendState,
@@ -34,7 +41,6 @@
 )
 
 CONNECT_TIMEOUT_S = 2.0
-READ_CHUNK_BYTES = 64 * 1024
 OVERLOADED_STATUSES = frozenset({429, 503})
 EVENT_STREAM = "text/event-stream"
 
@@ -46,9 +52,10 @@
     while idle would leave it unclear whether the request arrived.
     """
 
-    def __init__(self, message_sink: MessageSink) -> None:
+    def __init__(self, message_sink: MessageSink, clock: Clock) -> None:
         super().__init__()
         self._message_sink = message_sink
+        self._turns = StreamTurns(clock)
         self._receive_budget = ReceiveBudget()
         self._tasks_by_attempt: dict[AttemptId, asyncio.Task[None]] = {}
 
@@ -140,40 +147,56 @@
         self, effect: StartAttempt, response: aiohttp.ClientResponse
     ) -> None:
         reader = EventStreamReader()
+        turn = self._turns.open_stream()
         offset = effect.resume_offset
         passed_bytes = 0
+        is_done = False
+
+        def pass_batches(first_piece: bytes) -> Iterator[None]:
+            nonlocal offset, passed_bytes, is_done
+            for piece in iterate_received(
+                response.content, first_piece, STREAM_PIECE_BYTES
+            ):
+                for batch in join_events(reader.feed(piece), offset):
+                    passed_bytes += len(batch.data)
+                    if batch.tokens:
+                        allow_body(response, MAX_EVENT_BYTES, passed_bytes)
+                    offset = batch.offset + batch.tokens
+                    self._message_sink.submit(_build_chunk(effect, batch))
+                    if batch.is_done:
+                        is_done = True
+                        return
+                yield
+
         allow_body(response, MAX_EVENT_BYTES)
-        async for data in response.content.iter_any():
-            for batch in join_events(reader.feed(data), offset):
-                passed_bytes += len(batch.data)
-                if batch.tokens:
-                    allow_body(response, MAX_EVENT_BYTES, passed_bytes)
-                offset = batch.offset + batch.tokens
-                self._message_sink.submit(
-                    AttemptChunk(
-                        effect.attempt_id,
-                        batch.data,
-                        batch.tokens,
-                        batch.offset,
-                    )
-                )
-                if batch.is_done:
-                    self._message_sink.submit(
-                        AttemptFinished(effect.attempt_id, offset)
-                    )
-                    return
+        async for first_piece in response.content.iter_chunked(STREAM_PIECE_BYTES):
+            await turn.run(pass_batches(first_piece))
+            if is_done:
+                self._message_sink.submit(AttemptFinished(effect.attempt_id, offset))
+                return
         raise aiohttp.ClientPayloadError("event stream ended without an end marker")
 
     async def _read_plain_body(
         self, effect: StartAttempt, response: BoundedResponse
     ) -> None:
-        offset = passed_bytes = 0
+        turn = self._turns.open_stream()
+        offset = 0
+
+        def pass_pieces(first_piece: bytes) -> Iterator[None]:
+            nonlocal offset
+            for piece in iterate_received(
+                response.content, first_piece, BODY_PIECE_BYTES
+            ):
+                self._message_sink.submit(
+                    AttemptChunk(effect.attempt_id, piece, 0, offset)
+                )
+                offset += len(piece)
+                allow_body(response, MAX_EVENT_BYTES, offset)
+                yield
+
         allow_body(response, MAX_EVENT_BYTES)
-        async for data in response.content.iter_chunked(READ_CHUNK_BYTES):
-            passed_bytes += len(data)
-            allow_body(response, MAX_EVENT_BYTES, passed_bytes)
-            self._message_sink.submit(AttemptChunk(effect.attempt_id, data, 0, offset))
-            offset += len(data)
+        async for first_piece in response.content.iter_chunked(BODY_PIECE_BYTES):
+            await turn.run(pass_pieces(first_piece))
         response.check_complete()
         self._message_sink.submit(AttemptFinished(effect.attempt_id, 0))
 
@@ -194,6 +217,10 @@
         self._message_sink.submit(RunnerUnreachable(effect.runner_id, evidence))
 
 
+def _build_chunk(effect: StartAttempt, batch: EventBatch) -> AttemptChunk:
+    return AttemptChunk(effect.attempt_id, batch.data, batch.tokens, batch.offset)
+
+
 _MAY_HAVE_ARRIVED = SendState.MAY_HAVE_ARRIVED
 
 
--- a/tests/gateway/test_cut_heads.py
+++ b/tests/gateway/test_cut_heads.py
@@ -20,6 +20,7 @@
     Moment,
     RunnerId,
     StartAttempt,
+    SystemClock,
 )
 from tests.builders import build_call, build_cut_heads, build_request
 from tests.gateway.fixture import LOOPBACK, wait_until
@@ -47,7 +48,9 @@
         writer.close()
 
     async def test_entry_host_takes_no_cut_head_for_an_answer(self) -> None:
-        caller = RunnerCaller(PlatformCallCodec(), self.sink, EventLog({}))
+        caller = RunnerCaller(
+            PlatformCallCodec(), self.sink, EventLog({}), SystemClock()
+        )
         await caller.start()
         self.addAsyncCleanup(caller.stop)
         for self.answer in build_cut_heads():
@@ -72,7 +75,7 @@
             self.assertEqual(1, len(self.sink.of_type(CallAttemptFailed)))
 
     async def test_cell_takes_no_cut_head_for_an_answer(self) -> None:
-        client = RunnerClient(self.sink)
+        client = RunnerClient(self.sink, SystemClock())
         await client.start()
         self.addAsyncCleanup(client.stop)
         for self.answer in build_cut_heads():
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -1,8 +1,12 @@
 """Answers of runners in trouble that never end."""
 
 import asyncio
+import contextlib
 import gc
 import unittest
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
 
 from figshunt.dispatch import (
     AnswerEvent,
@@ -11,23 +15,32 @@
     ReplyEvent,
     StartCallAttempt,
 )
+from figshunt.gateway import _runner_caller
 from figshunt.gateway._answer_queue import AnswerQueue
-from figshunt.gateway._runner_caller import (
-    EVENTS_PER_TURN,
-    MAX_ANSWER_BYTES,
-    RunnerCaller,
-)
+from figshunt.gateway._runner_caller import MAX_ANSWER_BYTES, RunnerCaller
 from figshunt.platform import PlatformCallCodec
 from figshunt.runtime import (
     CONNECTION_BYTES,
     MAX_RECEIVED_BYTES,
+    STEPS_PER_SLICE,
+    STEPS_PER_TURN,
     BoundedResponse,
     BoundedResponseHandler,
     EventLog,
     ReceiveBudget,
+    ServerSentEvent,
+    _event_stream,
+    iterate_received,
 )
 from figshunt.standins import EndlessRunner
-from figshunt.types import AttemptFailure, AttemptId, CancelReason, RequestId, RunnerId
+from figshunt.types import (
+    AttemptFailure,
+    AttemptId,
+    CancelReason,
+    RequestId,
+    RunnerId,
+    SystemClock,
+)
 from tests.builders import (
     MAX_ENDLESS_BYTES,
     build_call,
@@ -37,13 +50,17 @@
 from tests.gateway.fixture import wait_until
 from tests.recording_sink import RecordingMessageSink
 
+STREAMS = 25
+
 
 class EndlessAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against a host that reads an endless answer until it has no memory."""
 
     async def asyncSetUp(self) -> None:
         self.sink = RecordingMessageSink()
-        self.caller = RunnerCaller(PlatformCallCodec(), self.sink, EventLog({}))
+        self.caller = RunnerCaller(
+            PlatformCallCodec(), self.sink, EventLog({}), SystemClock()
+        )
         await self.caller.start()
         self.addAsyncCleanup(self.caller.stop)
 
@@ -93,7 +110,64 @@
         )
         self.caller.start_attempt(attempt)
         await wait_until(lambda: runner.sent_bytes > 0 and not runner.open_connections)
-        self.assertLessEqual(len(self.sink.of_type(ReplyEvent)), EVENTS_PER_TURN)
+        self.assertLessEqual(len(self.sink.of_type(ReplyEvent)), STEPS_PER_TURN)
+
+    async def test_streams_of_short_events_leave_the_event_loop_to_others(self) -> None:
+        """Guards against a host that serves nobody else, however many streams it has.
+
+        Other services need several turns of the event loop for each request.
+        """
+        start = build_endless_answer("text/event-stream")
+        chunked = build_endless_answer("text/event-stream", chunk_start=b"")
+        for name, head, repeated in (
+            ("events without ids", start, b"data: 7\n\n"),
+            ("events of one id", start, b"id: 1\ndata: 7\n\n"),
+            ("comments", start, b":\n\n"),
+            ("chunks of one byte", chunked, b"1\r\n7\r\n"),
+        ):
+            with self.subTest(name):
+                steps = StepCounter()
+                runner = EndlessRunner(head, repeated)
+                await runner.start()
+                with steps.count():
+                    for number in range(STREAMS):
+                        attempt = build_attempt(runner, f"{name} {number}")
+                        self.caller.start_attempt(attempt)
+                    await wait_until(lambda: steps.taken > 0)
+                    most_in_a_turn = 0
+                    for _ in range(100):
+                        before = steps.taken
+                        await asyncio.sleep(0)
+                        most_in_a_turn = max(most_in_a_turn, steps.taken - before)
+                await self.caller.stop()
+                await runner.stop()
+                self.assertLessEqual(most_in_a_turn, 2 * STEPS_PER_SLICE)
+
+
+class StepCounter:
+    """Counts the events that are parsed and the pieces of streams that are read."""
+
+    def __init__(self) -> None:
+        self.taken = 0
+        self._parse_event = _event_stream._parse_event
+
+    @contextlib.contextmanager
+    def count(self) -> Iterator[None]:
+        """Count within this context."""
+        with (
+            mock.patch.object(_event_stream, "_parse_event", self._parse),
+            mock.patch.object(_runner_caller, "iterate_received", self._read),
+        ):
+            yield
+
+    def _parse(self, raw: bytes) -> ServerSentEvent:
+        self.taken += 1
+        return self._parse_event(raw)
+
+    def _read(self, *arguments: Any) -> Iterator[bytes]:
+        for piece in iterate_received(*arguments):
+            self.taken += 1
+            yield piece
 
 
 def build_attempt(runner: EndlessRunner, name: str) -> StartCallAttempt:
@@ -181,7 +255,11 @@
         start = build_endless_answer("text/event-stream")
         sink = RecordingMessageSink()
         caller = RunnerCaller(
-            PlatformCallCodec(), sink, EventLog({}), budget := ReceiveBudget()
+            PlatformCallCodec(),
+            sink,
+            EventLog({}),
+            SystemClock(),
+            budget := ReceiveBudget(),
         )
         await caller.start()
         self.addAsyncCleanup(caller.stop)
--- a/tests/gateway/test_invalid_answers.py
+++ b/tests/gateway/test_invalid_answers.py
@@ -35,6 +35,7 @@
     RunnerUnreachable,
     SendState,
     StartAttempt,
+    SystemClock,
 )
 from tests.builders import (
     build_answer_head,
@@ -83,8 +84,10 @@
         self.address = f"{LOOPBACK}:{self.listener.getsockname()[1]}"
         accepting = asyncio.create_task(self.accept())
         self.addCleanup(accepting.cancel)
-        self.caller = RunnerCaller(PlatformCallCodec(), self.sink, EventLog({}))
-        self.client = RunnerClient(self.sink)
+        self.caller = RunnerCaller(
+            PlatformCallCodec(), self.sink, EventLog({}), SystemClock()
+        )
+        self.client = RunnerClient(self.sink, SystemClock())
         for service in (self.caller, self.client):
             await service.start()
             self.addAsyncCleanup(service.stop)
--- a/tests/runtime/test_event_stream.py
+++ b/tests/runtime/test_event_stream.py
@@ -107,5 +107,5 @@
                 ServerSentEvent(comment * 3 + event, 1, b"x"),
                 ServerSentEvent(comment * 2, None, b""),
             ],
-            list(attach_comments(events)),
+            [event for event in attach_comments(events) if event is not None],
         )
--- a/tests/services/test_endless_answers.py
+++ b/tests/services/test_endless_answers.py
@@ -4,7 +4,14 @@
 
 from figshunt.services import RunnerClient
 from figshunt.standins import EndlessRunner
-from figshunt.types import AttemptFailed, AttemptId, Moment, RunnerId, StartAttempt
+from figshunt.types import (
+    AttemptFailed,
+    AttemptId,
+    Moment,
+    RunnerId,
+    StartAttempt,
+    SystemClock,
+)
 from tests.builders import (
     MAX_ENDLESS_BYTES,
     build_endless_answers,
@@ -22,7 +29,7 @@
 
     async def asyncSetUp(self) -> None:
         self.sink = RecordingMessageSink()
-        self.client = RunnerClient(self.sink)
+        self.client = RunnerClient(self.sink, SystemClock())
         await self.client.start()
         self.addAsyncCleanup(self.client.stop)
 
--- a/tests/services/test_runner_client.py
+++ b/tests/services/test_runner_client.py
@@ -15,6 +15,7 @@
     RunnerId,
     SendState,
     StartAttempt,
+    SystemClock,
 )
 from tests.builders import build_request
 from tests.gateway.fixture import LOOPBACK, wait_until
@@ -26,7 +27,7 @@
 
     async def test_unexpected_error_fails_the_attempt(self) -> None:
         sink = RecordingMessageSink()
-        client = RunnerClient(sink)
+        client = RunnerClient(sink, SystemClock())
         attempt_id = AttemptId("a1")
         error = KeyError("unexpected")
         with mock.patch.object(RunnerClient, "_send_request", side_effect=error):
@@ -93,7 +94,7 @@
         server = await asyncio.start_server(drop_request, LOOPBACK, 0)
         port = server.sockets[0].getsockname()[1]
         sink = RecordingMessageSink()
-        client = RunnerClient(sink)
+        client = RunnerClient(sink, SystemClock())
         request = dataclasses.replace(build_request(Moment(0, 0)), method=method)
         client.start_attempt(
             StartAttempt(
