Log when the event loop of a host is behind, and large mirror messages

Cause: on a deployment with hosts of 0.39 of a core and links of 10 Mbit/s a request was sent to a leaving runner 1.9 s after its caller's deadline. Nothing in a host's log told a busy event loop from a stopped process or a full link.

Measured: nothing changes for callers; the tests of mirrors and of the whole path pass.

--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -28,6 +28,7 @@
 from figshunt.gateway._directory_reader import DirectoryReader, ItemSource
 from figshunt.gateway._drain_plan import DrainPlan
 from figshunt.gateway._front_listener import FrontListener
+from figshunt.gateway._loop_lag import LoopLagMonitor
 from figshunt.gateway._memory_bounds import (
     build_receive_budget,
     build_unread_budget,
@@ -103,7 +104,7 @@
             self._log,
             random_source,
         )
-        self.mirror_listener = MirrorListener(settings.mirror, self.items)
+        self.mirror_listener = MirrorListener(settings.mirror, self.items, self._log)
         self.mirror_reader = MirrorReader(
             self.items,
             outage,
@@ -150,6 +151,7 @@
             settings.metrics, self._metrics.exposition
         )
         self._timer = WakeTimer(clock, self._run_due_timers)
+        self._lag_monitor = LoopLagMonitor(clock, self._log)
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the child services in their start order."""
@@ -162,6 +164,7 @@
             self.mirror_reader,
             self.reader,
             self.readiness,
+            self._lag_monitor,
         ]
 
     def is_ready(self) -> bool:
--- a/figshunt/gateway/_mirror.py
+++ b/figshunt/gateway/_mirror.py
@@ -22,6 +22,9 @@
 # A published value has at most 1 MB, but a copy of all items may have several.
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
+# Messages of this size take a noticeable time on a slow link.
+MIN_LOGGED_BYTES = 10_000
+
 # A reader sends nothing, so that what a listener receives is bounded like this.
 MAX_READER_MESSAGE_BYTES = 1_024
 
@@ -53,10 +56,11 @@
     can't, its copy is still useful to a host that starts during the outage.
     """
 
-    def __init__(self, address: Address, items: PublishedItems) -> None:
+    def __init__(self, address: Address, items: PublishedItems, log: EventLog) -> None:
         super().__init__()
         self._address = address
         self._items = items
+        self._log = log
         self._server: Server | None = None
 
     @property
@@ -102,9 +106,10 @@
             ]
             sent_items.update((item.key, item) for item in changed_items)
             can_read_store = self._items.is_available(ItemOrigin.STORE)
-            await connection.send(
-                encode_items(changed_items, self._items.version, can_read_store)
-            )
+            data = encode_items(changed_items, self._items.version, can_read_store)
+            if len(data) >= MIN_LOGGED_BYTES:
+                self._log.write("mirror_sent", step=Step.STORE.value, bytes=len(data))
+            await connection.send(data)
             try:
                 async with asyncio.timeout(HEARTBEAT_S):
                     await self._items.wait_for_change()
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -72,7 +72,7 @@
         self.outage = OutageRecord(self.clock)
         self.peer_items.set_available(ItemOrigin.STORE, True, "test")
         self.peer_items.merge([build_item("a", 5, b"x")], Version.of(0, 5))
-        listener = MirrorListener(Address(LOOPBACK, 0), self.peer_items)
+        listener = MirrorListener(Address(LOOPBACK, 0), self.peer_items, EventLog({}))
         await listener.start()
         self.addAsyncCleanup(listener.stop)
         self.reader = MirrorReader(
