Choose relays by the speed of their links

On a deployment whose hosts mostly have links of 10 Mbit/s, hosts lost sight of whole data centres for seconds, and requests through some hosts came seconds late: one reached a leaving runner 1.9 s after its caller's deadline. A change of the configuration would come late there as well.

Cause: a relay forwards what its data centre tells to each host there, some 20 Mbit/s at that size, and was chosen by the hash of its name alone, so that it could be a host whose link carries half of that.

Change: hosts tell the capacity of their links, as the platform's settings state it, and the fastest one heard of lately becomes the relay, of equal ones that with the lowest hash. It works because the few hosts with links of 200 Mbit/s carry the sum, and because a silent one is followed by the next fastest.

Measured: test_hosts_with_slow_links_are_no_relays_beside_faster_ones fails if the rank leaves the link out, and passes now.

--- a/figshunt/dispatch/_messages.py
+++ b/figshunt/dispatch/_messages.py
@@ -450,7 +450,8 @@
     is the version of the configuration in force, ``revision`` the store revision up
     to which the host has all published items. ``can_read_store`` is set if the host
     can read the store itself. ``known_hosts`` is how many hosts it knows to live.
-    ``era`` is the era of ``revision``.
+    ``era`` is the era of ``revision``. ``link_mbps`` is what the host's link carries,
+    or 0 if it isn't known.
     ``heard_digest`` is equal at hosts that hear the same hosts.
     """
 
@@ -475,6 +476,7 @@
     suspects_digest: int = 0
     heard_digest: int = 0
     era: StoreEra = NO_VERSION.era
+    link_mbps: int = 0
 
     @property
     def store_version(self) -> Version:
--- a/figshunt/exchange/_members.py
+++ b/figshunt/exchange/_members.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 from hashlib import blake2b
+from typing import NamedTuple
 
 from figshunt.dispatch import HostStatus
 from figshunt.types import DataCentreName, HostName
@@ -23,6 +24,22 @@
 SUMMARY_INTERVAL_MS = 100
 
 
+class RelayRank(NamedTuple):
+    """The order in which hosts become relays: those with the fastest links come first.
+
+    A relay sends what its data centre tells to each host there, which fills a slow
+    link and delays the requests that the relay serves itself.
+    """
+
+    inverse_link_mbps: int
+    digest: bytes
+
+    @classmethod
+    def of(cls, host: HostName, link_mbps: int) -> "RelayRank":
+        """Return the rank of a host whose link carries so much, in Mbit/s."""
+        return cls(-link_mbps, blake2b(host.encode(), digest_size=8).digest())
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """Another host, its latest status without notices, and when that arrived.
@@ -32,7 +49,7 @@
 
     status: HostStatus
     heard_ms: int
-    rank: bytes
+    rank: RelayRank
 
     @property
     def address(self) -> str:
@@ -56,9 +73,10 @@
 class Members:
     """Owns the list of known members.
 
-    The relay of a data centre is the member with the lowest hash among those heard
-    of lately. All hosts that know the same members choose the same relay, without
-    an election, and a relay that falls silent is replaced by the next one.
+    The relay of a data centre is the member with the fastest link among those heard of
+    lately, or of several the one with the lowest hash. All hosts that know the same
+    members choose the same relay, without an election, and a relay that falls silent is
+    replaced by the next one.
     """
 
     def __init__(self) -> None:
@@ -78,7 +96,10 @@
             return
         if known is None and len(self) >= MAX_MEMBERS:
             return
-        rank = known.rank if known is not None else relay_rank(status.host)
+        if known is not None and known.status.link_mbps == status.link_mbps:
+            rank = known.rank
+        else:
+            rank = RelayRank.of(status.host, status.link_mbps)
         self._members_by_host[status.host] = Member(
             status.without_notices(), now_ms, rank
         )
@@ -128,8 +149,3 @@
         for member in sorted(fresh, key=lambda member: member.rank, reverse=True):
             relays[member.status.data_centre] = member
         return relays
-
-
-def relay_rank(host: HostName) -> bytes:
-    """Return the key by which the relay of a data centre is chosen."""
-    return blake2b(host.encode(), digest_size=8).digest()
--- a/figshunt/exchange/_status_exchange.py
+++ b/figshunt/exchange/_status_exchange.py
@@ -4,7 +4,7 @@
 
 from figshunt.dispatch import HostStatus
 from figshunt.exchange._bundle import Bundle, BundlePurpose, Outgoing, split_statuses
-from figshunt.exchange._members import Members, relay_rank
+from figshunt.exchange._members import Members, RelayRank
 from figshunt.types import DataCentreName, HostName, Moment
 
 # Up to this many other hosts, each one sends its statuses to all others. The cost
@@ -29,6 +29,9 @@
     centre and to one relay of each other data centre, which forwards it to the hosts
     there. A status thus passes at most two relays, and none twice. Hosts that
     disagree on a relay lose nothing, since each forwards what it is asked to.
+
+    :param link_mbps: what this host's link carries, or 0 if it isn't known. Its own
+        statuses have to say the same.
     """
 
     def __init__(
@@ -37,10 +40,11 @@
         data_centre: DataCentreName,
         address: str,
         seeds: tuple[str, ...],
+        link_mbps: int = 0,
     ) -> None:
         self.members = Members()
         self._host = host
-        self._rank = relay_rank(host)
+        self._rank = RelayRank.of(host, link_mbps)
         self._data_centre = data_centre
         self._address = address
         self._seeds = seeds
--- a/figshunt/gateway/_daemon.py
+++ b/figshunt/gateway/_daemon.py
@@ -136,7 +136,11 @@
             settings.front.ip,
             settings.peer_port,
             StatusExchange(
-                settings.host, settings.data_centre, settings.front.ip, settings.seeds
+                settings.host,
+                settings.data_centre,
+                settings.front.ip,
+                settings.seeds,
+                settings.link_mbps,
             ),
             self._build_status,
             self,
@@ -318,6 +322,7 @@
             version=configuration.version if configuration else 0,
             revision=self.items.version.revision,
             era=self.items.version.era,
+            link_mbps=self._settings.link_mbps,
             can_read_store=self.items.is_available(ItemOrigin.STORE),
             data_centre=self._settings.data_centre,
             held=self.core.placement.held_notices(),
--- a/figshunt/gateway/_settings.py
+++ b/figshunt/gateway/_settings.py
@@ -22,8 +22,8 @@
     listeners, and ``store`` is that of the platform's store. ``seeds`` are the
     IP addresses of hosts through which the other hosts are found. All hosts
     exchange datagrams on ``peer_port``. ``stop_grace_ms`` is the time between
-    SIGTERM and the kill. ``memory_bytes`` is the memory of this process, if the
-    platform tells it.
+    SIGTERM and the kill. ``memory_bytes`` is the memory of this process, and
+    ``link_mbps`` what the link of its machine carries, if the platform tells them.
     """
 
     host: HostName
@@ -38,6 +38,7 @@
     bounds: SharedBounds
     stop_grace_ms: int
     memory_bytes: int | None = None
+    link_mbps: int = 0
     log_level: str = "info"
 
     @property
--- a/figshunt/gateway/_status_codec.py
+++ b/figshunt/gateway/_status_codec.py
@@ -106,6 +106,7 @@
         [_encode_repeats(notice) for notice in status.repeats],
         status.suspects_digest,
         status.era,
+        status.link_mbps,
         status.heard_digest,
     ]
 
@@ -115,7 +116,7 @@
     can_read_store, data_centre, known_hosts, *notices = rest
     placements, suspects, queues, silences, occupancies, limits, *rest = notices
     speeds, rejections, held, repeats, *digests = rest
-    suspects_digest, era, heard_digest = digests
+    suspects_digest, era, link_mbps, heard_digest = digests
     store_version = Version.of(int(era), int(revision))
     return HostStatus(
         host=HostName(str(host)),
@@ -154,6 +155,7 @@
         repeats=tuple(_decode_repeats(entry) for entry in repeats),
         suspects_digest=int(suspects_digest),
         era=store_version.era,
+        link_mbps=int(link_mbps),
         heard_digest=int(heard_digest),
     )
 
--- a/figshunt/platform/_settings.py
+++ b/figshunt/platform/_settings.py
@@ -77,6 +77,7 @@
         ),
         stop_grace_ms=int(float(bounds["graceS"]) * 1000),
         memory_bytes=_parse_memory_bytes(fields.get("limits", {})),
+        link_mbps=int(float(fields.get("limits", {}).get("linkMbps", 0))),
     )
 
 
--- a/tests/exchange/fleet.py
+++ b/tests/exchange/fleet.py
@@ -11,18 +11,28 @@
 
 HEARTBEAT_MS = 500
 STEP_MS = 10
+SLOW_LINK_MBPS = 10
+FAST_LINK_MBPS = 200
 
 
 class ExchangeHost:
     """One host, what it has received, and when it sends its next heartbeat."""
 
     def __init__(
-        self, number: int, data_centres: int, seeds: tuple[str, ...], start_ms: int
+        self,
+        number: int,
+        data_centres: int,
+        seeds: tuple[str, ...],
+        start_ms: int,
+        link_mbps: int,
     ) -> None:
         self.address = build_address(number)
         self.name = HostName(f"host-{number}")
         self.data_centre = DataCentreName(f"dc-{number % data_centres}")
-        self.exchange = StatusExchange(self.name, self.data_centre, self.address, seeds)
+        self.link_mbps = link_mbps
+        self.exchange = StatusExchange(
+            self.name, self.data_centre, self.address, seeds, link_mbps
+        )
         self.next_heartbeat_ms = start_ms
         self.received_notices: Counter[str] = Counter()
         self.sent_datagrams = 0
@@ -33,18 +43,30 @@
             self.name,
             address=self.address,
             data_centre=self.data_centre,
+            link_mbps=self.link_mbps,
             known_hosts=self.exchange.known_hosts(now),
         )
 
 
 class ExchangeFleet:
-    """Delivers bundles in order of steps, unless a link is cut or a host is down."""
+    """Delivers bundles in order of steps, unless a link is cut or a host is down.
+
+    :param fast_hosts: the last so many hosts have fast links.
+    """
 
-    def __init__(self, hosts: int, data_centres: int, seed: int = 1) -> None:
+    def __init__(
+        self, hosts: int, data_centres: int, seed: int = 1, fast_hosts: int = 0
+    ) -> None:
         self.random = random.Random(seed)
         seeds = tuple(build_address(number) for number in range(min(3, hosts)))
         self.hosts = [
-            ExchangeHost(number, data_centres, seeds, self.random.randrange(300))
+            ExchangeHost(
+                number,
+                data_centres,
+                seeds,
+                self.random.randrange(300),
+                FAST_LINK_MBPS if number >= hosts - fast_hosts else SLOW_LINK_MBPS,
+            )
             for number in range(hosts)
         ]
         self.hosts_by_address = {host.address: host for host in self.hosts}
--- a/tests/exchange/test_status_exchange.py
+++ b/tests/exchange/test_status_exchange.py
@@ -62,6 +62,35 @@
         # Relays send to one more host for each further data centre.
         self.assertLess(means[1], 2 * means[0])
 
+    def test_hosts_with_slow_links_are_no_relays_beside_faster_ones(self) -> None:
+        """Guards against hosts whose links are full of what they forward.
+
+        The requests that they serve would be seconds late.
+        """
+        fleet = ExchangeFleet(78, 3, fast_hosts=6)
+        fleet.run(START_MS)
+        for host in fleet.hosts:
+            host.sent_datagrams = 0
+        for _ in range(20):
+            for host in fleet.hosts:
+                fleet.notify(host, "n")
+            fleet.run(FORWARD_MS)
+        slow_hosts, fast_hosts = fleet.hosts[:-6], fleet.hosts[-6:]
+        most_of_slow = max(host.sent_datagrams for host in slow_hosts)
+        self.assertLess(10 * most_of_slow, max(h.sent_datagrams for h in fast_hosts))
+
+    def test_relays_with_fast_links_are_replaced_by_the_next_fastest(self) -> None:
+        fleet = ExchangeFleet(78, 3, fast_hosts=6)
+        fleet.run(START_MS)
+        relays = [host for host in fleet.hosts if host.exchange.is_relay(fleet.now)]
+        fleet.down = {relay.address for relay in relays}
+        fleet.run(FAILOVER_MS)
+        successors = [
+            host for host in fleet.living_hosts if host.exchange.is_relay(fleet.now)
+        ]
+        self.assertEqual([200] * 3, [host.link_mbps for host in successors])
+        self.assertEqual(0, self.count_missed(fleet, fleet.living_hosts[::7], "n"))
+
     def test_silent_relays_are_replaced(self) -> None:
         fleet = ExchangeFleet(78, 6)
         fleet.run(START_MS)
