--- a/tests/gateway/fixture.py
+++ b/tests/gateway/fixture.py
@@ -93,6 +93,7 @@
 metricsPort = 0
 [limits]
 memoryMb = {memory_mb}
+linkMbps = 1000.0
 [listen]
 front = "{ip}:0"
 ready = "{ip}:0"
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -15,6 +15,7 @@
     "seeds = [5]": "seeds = []",
     "graceS = inf": "graceS = 8",
     "[[limits]]": "[limits]",
+    "linkMbps = []": "linkMbps = 1000.0",
 }
 
 
@@ -28,7 +29,7 @@
         path = Path(directory.name) / "settings.toml"
         write_settings(path, 1)
         text = path.read_text()
-        read_platform_settings(path)
+        self.assertEqual(1_000, read_platform_settings(path).link_mbps)
         for invalid, valid in VALID_BY_INVALID.items():
             with self.subTest(invalid):
                 self.assertIn(valid, text)
