--- a/figshunt/directory/_held_items.py
+++ b/figshunt/directory/_held_items.py
@@ -20,7 +20,7 @@
 
 
 class HeldItems:
-    """Keeps the newest such item of each data centre and runner for a limited time.
+    """Keeps the newest of them for each data centre and runner, for a limited time.
 
     What the copy lacks is written again within that time, so that an item that is
     still there afterwards is what the store has to say.
--- a/figshunt/runtime/_body_pieces.py
+++ b/figshunt/runtime/_body_pieces.py
@@ -4,8 +4,7 @@
 
 import aiohttp
 
-# Reading from the HTTP library takes up to 10 us for a byte that came in a chunk of its
-# own, so that large reads could take long.
+# A read of many bytes that came in tiny chunks takes long in the HTTP library.
 STREAM_PIECE_BYTES = 512
 BODY_PIECE_BYTES = 4 * 1024
 
