review: show that a silent watch delays the end of a leaving runner

Cause: a watch that isn't answered counts as an outage of the store from its start, so that the removal of an entry which the next call brings is taken for a lapse.

--- a/review/common-3/lab.py
+++ b/review/common-3/lab.py
@@ -142,6 +142,7 @@
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent_writers: set[asyncio.StreamWriter] = set()
 
     @property
     def address(self) -> str:
@@ -155,6 +156,14 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def silence_channels(self) -> int:
+        """Send nothing more on the channels that are open now; return their number.
+
+        They aren't reset, and new channels work.
+        """
+        self._silent_writers |= self._writers
+        return len(self._writers)
+
     async def stop(self) -> None:
         """Stop listening and reset all channels."""
         if self._server is not None:
@@ -178,6 +187,8 @@
                 data = await self.answer(request, reader, writer)
                 if data is None:
                     return
+                if writer in self._silent_writers:
+                    continue
                 writer.write(data)
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
@@ -187,6 +198,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self._silent_writers.discard(writer)
             writer.close()
 
     async def answer(
